--- /dev/null
+++ b/benches/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the decisions, in virtual time.
--- /dev/null
+++ b/crates/cardamomhold_config/src/check.rs
@@ -0,0 +1,169 @@
+//! Checks of a change before it is written: every refusal names its field.
+
+use std::collections;
+use std::fmt;
+use std::net;
+
+use cardamomhold_core::rank;
+use cardamomhold_group::spec;
+
+use crate::config;
+use crate::object;
+
+/// Most members of a group.
+pub const MAX_MEMBERS: usize = 9;
+
+/// A field that was refused, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadField {
+    /// Path of the field, such as `members[1].address`.
+    pub path: String,
+    /// What is wrong.
+    pub problem: Problem,
+}
+
+/// What is wrong with a field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Problem {
+    /// The number lies outside its bounds.
+    OutOfRange {
+        /// Least accepted value.
+        least: u64,
+        /// Greatest accepted value.
+        most: u64,
+    },
+    /// The text is no `ip:port`.
+    NotAddress,
+    /// The name stands twice.
+    Duplicate,
+    /// The content is of another kind than the name.
+    WrongKind,
+    /// The shares of all ranks together exceed 100 percent.
+    SharesExceed(u32),
+    /// The member's name is used by another group.
+    UsedElsewhere(String),
+    /// Only the system changes this kind of object.
+    NotForOperators,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OutOfRange { least, most } => write!(f, "use a number from {least} to {most}"),
+            Self::NotAddress => f.write_str("use an address such as 127.0.0.1:5432"),
+            Self::Duplicate => f.write_str("stands twice"),
+            Self::WrongKind => f.write_str("content is of another kind than the name"),
+            Self::SharesExceed(sum) => {
+                write!(f, "shares of all ranks sum to {sum} percent, at most 100")
+            }
+            Self::UsedElsewhere(group) => write!(f, "is a member of group {group} already"),
+            Self::NotForOperators => {
+                f.write_str("is changed by the system only; order a switchover instead")
+            }
+        }
+    }
+}
+
+impl fmt::Display for BadField {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.problem)
+    }
+}
+
+impl std::error::Error for BadField {}
+
+fn bad(path: &str, problem: Problem) -> BadField {
+    BadField {
+        path: path.to_owned(),
+        problem,
+    }
+}
+
+fn range(path: &str, value: u64, least: u64, most: u64) -> Result<(), BadField> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(bad(path, Problem::OutOfRange { least, most }))
+}
+
+/// Checks an operator's change against its own bounds and the rest of the configuration.
+///
+/// # Errors
+/// The first [`BadField`] found.
+pub fn check(
+    config: &config::Config,
+    name: &object::ObjectName,
+    spec: &object::Spec,
+) -> Result<(), BadField> {
+    match (name, spec) {
+        (object::ObjectName::Group(_), object::Spec::Group(spec)) => {
+            check_group(config, name, spec)
+        }
+        (object::ObjectName::Rank(rank), object::Spec::Rank(rule)) => {
+            check_rank(config, *rank, rule)
+        }
+        (object::ObjectName::ReadKind(_), object::Spec::ReadKind(rule)) => {
+            range("staleness_ms", rule.staleness_ms, 0, 86_400_000)
+        }
+        (object::ObjectName::Caller(_), object::Spec::Caller(rule)) => {
+            range("weight", rule.weight.into(), 1, 1_000)?;
+            range("connections", rule.connections.into(), 1, 1_000_000)
+        }
+        (object::ObjectName::StopRule, object::Spec::StopRule(rule)) => {
+            range("grace_ms", rule.grace_ms, 0, 600_000)?;
+            range("idle_ms", rule.idle_ms, 100, 3_600_000)
+        }
+        (object::ObjectName::Reign(_), _) => Err(bad("kind", Problem::NotForOperators)),
+        _ => Err(bad("spec", Problem::WrongKind)),
+    }
+}
+
+fn check_rank(
+    config: &config::Config,
+    rank: rank::Rank,
+    rule: &object::RankRule,
+) -> Result<(), BadField> {
+    range("share_percent", rule.share_percent.into(), 1, 100)?;
+    range("target_ms", rule.target_ms, 1, 3_600_000)?;
+    range("deadline_ms", rule.deadline_ms, 1, 3_600_000)?;
+    range("queue", rule.queue.into(), 1, 1_000_000)?;
+    let mut sum = rule.share_percent;
+    for other in rank::Rank::ALL {
+        if other != rank {
+            sum += config.rank_rule(other).share_percent;
+        }
+    }
+    if sum > 100 {
+        return Err(bad("share_percent", Problem::SharesExceed(sum)));
+    }
+    Ok(())
+}
+
+fn check_group(
+    config: &config::Config,
+    name: &object::ObjectName,
+    spec: &spec::GroupSpec,
+) -> Result<(), BadField> {
+    range("members", spec.members.len() as u64, 1, MAX_MEMBERS as u64)?;
+    range("slots", spec.slots.into(), 1, 10_000)?;
+    range("connections", spec.connections.into(), 10, 100_000)?;
+    range("key_retention_s", spec.key_retention_s, 60, 31_536_000)?;
+    let mut names = collections::BTreeSet::new();
+    for (i, member) in spec.members.iter().enumerate() {
+        if member.address.parse::<net::SocketAddr>().is_err() {
+            return Err(bad(&format!("members[{i}].address"), Problem::NotAddress));
+        }
+        if !names.insert(&member.name) {
+            return Err(bad(&format!("members[{i}].name"), Problem::Duplicate));
+        }
+        for (group, other) in config.groups() {
+            if object::ObjectName::Group(group.clone()) != *name
+                && other.member(&member.name).is_some()
+            {
+                let problem = Problem::UsedElsewhere(group.to_string());
+                return Err(bad(&format!("members[{i}].name"), problem));
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cardamomhold_config/src/config.rs
@@ -0,0 +1,184 @@
+//! The configuration of one instance, as far as it has heard of it.
+
+use std::collections;
+use std::sync;
+
+use cardamomhold_core::name;
+use cardamomhold_core::rank;
+use cardamomhold_group::reign;
+use cardamomhold_group::spec;
+
+use crate::object;
+
+/// A version of the platform's store; zero stands for "nothing seen".
+pub type Version = u64;
+
+/// One object as the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Name in the store.
+    pub name: String,
+    /// Bytes in the store.
+    pub value: sync::Arc<[u8]>,
+    /// Version of this content.
+    pub version: Version,
+    /// Whether the object was removed.
+    pub removed: bool,
+}
+
+/// An entry as the aggregate keeps it.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// The object as the store holds it; passed on to peers unchanged.
+    pub change: Change,
+    /// The content; none when the object was removed.
+    pub envelope: Option<object::Envelope>,
+}
+
+/// What an instance has heard of the configuration.
+///
+/// Entries merge by version, so that the order of arrival does not matter and
+/// nothing ever goes back.
+#[derive(Debug, Clone, Default)]
+pub struct Config {
+    entries: collections::BTreeMap<object::ObjectName, Entry>,
+    through: Version,
+}
+
+/// What merging a change did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merged {
+    /// The change is new here.
+    Applied,
+    /// The same or a later version was known.
+    Known,
+    /// The object is not one that this version understands.
+    NotUnderstood,
+}
+
+impl Config {
+    /// Takes one change in, from the store or from a peer.
+    pub fn merge(&mut self, change: &Change) -> Merged {
+        let Ok(name) = object::ObjectName::parse(&change.name) else {
+            return Merged::NotUnderstood;
+        };
+        if self.version(&name) >= change.version {
+            return Merged::Known;
+        }
+        let envelope = if change.removed {
+            None
+        } else {
+            match serde_json::from_slice(&change.value) {
+                Ok(envelope) => Some(envelope),
+                Err(_) => return Merged::NotUnderstood,
+            }
+        };
+        self.entries.insert(
+            name,
+            Entry {
+                change: change.clone(),
+                envelope,
+            },
+        );
+        Merged::Applied
+    }
+
+    /// Takes note that every change up to `version` has been merged.
+    pub fn complete(&mut self, version: Version) {
+        self.through = self.through.max(version);
+    }
+
+    /// The version up to which nothing is missing here.
+    pub fn through(&self) -> Version {
+        self.through
+    }
+
+    /// The version of one object; zero when it was never written.
+    pub fn version(&self, name: &object::ObjectName) -> Version {
+        self.entries.get(name).map_or(0, |e| e.change.version)
+    }
+
+    /// One object.
+    pub fn entry(&self, name: &object::ObjectName) -> Option<&Entry> {
+        self.entries.get(name)
+    }
+
+    /// All objects, removed ones included.
+    pub fn entries(&self) -> impl Iterator<Item = (&object::ObjectName, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// The changes after a version, the oldest first.
+    pub fn since(&self, version: Version) -> Vec<&Change> {
+        let newer = self.entries.values().map(|e| &e.change);
+        let mut changes: Vec<&Change> = newer.filter(|c| c.version > version).collect();
+        changes.sort_by_key(|c| c.version);
+        changes
+    }
+
+    fn spec(&self, name: &object::ObjectName) -> Option<&object::Spec> {
+        let envelope = self.entries.get(name)?.envelope.as_ref()?;
+        Some(&envelope.spec)
+    }
+
+    /// The groups that exist.
+    pub fn groups(&self) -> impl Iterator<Item = (&name::GroupName, &spec::GroupSpec)> {
+        self.entries.iter().filter_map(|(name, entry)| {
+            match (name, &entry.envelope.as_ref()?.spec) {
+                (object::ObjectName::Group(name), object::Spec::Group(spec)) => Some((name, spec)),
+                _ => None,
+            }
+        })
+    }
+
+    /// One group.
+    pub fn group(&self, name: &name::GroupName) -> Option<&spec::GroupSpec> {
+        match self.spec(&object::ObjectName::Group(name.clone()))? {
+            object::Spec::Group(spec) => Some(spec),
+            _ => None,
+        }
+    }
+
+    /// A group's term and primary; the first reign while no promotion has written one.
+    pub fn reign(&self, name: &name::GroupName) -> Option<reign::Reign> {
+        if let Some(object::Spec::Reign(reign)) =
+            self.spec(&object::ObjectName::Reign(name.clone()))
+        {
+            return Some(reign.clone());
+        }
+        let first = self.group(name)?.members.first()?;
+        Some(reign::Reign::first(first.name.clone()))
+    }
+
+    /// The rule of a rank.
+    pub fn rank_rule(&self, rank: rank::Rank) -> object::RankRule {
+        match self.spec(&object::ObjectName::Rank(rank)) {
+            Some(object::Spec::Rank(rule)) => rule.clone(),
+            _ => object::RankRule::default_of(rank),
+        }
+    }
+
+    /// A kind of read.
+    pub fn read_rule(&self, kind: &name::KindName) -> Option<&object::ReadRule> {
+        match self.spec(&object::ObjectName::ReadKind(kind.clone()))? {
+            object::Spec::ReadKind(rule) => Some(rule),
+            _ => None,
+        }
+    }
+
+    /// A caller's limits.
+    pub fn caller_rule(&self, caller: &name::CallerName) -> object::CallerRule {
+        match self.spec(&object::ObjectName::Caller(caller.clone())) {
+            Some(object::Spec::Caller(rule)) => rule.clone(),
+            _ => object::CallerRule::default(),
+        }
+    }
+
+    /// The rules for draining and stopping.
+    pub fn stop_rule(&self) -> object::StopRule {
+        match self.spec(&object::ObjectName::StopRule) {
+            Some(object::Spec::StopRule(rule)) => rule.clone(),
+            _ => object::StopRule::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_core/src/key.rs
@@ -0,0 +1,71 @@
+//! Request keys: the callers' idempotency keys.
+
+use std::fmt;
+use std::str;
+use std::time;
+
+/// An idempotency key: a version 7 UUID, which carries the time of its making.
+///
+/// The time lets the proxy refuse a key that is older than the group's retention
+/// of keys, when it can no longer tell whether the request has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestKey(uuid::Uuid);
+
+/// Why a text is not a request key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyError {
+    /// The text is not a UUID.
+    NotUuid,
+    /// The UUID is of another version than 7.
+    NotVersion7,
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotUuid => f.write_str("request key is not a UUID"),
+            Self::NotVersion7 => f.write_str("request key is not a version 7 UUID"),
+        }
+    }
+}
+
+impl std::error::Error for KeyError {}
+
+impl RequestKey {
+    /// Wraps a version 7 UUID.
+    ///
+    /// # Errors
+    /// [`KeyError::NotVersion7`] for any other version.
+    pub fn new(id: uuid::Uuid) -> Result<Self, KeyError> {
+        if id.get_version_num() != 7 {
+            return Err(KeyError::NotVersion7);
+        }
+        Ok(Self(id))
+    }
+
+    /// Time of making since the Unix epoch, by the caller's clock.
+    pub fn created(&self) -> time::Duration {
+        let millis = self.0.as_u128() >> 80;
+        time::Duration::from_millis(millis as u64)
+    }
+
+    /// Whether the key is older than `retention` at Unix time `now`.
+    pub fn is_expired(&self, now: time::Duration, retention: time::Duration) -> bool {
+        now.saturating_sub(self.created()) > retention
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl str::FromStr for RequestKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let id = uuid::Uuid::parse_str(text).map_err(|_| KeyError::NotUuid)?;
+        Self::new(id)
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_core/src/lib.rs
@@ -0,0 +1,35 @@
+//! Value types shared by every aggregate of the proxy.
+//!
+//! The types here carry identity, order and time; the rules that use them live
+//! in the aggregates. Nothing in this crate does I/O, reads a clock or draws a
+//! random number.
+//!
+//! ```
+//! use cardamomhold_core::prelude::*;
+//!
+//! let written = Position::new(Term(3), LogPosition(42));
+//! let mut token = SessionToken::default();
+//! token.observe(&GroupName::parse("bookings").unwrap(), written).unwrap();
+//! assert_eq!(token.position("bookings"), Some(written));
+//! ```
+
+pub mod key;
+pub mod name;
+pub mod outcome;
+pub mod position;
+pub mod rank;
+pub mod read;
+pub mod time;
+pub mod token;
+
+/// The types that almost every crate of the workspace uses.
+pub mod prelude {
+    pub use crate::key::RequestKey;
+    pub use crate::name::{CallerName, GroupName, InstanceName, KindName, MemberName, ZoneName};
+    pub use crate::outcome::{Outcome, Refusal};
+    pub use crate::position::{LogPosition, Position, Term};
+    pub use crate::rank::Rank;
+    pub use crate::read::ReadKind;
+    pub use crate::time::Timestamp;
+    pub use crate::token::SessionToken;
+}
--- /dev/null
+++ b/crates/cardamomhold_core/src/name.rs
@@ -0,0 +1,129 @@
+//! Names of groups, members, instances, zones, callers and read kinds.
+
+use std::borrow;
+use std::fmt;
+use std::sync;
+
+/// Longest accepted name, in bytes.
+pub const MAX_NAME_LEN: usize = 63;
+
+/// Why a text is not a name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NameError {
+    /// The text is empty.
+    Empty,
+    /// The text is longer than [`MAX_NAME_LEN`] bytes.
+    TooLong(usize),
+    /// The text holds a character outside `a-z`, `A-Z`, `0-9`, `_`, `-` and `.`.
+    BadCharacter(char),
+}
+
+impl fmt::Display for NameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => write!(f, "name is empty"),
+            Self::TooLong(len) => write!(f, "name has {len} bytes, at most {MAX_NAME_LEN}"),
+            Self::BadCharacter(c) => write!(f, "name holds {c:?}; use a-z, 0-9, '_', '-' or '.'"),
+        }
+    }
+}
+
+impl std::error::Error for NameError {}
+
+fn check(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > MAX_NAME_LEN {
+        return Err(NameError::TooLong(text.len()));
+    }
+    for c in text.chars() {
+        if c.is_ascii_alphanumeric() || matches!(c, '_' | '-' | '.') {
+            continue;
+        }
+        return Err(NameError::BadCharacter(c));
+    }
+    Ok(())
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(sync::Arc<str>);
+
+        impl $name {
+            /// Checks a text and keeps it as a name.
+            ///
+            /// # Errors
+            /// [`NameError`] when the text is empty, too long or holds a character that is not allowed.
+            pub fn parse(text: &str) -> Result<Self, NameError> {
+                check(text)?;
+                Ok(Self(text.into()))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                Self::parse(&text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:?}", &*self.0)
+            }
+        }
+    };
+}
+
+name!(
+    /// A database group: one primary and its replicas. Callers name it as the database.
+    GroupName
+);
+name!(
+    /// A member of a group: one endpoint. Unique in the whole configuration.
+    MemberName
+);
+name!(
+    /// One running instance of the daemon.
+    InstanceName
+);
+name!(
+    /// An availability zone.
+    ZoneName
+);
+name!(
+    /// A caller (tenant); fair shares are counted per caller.
+    CallerName
+);
+name!(
+    /// A kind of read that the operators configured.
+    KindName
+);
--- /dev/null
+++ b/crates/cardamomhold_core/src/token.rs
@@ -0,0 +1,170 @@
+//! Session tokens: what a session has written, in a form that callers carry.
+
+use std::collections;
+use std::fmt;
+
+use hmac::KeyInit;
+use hmac::Mac;
+
+use crate::name;
+use crate::position;
+
+/// Most groups that one token may name.
+pub const MAX_TOKEN_GROUPS: usize = 16;
+
+/// Longest accepted token, in bytes of text.
+pub const MAX_TOKEN_LEN: usize = 2048;
+
+const VERSION: &str = "v1";
+const MAC_LEN: usize = 16;
+
+/// The newest confirmed position a session has seen in each group it wrote to.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct SessionToken {
+    positions: collections::BTreeMap<name::GroupName, position::Position>,
+}
+
+/// Why a token can't be read or extended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TokenError {
+    /// The token is longer than [`MAX_TOKEN_LEN`] bytes.
+    TooLong(usize),
+    /// The token does not have the expected parts.
+    Malformed,
+    /// The token's version is not known here.
+    UnknownVersion,
+    /// The signature does not match: the token was changed, cut or made elsewhere.
+    BadSignature,
+    /// The token names more than [`MAX_TOKEN_GROUPS`] groups.
+    TooManyGroups,
+}
+
+impl fmt::Display for TokenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLong(len) => {
+                write!(f, "session token has {len} bytes, at most {MAX_TOKEN_LEN}")
+            }
+            Self::Malformed => f.write_str("session token is malformed"),
+            Self::UnknownVersion => f.write_str("session token has an unknown version"),
+            Self::BadSignature => f.write_str("session token has a bad signature"),
+            Self::TooManyGroups => {
+                write!(f, "session token names more than {MAX_TOKEN_GROUPS} groups")
+            }
+        }
+    }
+}
+
+impl std::error::Error for TokenError {}
+
+/// The secret that all instances sign tokens with.
+#[derive(Clone)]
+pub struct TokenSecret(hmac::Hmac<sha2::Sha256>);
+
+impl fmt::Debug for TokenSecret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("TokenSecret")
+    }
+}
+
+impl TokenSecret {
+    /// Makes the secret from bytes of any length.
+    pub fn new(bytes: &[u8]) -> Self {
+        match hmac::Hmac::new_from_slice(bytes) {
+            Ok(mac) => Self(mac),
+            Err(_) => unreachable!("HMAC takes keys of any length"),
+        }
+    }
+
+    fn sign(&self, body: &str) -> String {
+        let mut mac = self.0.clone();
+        mac.update(body.as_bytes());
+        let tag = mac.finalize().into_bytes();
+        let mut hex = String::with_capacity(MAC_LEN * 2);
+        for byte in &tag[..MAC_LEN] {
+            hex.push_str(&format!("{byte:02x}"));
+        }
+        hex
+    }
+}
+
+impl SessionToken {
+    /// The position that the session must see in `group`.
+    pub fn position(&self, group: &str) -> Option<position::Position> {
+        self.positions.get(group).copied()
+    }
+
+    /// Raises the group's position to `seen`; never lowers it.
+    ///
+    /// # Errors
+    /// [`TokenError::TooManyGroups`] when the token is full and names other groups.
+    pub fn observe(
+        &mut self,
+        group: &name::GroupName,
+        seen: position::Position,
+    ) -> Result<(), TokenError> {
+        if let Some(known) = self.positions.get_mut(group) {
+            *known = seen.max(*known);
+            return Ok(());
+        }
+        if self.positions.len() >= MAX_TOKEN_GROUPS {
+            return Err(TokenError::TooManyGroups);
+        }
+        self.positions.insert(group.clone(), seen);
+        Ok(())
+    }
+
+    /// Raises every group's position to that of `other`.
+    ///
+    /// # Errors
+    /// [`TokenError::TooManyGroups`] when both together name too many groups.
+    pub fn merge(&mut self, other: &Self) -> Result<(), TokenError> {
+        for (group, seen) in &other.positions {
+            self.observe(group, *seen)?;
+        }
+        Ok(())
+    }
+
+    /// Writes the token as text with its signature.
+    pub fn encode(&self, secret: &TokenSecret) -> String {
+        let mut body = String::from(VERSION);
+        for (group, position) in &self.positions {
+            body.push_str(&format!(";{group}={}/{}", position.term, position.log));
+        }
+        let mac = secret.sign(&body);
+        format!("{body};{mac}")
+    }
+
+    /// Reads a token and checks its signature.
+    ///
+    /// # Errors
+    /// Every [`TokenError`] but none that depends on the instance's own state.
+    pub fn decode(text: &str, secret: &TokenSecret) -> Result<Self, TokenError> {
+        if text.len() > MAX_TOKEN_LEN {
+            return Err(TokenError::TooLong(text.len()));
+        }
+        let (body, mac) = text.rsplit_once(';').ok_or(TokenError::Malformed)?;
+        let mut parts = body.split(';');
+        if parts.next() != Some(VERSION) {
+            return Err(TokenError::UnknownVersion);
+        }
+        if secret.sign(body) != mac {
+            return Err(TokenError::BadSignature);
+        }
+        let mut token = Self::default();
+        for part in parts {
+            let (group, position) = parse_part(part).ok_or(TokenError::Malformed)?;
+            token.observe(&group, position)?;
+        }
+        Ok(token)
+    }
+}
+
+fn parse_part(part: &str) -> Option<(name::GroupName, position::Position)> {
+    let (group, place) = part.split_once('=')?;
+    let (term, log) = place.split_once('/')?;
+    let group = name::GroupName::parse(group).ok()?;
+    let term = position::Term(term.parse().ok()?);
+    let log = position::LogPosition(log.parse().ok()?);
+    Some((group, position::Position::new(term, log)))
+}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -0,0 +1,457 @@
+//! A caller's transaction: choosing the way, trying, and trying again while that is safe.
+
+use std::time;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use cardamomhold_config::config;
+use cardamomhold_core::name;
+use cardamomhold_core::outcome;
+use cardamomhold_core::position;
+use cardamomhold_group::spec;
+use cardamomhold_session::route;
+use cardamomhold_wire::sqlstate;
+use cardamomhold_wire::statement;
+use pgwire::messages;
+
+use crate::batch;
+use crate::caller;
+use crate::lane;
+use crate::owner;
+use crate::peer;
+use crate::relay;
+
+/// Pause before another attempt while nothing has changed.
+const RETRY: time::Duration = time::Duration::from_millis(20);
+
+/// Name of the kind of read that `BEGIN READ ONLY` stands for.
+const DEFAULT_KIND: &str = "default";
+
+/// A lane whose transaction is open.
+#[derive(Debug)]
+pub struct OpenLane {
+    lane: lane::Lane,
+    /// State of the transaction.
+    pub status: lane::Status,
+    allowance: time::Duration,
+}
+
+/// How a batch ended.
+enum Ended {
+    Ready(lane::Ready),
+    Failure {
+        failure: lane::Failure,
+        forwarded: bool,
+    },
+}
+
+/// What one attempt needs.
+struct Plan {
+    ticket: lane::Ticket,
+    address: Option<String>,
+}
+
+impl caller::Caller {
+    /// Runs a batch in the open transaction, or in a new one.
+    pub(crate) async fn transact(&mut self, batch: &batch::Batch) -> Result<(), caller::End> {
+        let start = tokio::time::Instant::now();
+        let ended = match self.lane.take() {
+            Some(open) => self.go_on(open, batch).await?,
+            None => self.try_all(batch, start).await?,
+        };
+        match ended {
+            Ended::Ready(ready) => self.finish(batch, ready, start).await,
+            Ended::Failure { failure, .. } => self.give_up(batch, &failure).await,
+        }
+    }
+
+    async fn finish(
+        &mut self,
+        batch: &batch::Batch,
+        ready: lane::Ready,
+        start: tokio::time::Instant,
+    ) -> Result<(), caller::End> {
+        self.context
+            .metrics
+            .answered(&self.group, self.session.rank, start.elapsed());
+        if let Some(written) = ready.written {
+            self.see(written);
+        }
+        if let statement::Class::Set(setting) = &batch.class
+            && batch.executes()
+        {
+            self.follow_setting(setting, &batch.text);
+        }
+        if ready.status == lane::Status::Idle && batch.executes() {
+            self.session.request_key = None;
+        }
+        self.ready().await
+    }
+
+    fn see(&mut self, written: position::Position) {
+        let group = self.group.clone();
+        if self.session.token.observe(&group, written).is_err() {
+            log::warn!("event=token_full group={group}");
+        }
+    }
+
+    /// Carries a setting of the endpoint's own over to the session's next connections.
+    fn follow_setting(&mut self, setting: &statement::Setting, text: &str) {
+        if setting.local {
+            return;
+        }
+        match setting.value {
+            None => self.session.forget(&setting.name),
+            Some(_) if self.session.keep(&setting.name, text).is_err() => {
+                log::warn!("event=too_many_settings group={}", self.group);
+            }
+            Some(_) => {}
+        }
+    }
+
+    async fn give_up(
+        &mut self,
+        batch: &batch::Batch,
+        failure: &lane::Failure,
+    ) -> Result<(), caller::End> {
+        if let lane::Failure::Ran { tag, written } = failure {
+            self.see(*written);
+            self.session.request_key = None;
+            if !matches!(batch.class, statement::Class::Begin { .. }) {
+                return self.answer_locally(batch, tag, None).await;
+            }
+        }
+        let reason = match failure.outcome() {
+            outcome::Outcome::NotRun(refusal) => refusal.as_str(),
+            outcome::Outcome::Unknown(doubt) => doubt.as_str(),
+            outcome::Outcome::Ran => "ran_before",
+        };
+        self.context
+            .metrics
+            .failed(&self.group, self.session.rank, reason);
+        let report = sqlstate::report(failure.outcome());
+        self.fail(batch, &report).await
+    }
+
+    async fn go_on(
+        &mut self,
+        mut open: OpenLane,
+        batch: &batch::Batch,
+    ) -> Result<Ended, caller::End> {
+        let deadline = tokio::time::Instant::now() + open.allowance + caller::ANSWER_MARGIN;
+        let up = lane::Up::Batch(lane::Batch {
+            frames: batch.frames.clone(),
+            sync: batch.sync,
+        });
+        let ended = if open.lane.up.send(up).await.is_err() {
+            lost()
+        } else {
+            self.await_end(&mut open.lane, batch, deadline).await?
+        };
+        if let Ended::Ready(ready) = &ended {
+            open.status = ready.status;
+            if ready.status != lane::Status::Idle {
+                self.lane = Some(open);
+            }
+        }
+        Ok(ended)
+    }
+
+    /// Tries until the batch has run, or may have run, or its deadline has passed.
+    async fn try_all(
+        &mut self,
+        batch: &batch::Batch,
+        start: tokio::time::Instant,
+    ) -> Result<Ended, caller::End> {
+        let rule = self.context.config.borrow().rank_rule(self.session.rank);
+        let allowance = self
+            .session
+            .deadline
+            .unwrap_or(time::Duration::from_millis(rule.deadline_ms));
+        let deadline = start + allowance;
+        let mut doubt = None;
+        let mut skips_replica = false;
+        loop {
+            let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+            let plan = self.plan(batch, left, skips_replica);
+            let (failure, forwarded) = match plan {
+                Ok(plan) => match self.try_once(plan, batch, allowance, deadline).await? {
+                    Ended::Ready(ready) => return Ok(Ended::Ready(ready)),
+                    Ended::Failure { failure, forwarded } => (failure, forwarded),
+                },
+                Err(refusal) => (lane::Failure::NotRun(refusal), false),
+            };
+            let is_over = tokio::time::Instant::now() + RETRY >= deadline;
+            match failure {
+                lane::Failure::NotRun(outcome::Refusal::ReplicaBehind) => {
+                    skips_replica = true;
+                    continue;
+                }
+                lane::Failure::NotRun(refusal) if refusal.is_transient() && !is_over => {}
+                lane::Failure::Unknown(why) if self.may_repeat(batch) && !forwarded && !is_over => {
+                    doubt = Some(why);
+                }
+                failure => {
+                    let failure = keep_doubt(failure, doubt);
+                    return Ok(Ended::Failure { failure, forwarded });
+                }
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    /// Whether a batch whose outcome is unknown may be sent again: its key sees to it
+    /// that it runs at most once.
+    fn may_repeat(&self, batch: &batch::Batch) -> bool {
+        self.session.request_key.is_some() && !matches!(batch.class, statement::Class::Begin { .. })
+    }
+
+    fn plan(
+        &mut self,
+        batch: &batch::Batch,
+        deadline: time::Duration,
+        skips_replica: bool,
+    ) -> Result<Plan, outcome::Refusal> {
+        let config = self.context.config.borrow().clone();
+        let spec = config
+            .group(&self.group)
+            .ok_or(outcome::Refusal::UnknownGroup)?;
+        let reign = config
+            .reign(&self.group)
+            .ok_or(outcome::Refusal::UnknownGroup)?;
+        let kind = self.kind_of(&batch.class, &config);
+        let seen = self.session.token.position(self.group.as_str());
+        let replicas = self.replicas(spec, reign.primary.as_ref());
+        let view = route::View {
+            term: reign.term,
+            primary: reign.primary.as_ref(),
+            replicas: &replicas,
+        };
+        self.spread = self.spread.wrapping_add(1);
+        let wants_replica = kind.is_some() && !skips_replica;
+        let (member, access) = match route::choose(view, wants_replica, seen, self.spread)? {
+            route::Route::Replica(member) => {
+                (member, lane::Access::ReadReplica(kind.unwrap_or_default()))
+            }
+            route::Route::Primary(member) if kind.is_some() => (member, lane::Access::ReadPrimary),
+            route::Route::Primary(member) => (member, lane::Access::Write),
+        };
+        let ticket = lane::Ticket {
+            group: self.group.clone(),
+            member: member.clone(),
+            term: reign.term,
+            rank: self.session.rank,
+            caller: self.caller.clone(),
+            deadline,
+            access,
+            request_key: self
+                .session
+                .request_key
+                .filter(|_| batch.executes() && !access.is_read()),
+            begins: matches!(batch.class, statement::Class::Begin { .. }),
+            seen,
+            setup: self.session.setup().map(str::to_owned).collect(),
+        };
+        let address = self.owner_address(spec, member)?;
+        Ok(Plan { ticket, address })
+    }
+
+    /// The accepted staleness of a declared read; none for everything else.
+    fn kind_of(&self, class: &statement::Class, config: &config::Config) -> Option<time::Duration> {
+        let default = name::KindName::parse(DEFAULT_KIND).ok();
+        let kind = match class {
+            statement::Class::Begin { read_only: true } => {
+                self.session.read_kind.as_ref().or(default.as_ref())
+            }
+            _ => self.session.read_kind.as_ref(),
+        };
+        let rule = config.read_rule(kind?)?;
+        Some(time::Duration::from_millis(rule.staleness_ms))
+    }
+
+    fn replicas<'a>(
+        &self,
+        spec: &'a spec::GroupSpec,
+        primary: Option<&name::MemberName>,
+    ) -> Vec<route::Candidate<'a>> {
+        let mut replicas = Vec::new();
+        for member in &spec.members {
+            if Some(&member.name) == primary || member.draining {
+                continue;
+            }
+            replicas.push(route::Candidate {
+                member: &member.name,
+                is_near: member.zone == self.context.zone,
+            });
+        }
+        replicas
+    }
+
+    /// Address of the instance that owns a member; none when it is this one.
+    fn owner_address(
+        &self,
+        spec: &spec::GroupSpec,
+        member: &name::MemberName,
+    ) -> Result<Option<String>, outcome::Refusal> {
+        let fleet = self.context.fleet.borrow().clone();
+        let zone = &spec.member(member).ok_or(outcome::Refusal::NoPrimary)?.zone;
+        let owner = fleet
+            .owner(member, zone)
+            .ok_or(outcome::Refusal::OwnerUnreachable)?;
+        if owner.name == self.context.instance {
+            return Ok(None);
+        }
+        Ok(Some(owner.address.clone()))
+    }
+
+    async fn open(&self, plan: Plan) -> lane::Lane {
+        let (lane, end) = lane::pair();
+        // When the receiving task has ended, the lane's end is dropped and the lane reports it.
+        match plan.address {
+            None => {
+                let open = owner::Request::Open(Box::new(plan.ticket), end);
+                let _ = self.context.owner.send(open).await;
+            }
+            Some(address) => {
+                let forward = peer::Forward {
+                    address,
+                    ticket: plan.ticket,
+                    end,
+                };
+                let _ = self.context.peers.send(forward).await;
+            }
+        }
+        lane
+    }
+
+    async fn try_once(
+        &mut self,
+        plan: Plan,
+        batch: &batch::Batch,
+        allowance: time::Duration,
+        deadline: tokio::time::Instant,
+    ) -> Result<Ended, caller::End> {
+        let access = plan.ticket.access;
+        let mut lane = self.open(plan).await;
+        let up = lane::Up::Batch(lane::Batch {
+            frames: batch.frames.clone(),
+            sync: batch.sync,
+        });
+        // A lane that was refused at once still reports why.
+        let _ = lane.up.send(up).await;
+        let ended = self
+            .await_end(&mut lane, batch, deadline + caller::ANSWER_MARGIN)
+            .await?;
+        if let Ended::Ready(ready) = &ended {
+            if access.is_read() {
+                self.context
+                    .metrics
+                    .read(&self.group, access != lane::Access::ReadPrimary);
+            }
+            if ready.status != lane::Status::Idle {
+                self.lane = Some(OpenLane {
+                    lane,
+                    status: ready.status,
+                    allowance,
+                });
+            }
+        }
+        Ok(ended)
+    }
+
+    async fn await_end(
+        &mut self,
+        lane: &mut lane::Lane,
+        batch: &batch::Batch,
+        deadline: tokio::time::Instant,
+    ) -> Result<Ended, caller::End> {
+        let mut filter = Filter::new(&batch.steps);
+        let mut forwarded = false;
+        loop {
+            tokio::select! {
+                down = lane.down.recv() => match down {
+                    Some(lane::Down::Frames(frames)) => {
+                        forwarded = true;
+                        filter.put(frames, &mut self.out);
+                        self.flush().await?;
+                    }
+                    Some(lane::Down::Ready(ready)) => return Ok(Ended::Ready(ready)),
+                    Some(lane::Down::Failure(failure)) => return Ok(Ended::Failure { failure, forwarded }),
+                    None => return Ok(lost()),
+                },
+                target = self.cancels.recv() => {
+                    if target.is_ok_and(|t| t == self.own) {
+                        // A lane that ends at the same moment has nothing to cancel.
+                        let _ = lane.up.send(lane::Up::Cancel).await;
+                    }
+                }
+                () = tokio::time::sleep_until(deadline) => {
+                    let failure = lane::Failure::Unknown(outcome::Doubt::DeadlinePassed);
+                    return Ok(Ended::Failure { failure, forwarded });
+                }
+            }
+        }
+    }
+}
+
+fn lost() -> Ended {
+    let failure = lane::Failure::Unknown(outcome::Doubt::OwnerLost);
+    Ended::Failure {
+        failure,
+        forwarded: false,
+    }
+}
+
+/// Once an attempt may have run, no later refusal makes the request "not run".
+fn keep_doubt(failure: lane::Failure, doubt: Option<outcome::Doubt>) -> lane::Failure {
+    match (failure, doubt) {
+        (lane::Failure::NotRun(_), Some(doubt)) => lane::Failure::Unknown(doubt),
+        (failure, _) => failure,
+    }
+}
+
+/// Drops the answers to messages that the caller did not send.
+struct Filter<'a> {
+    steps: std::slice::Iter<'a, batch::Step>,
+    is_needed: bool,
+    rest: BytesMut,
+}
+
+impl<'a> Filter<'a> {
+    fn new(steps: &'a [batch::Step]) -> Self {
+        let is_needed = steps.contains(&batch::Step::AddedParse);
+        Self {
+            steps: steps.iter(),
+            is_needed,
+            rest: BytesMut::new(),
+        }
+    }
+
+    fn put(&mut self, frames: Bytes, out: &mut BytesMut) {
+        if !self.is_needed {
+            out.extend_from_slice(&frames);
+            return;
+        }
+        self.rest.extend_from_slice(&frames);
+        let context = messages::DecodeContext::default();
+        while let Ok(Some(message)) =
+            messages::PgWireBackendMessage::decode(&mut self.rest, &context)
+        {
+            if matches!(message, messages::PgWireBackendMessage::ParseComplete(_))
+                && self.is_added()
+            {
+                continue;
+            }
+            relay::put(out, &message);
+        }
+    }
+
+    /// Whether the parse that is answered next was added here.
+    fn is_added(&mut self) -> bool {
+        let mut parses = self
+            .steps
+            .by_ref()
+            .filter(|s| matches!(s, batch::Step::Parse | batch::Step::AddedParse));
+        parses.next() == Some(&batch::Step::AddedParse)
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -0,0 +1,253 @@
+//! One instance: its tasks, their start and their graceful end.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time;
+
+use cardamomhold_core::token;
+use cardamomhold_fleet::fleet;
+use cardamomhold_platform::client;
+use cardamomhold_proto::operator as operator_schema;
+use cardamomhold_proto::peer as peer_schema;
+use tokio::net;
+use tokio::sync::broadcast;
+use tokio::sync::watch;
+use tokio::task;
+use tokio_stream::wrappers;
+
+use crate::caller;
+use crate::clock;
+use crate::config;
+use crate::fleet as fleet_task;
+use crate::http;
+use crate::metrics;
+use crate::operator;
+use crate::owner;
+use crate::peer;
+use crate::settings;
+
+/// Cancel requests that wait for slow tasks.
+const CANCELS: usize = 256;
+
+/// Why an instance did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address can't be listened on.
+    Listen {
+        /// The setting that names it.
+        setting: &'static str,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// The platform's address is not accepted.
+    PlatformAddress,
+    /// The metrics can't be set up.
+    Metrics(prometheus::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen { setting, error } => write!(f, "{setting}: can't listen: {error}"),
+            Self::PlatformAddress => f.write_str("platform: not an address"),
+            Self::Metrics(error) => write!(f, "metrics: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Daemon {
+    listen: SocketAddr,
+    peer: SocketAddr,
+    metrics: SocketAddr,
+    ready: watch::Sender<bool>,
+    stopping: watch::Sender<bool>,
+    callers: task::JoinHandle<task::JoinSet<()>>,
+    services: task::JoinSet<()>,
+}
+
+async fn bind(
+    setting: &'static str,
+    address: SocketAddr,
+) -> Result<(net::TcpListener, SocketAddr), StartError> {
+    let failed = |error| StartError::Listen { setting, error };
+    let listener = net::TcpListener::bind(address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok((listener, address))
+}
+
+impl Daemon {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    /// [`StartError`] when an address can't be listened on.
+    pub async fn start(settings: &settings::Settings) -> Result<Self, StartError> {
+        let platform = client::GrpcPlatform::new(&settings.platform.to_string())
+            .map_err(|_| StartError::PlatformAddress)?;
+        let metrics = metrics::Metrics::new().map_err(StartError::Metrics)?;
+        let (callers_listener, listen) = bind("listen", settings.listen).await?;
+        let (peer_listener, peer) = bind("peer", settings.peer).await?;
+        let (metrics_listener, metrics_address) = bind("metrics", settings.metrics).await?;
+        let own = fleet::Instance {
+            name: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            address: peer.to_string(),
+            state: fleet::InstanceState::Alive,
+        };
+        let config = config::start(platform.clone());
+        let fleet = fleet_task::start(platform.clone(), own.clone());
+        let owner = owner::start(owner::Setting {
+            instance: own.name.clone(),
+            config: config.config.clone(),
+            fleet: fleet.clone(),
+            clock: clock::Clock::start(),
+        });
+        let (ready, ready_seen) = watch::channel(false);
+        let (stopping, stopping_seen) = watch::channel(false);
+        let context = caller::Context {
+            instance: own.name.clone(),
+            zone: own.zone.clone(),
+            secret: token::TokenSecret::new(settings.token_secret.as_bytes()),
+            config: config.config.clone(),
+            fleet: fleet.clone(),
+            owner: owner.clone(),
+            peers: peer::start(),
+            cancels: broadcast::Sender::new(CANCELS),
+            metrics: metrics.clone(),
+            stopping: stopping_seen,
+        };
+        let peers = peer::Service {
+            owner: owner.clone(),
+            config: config.config.clone(),
+        };
+        let operators = operator::Service {
+            platform,
+            config: config.clone(),
+            fleet,
+            owner,
+            own,
+        };
+        let mut services = task::JoinSet::new();
+        services.spawn(serve_peers(peer_listener, peers, operators));
+        services.spawn(http::run(metrics_listener, metrics, ready_seen));
+        services.spawn(become_ready(config.config.clone(), ready.clone()));
+        let callers = tokio::spawn(accept(callers_listener, context));
+        log::info!(
+            "event=started instance={} zone={} listen={listen} peer={peer}",
+            settings.instance,
+            settings.zone
+        );
+        Ok(Self {
+            listen,
+            peer,
+            metrics: metrics_address,
+            ready,
+            stopping,
+            callers,
+            services,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Where other instances and operators connect.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Where metrics and the readiness probe are served.
+    pub fn metrics(&self) -> SocketAddr {
+        self.metrics
+    }
+
+    /// Waits until the instance has a configuration and is ready for callers.
+    pub async fn ready(&self) {
+        let mut ready = self.ready.subscribe();
+        // The sender lives as long as `self`.
+        let _ = ready.wait_for(|r| *r).await;
+    }
+
+    /// Stops gracefully: no new work, then what is in flight ends, within `grace`.
+    ///
+    /// Returns the number of connections that were still open when the time was over.
+    pub async fn stop(mut self, grace: time::Duration) -> usize {
+        self.ready.send_replace(false);
+        self.stopping.send_replace(true);
+        let mut left = 0;
+        if let Ok(mut callers) = self.callers.await {
+            let all = async { while callers.join_next().await.is_some() {} };
+            // What is left over is counted.
+            let _ = tokio::time::timeout(grace, all).await;
+            left = callers.len();
+        }
+        self.services.shutdown().await;
+        log::info!("event=stopped left={left}");
+        left
+    }
+}
+
+async fn become_ready(
+    mut config: watch::Receiver<std::sync::Arc<cardamomhold_config::config::Config>>,
+    ready: watch::Sender<bool>,
+) {
+    if config.wait_for(|c| c.through() > 0).await.is_ok() {
+        ready.send_replace(true);
+    }
+}
+
+async fn serve_peers(
+    listener: net::TcpListener,
+    peers: peer::Service,
+    operators: operator::Service<client::GrpcPlatform>,
+) {
+    let incoming = wrappers::TcpListenerStream::new(listener);
+    let served = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(peer_schema::peer_server::PeerServer::new(peers))
+        .add_service(operator_schema::operator_server::OperatorServer::new(
+            operators,
+        ))
+        .serve_with_incoming(incoming);
+    if let Err(error) = served.await {
+        log::error!("event=peer_service_end error=\"{error}\"");
+    }
+}
+
+/// Accepts callers until the instance stops; returns the tasks still running then.
+async fn accept(listener: net::TcpListener, context: caller::Context) -> task::JoinSet<()> {
+    let mut callers = task::JoinSet::new();
+    let mut stopping = context.stopping.clone();
+    let mut number = 0;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|s| *s) => return callers,
+        };
+        while callers.try_join_next().is_some() {}
+        let socket = match accepted {
+            Ok((socket, _)) => socket,
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if socket.set_nodelay(true).is_err() {
+            continue;
+        }
+        number += 1;
+        let secret = uuid::Uuid::new_v4().as_u128() as i32;
+        let own = caller::CancelTarget { number, secret };
+        callers.spawn(caller::run(context.clone(), socket, own));
+    }
+}
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -0,0 +1,31 @@
+//! The daemon: tasks that own sockets and state, around the aggregates that decide.
+//!
+//! [`daemon::Daemon`] starts one instance inside the running `tokio` runtime; the binary
+//! `cardamomholdd` does so from a settings file.
+//!
+//! ```
+//! use cardamomhold_daemon::settings;
+//!
+//! let error = settings::parse(r#"{"instance": "a", "colour": "red"}"#).unwrap_err();
+//! assert!(error.to_string().contains("colour"));
+//! ```
+
+pub mod attempt;
+pub mod batch;
+pub mod caller;
+pub mod clock;
+pub mod config;
+pub mod daemon;
+pub mod endpoint;
+pub mod fleet;
+pub mod group;
+pub mod http;
+pub mod lane;
+pub mod metrics;
+pub mod monitor;
+pub mod operator;
+pub mod owner;
+pub mod peer;
+pub mod relay;
+pub mod settings;
+pub mod work;
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/metrics.rs
@@ -0,0 +1,112 @@
+//! The metrics of an instance.
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::rank;
+use prometheus::core::Collector;
+
+/// Upper bounds of the latency histograms, in seconds.
+const BUCKETS: [f64; 14] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// The metrics of an instance; clones share them.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: prometheus::Registry,
+    statements: prometheus::HistogramVec,
+    refusals: prometheus::IntCounterVec,
+    reads: prometheus::IntCounterVec,
+    callers: prometheus::IntGauge,
+}
+
+impl Metrics {
+    /// Fresh metrics.
+    ///
+    /// # Errors
+    /// [`prometheus::Error`] when a name is not accepted.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = prometheus::Registry::new();
+        let options = prometheus::HistogramOpts::new(
+            "cardamomhold_statement_seconds",
+            "Time from a statement's arrival to the end of its answer",
+        );
+        let statements =
+            prometheus::HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["group", "rank"])?;
+        let refusals = counter(
+            "cardamomhold_failures_total",
+            "Statements without a regular answer",
+            &["group", "rank", "reason"],
+        )?;
+        let reads = counter(
+            "cardamomhold_reads_total",
+            "Declared reads by where they ran",
+            &["group", "at"],
+        )?;
+        let callers =
+            prometheus::IntGauge::new("cardamomhold_callers", "Open connections of callers")?;
+        let collectors: [Box<dyn Collector>; 4] = [
+            Box::new(statements.clone()),
+            Box::new(refusals.clone()),
+            Box::new(reads.clone()),
+            Box::new(callers.clone()),
+        ];
+        for collector in collectors {
+            registry.register(collector)?;
+        }
+        Ok(Self {
+            registry,
+            statements,
+            refusals,
+            reads,
+            callers,
+        })
+    }
+
+    /// Takes note of an answered statement.
+    pub fn answered(&self, group: &name::GroupName, rank: rank::Rank, took: time::Duration) {
+        self.statements
+            .with_label_values(&[group.as_str(), rank.as_str()])
+            .observe(took.as_secs_f64());
+    }
+
+    /// Takes note of a statement without a regular answer.
+    pub fn failed(&self, group: &name::GroupName, rank: rank::Rank, reason: &str) {
+        self.refusals
+            .with_label_values(&[group.as_str(), rank.as_str(), reason])
+            .inc();
+    }
+
+    /// Takes note of where a declared read ran.
+    pub fn read(&self, group: &name::GroupName, at_replica: bool) {
+        let at = if at_replica { "replica" } else { "primary" };
+        self.reads.with_label_values(&[group.as_str(), at]).inc();
+    }
+
+    /// Takes note of a caller's connection.
+    pub fn connected(&self) {
+        self.callers.inc();
+    }
+
+    /// Takes note of the end of a caller's connection.
+    pub fn disconnected(&self) {
+        self.callers.dec();
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let encoder = prometheus::TextEncoder::new();
+        encoder
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
+
+fn counter(
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<prometheus::IntCounterVec, prometheus::Error> {
+    prometheus::IntCounterVec::new(prometheus::Opts::new(name, help), labels)
+}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -0,0 +1,475 @@
+//! The operators' service: every change is conditional, checked and reviewable.
+
+use cardamomhold_config::check;
+use cardamomhold_config::config;
+use cardamomhold_config::object;
+use cardamomhold_core::name;
+use cardamomhold_core::rank;
+use cardamomhold_fleet::fleet;
+use cardamomhold_group::spec;
+use cardamomhold_group::status;
+use cardamomhold_platform::client;
+use cardamomhold_platform::client::Platform;
+use cardamomhold_proto::operator as schema;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::config as config_task;
+use crate::owner;
+
+/// The service of one instance.
+#[derive(Debug)]
+pub struct Service<P> {
+    /// Where changes are written.
+    pub platform: P,
+    /// The configuration.
+    pub config: config_task::Handle,
+    /// The fleet as it changes.
+    pub fleet: tokio::sync::watch::Receiver<std::sync::Arc<fleet::Fleet>>,
+    /// Shows what has tasks here.
+    pub owner: mpsc::Sender<owner::Request>,
+    /// This instance.
+    pub own: fleet::Instance,
+}
+
+fn bad(path: &str, problem: &str) -> schema::ApplyReply {
+    let field = schema::BadField {
+        path: path.to_owned(),
+        problem: problem.to_owned(),
+    };
+    schema::ApplyReply {
+        result: Some(schema::apply_reply::Result::Invalid(field)),
+    }
+}
+
+fn missing(what: &str) -> tonic::Status {
+    tonic::Status::not_found(format!("no such {what}"))
+}
+
+/// What became of a conditional update.
+enum Applied {
+    Accepted(config::Change),
+    Conflict(config::Change),
+    Undecided,
+}
+
+impl<P: Platform> Service<P> {
+    async fn apply_spec(
+        &self,
+        name: &object::ObjectName,
+        spec: Option<object::Spec>,
+        author: &str,
+        version: u64,
+    ) -> schema::ApplyReply {
+        let config = self.config.config.borrow().clone();
+        if let Some(spec) = &spec
+            && let Err(field) = check::check(&config, name, spec)
+        {
+            return bad(&field.path, &field.problem.to_string());
+        }
+        let change = uuid::Uuid::now_v7().to_string();
+        let envelope = spec.map(|spec| object::Envelope {
+            author: author.to_owned(),
+            change: change.clone(),
+            spec,
+        });
+        let value = envelope.as_ref().and_then(|e| serde_json::to_vec(e).ok());
+        let result = match self.write(name, value.as_deref(), version).await {
+            Applied::Accepted(change) => {
+                schema::apply_reply::Result::Accepted(self.entry_of(name, &change).await)
+            }
+            Applied::Conflict(change) => {
+                schema::apply_reply::Result::Conflict(self.entry_of(name, &change).await)
+            }
+            Applied::Undecided => {
+                schema::apply_reply::Result::Undecided(schema::Undecided { change })
+            }
+        };
+        schema::ApplyReply {
+            result: Some(result),
+        }
+    }
+
+    /// Writes an object; after a lost answer the store itself tells whether it took effect.
+    async fn write(
+        &self,
+        name: &object::ObjectName,
+        value: Option<&[u8]>,
+        version: u64,
+    ) -> Applied {
+        let text = name.to_string();
+        let error = match self.platform.put(&text, value, version).await {
+            Ok(client::Written::Accepted(object)) => {
+                return Applied::Accepted(config_task::change_of(object));
+            }
+            Ok(client::Written::Conflict(object)) => {
+                return Applied::Conflict(config_task::change_of(object));
+            }
+            Err(error) => error,
+        };
+        log::warn!("event=apply_in_doubt name={name} error={error}");
+        let Ok(object) = self.platform.get(&text).await else {
+            return Applied::Undecided;
+        };
+        let is_ours = object.version > version && value == Some(object.value.as_slice());
+        let change = config_task::change_of(object);
+        if is_ours {
+            Applied::Accepted(change)
+        } else {
+            Applied::Conflict(change)
+        }
+    }
+
+    /// Lets the instance itself know, and gives the entry back for the answer.
+    async fn entry_of(&self, name: &object::ObjectName, change: &config::Change) -> schema::Entry {
+        // The watch brings the change again if the task's mailbox has closed.
+        let _ = self
+            .config
+            .heard
+            .send(config_task::Heard::Change(change.clone()))
+            .await;
+        let mut scratch = config::Config::default();
+        scratch.merge(change);
+        scratch
+            .entry(name)
+            .map(|entry| entry_to(name, entry))
+            .unwrap_or_default()
+    }
+}
+
+#[tonic::async_trait]
+impl<P: Platform> schema::operator_server::Operator for Service<P> {
+    async fn get(
+        &self,
+        request: tonic::Request<schema::GetRequest>,
+    ) -> Result<tonic::Response<schema::Entry>, tonic::Status> {
+        let request = request.into_inner();
+        let name =
+            name_from(request.kind(), &request.name).ok_or_else(|| missing("kind or name"))?;
+        let config = self.config.config.borrow().clone();
+        let entry = config.entry(&name).ok_or_else(|| missing("object"))?;
+        Ok(tonic::Response::new(entry_to(&name, entry)))
+    }
+
+    async fn list(
+        &self,
+        request: tonic::Request<schema::ListRequest>,
+    ) -> Result<tonic::Response<schema::ListReply>, tonic::Status> {
+        let kind = request.into_inner().kind();
+        let config = self.config.config.borrow().clone();
+        let mut entries = Vec::new();
+        for (name, entry) in config.entries() {
+            let entry = entry_to(name, entry);
+            if !entry.removed && (kind == schema::Kind::Unspecified || entry.kind() == kind) {
+                entries.push(entry);
+            }
+        }
+        Ok(tonic::Response::new(schema::ListReply { entries }))
+    }
+
+    async fn apply(
+        &self,
+        request: tonic::Request<schema::ApplyRequest>,
+    ) -> Result<tonic::Response<schema::ApplyReply>, tonic::Status> {
+        let entry = request.into_inner().entry.unwrap_or_default();
+        let Some(name) = name_from(entry.kind(), &entry.name) else {
+            return Ok(tonic::Response::new(bad("name", "not a name of this kind")));
+        };
+        let spec = match spec_from(&entry) {
+            Ok(spec) => spec,
+            Err(path) => return Ok(tonic::Response::new(bad(&path, "not accepted"))),
+        };
+        let reply = self
+            .apply_spec(&name, Some(spec), &entry.author, entry.version)
+            .await;
+        Ok(tonic::Response::new(reply))
+    }
+
+    async fn remove(
+        &self,
+        request: tonic::Request<schema::RemoveRequest>,
+    ) -> Result<tonic::Response<schema::ApplyReply>, tonic::Status> {
+        let request = request.into_inner();
+        let Some(name) = name_from(request.kind(), &request.name) else {
+            return Ok(tonic::Response::new(bad("name", "not a name of this kind")));
+        };
+        if matches!(name, object::ObjectName::Reign(_)) {
+            return Ok(tonic::Response::new(bad(
+                "kind",
+                &check::Problem::NotForOperators.to_string(),
+            )));
+        }
+        let reply = self
+            .apply_spec(&name, None, &request.author, request.version)
+            .await;
+        Ok(tonic::Response::new(reply))
+    }
+
+    async fn drain(
+        &self,
+        request: tonic::Request<schema::DrainRequest>,
+    ) -> Result<tonic::Response<schema::ApplyReply>, tonic::Status> {
+        let request = request.into_inner();
+        let group = name::GroupName::parse(&request.group).map_err(|_| missing("group"))?;
+        let config = self.config.config.borrow().clone();
+        let mut spec = config
+            .group(&group)
+            .cloned()
+            .ok_or_else(|| missing("group"))?;
+        let Some(member) = spec
+            .members
+            .iter_mut()
+            .find(|m| m.name.as_str() == request.member)
+        else {
+            return Err(missing("member"));
+        };
+        member.draining = request.draining;
+        let name = object::ObjectName::Group(group);
+        let version = if request.version == 0 {
+            config.version(&name)
+        } else {
+            request.version
+        };
+        let reply = self
+            .apply_spec(
+                &name,
+                Some(object::Spec::Group(spec)),
+                &request.author,
+                version,
+            )
+            .await;
+        Ok(tonic::Response::new(reply))
+    }
+
+    async fn switchover(
+        &self,
+        _: tonic::Request<schema::SwitchoverRequest>,
+    ) -> Result<tonic::Response<schema::ApplyReply>, tonic::Status> {
+        Err(tonic::Status::unimplemented("switchover"))
+    }
+
+    async fn status(
+        &self,
+        _: tonic::Request<schema::StatusRequest>,
+    ) -> Result<tonic::Response<schema::StatusReply>, tonic::Status> {
+        let (reply, answer) = oneshot::channel();
+        let stopping = |_| tonic::Status::unavailable("stopping");
+        self.owner
+            .send(owner::Request::Show(reply))
+            .await
+            .map_err(stopping)?;
+        let shown = answer.await.unwrap_or_default();
+        let config = self.config.config.borrow().clone();
+        let fleet = self.fleet.borrow().clone();
+        let mut groups = Vec::new();
+        for (group, spec) in config.groups() {
+            let reign = config.reign(group);
+            let views = match shown.groups.iter().find(|(name, _)| name == group) {
+                Some((_, handle)) => handle.members().await,
+                None => Vec::new(),
+            };
+            let mut members = Vec::new();
+            for member in &spec.members {
+                let view = views.iter().find(|v| v.name == member.name);
+                let status = view.and_then(|v| v.status.as_ref());
+                let mut shown_member = member_to(member, status);
+                let owner = fleet.owner(&member.name, &member.zone);
+                shown_member.owner = owner.map(|o| o.name.to_string()).unwrap_or_default();
+                if let Some((_, endpoint)) = shown
+                    .endpoints
+                    .iter()
+                    .find(|(name, _)| *name == member.name)
+                {
+                    let counts = endpoint.counts().await;
+                    shown_member.waiting = counts.waiting as u32;
+                    shown_member.running = counts.running as u32;
+                }
+                members.push(shown_member);
+            }
+            groups.push(schema::GroupStatus {
+                name: group.to_string(),
+                term: reign.as_ref().map(|r| r.term.0).unwrap_or_default(),
+                primary: reign
+                    .and_then(|r| r.primary)
+                    .map(|p| p.to_string())
+                    .unwrap_or_default(),
+                members,
+            });
+        }
+        Ok(tonic::Response::new(schema::StatusReply {
+            instance: self.own.name.to_string(),
+            zone: self.own.zone.to_string(),
+            config_version: config.through(),
+            platform_reachable: *self.config.reachable.borrow(),
+            groups,
+            instances: fleet.instances().map(instance_to).collect(),
+        }))
+    }
+}
+
+fn instance_to(instance: &fleet::Instance) -> schema::InstanceStatus {
+    let state = match instance.state {
+        fleet::InstanceState::Alive => "alive",
+        fleet::InstanceState::Suspect => "suspect",
+        fleet::InstanceState::Leaving => "leaving",
+        fleet::InstanceState::Dead => "dead",
+    };
+    schema::InstanceStatus {
+        name: instance.name.to_string(),
+        zone: instance.zone.to_string(),
+        state: state.to_owned(),
+    }
+}
+
+fn member_to(
+    member: &spec::MemberSpec,
+    status: Option<&status::MemberStatus>,
+) -> schema::MemberStatus {
+    let role = match status.map(|s| s.role) {
+        Some(status::MemberRole::Primary) => "primary",
+        Some(status::MemberRole::Replica) => "replica",
+        None => "unknown",
+    };
+    schema::MemberStatus {
+        name: member.name.to_string(),
+        zone: member.zone.to_string(),
+        role: role.to_owned(),
+        term: status.map(|s| s.term.0).unwrap_or_default(),
+        received: status.map(|s| s.received.0).unwrap_or_default(),
+        applied: status.map(|s| s.applied.0).unwrap_or_default(),
+        reachable: status.is_some(),
+        draining: member.draining,
+        ..Default::default()
+    }
+}
+
+fn name_from(kind: schema::Kind, text: &str) -> Option<object::ObjectName> {
+    Some(match kind {
+        schema::Kind::Group => object::ObjectName::Group(name::GroupName::parse(text).ok()?),
+        schema::Kind::Rank => object::ObjectName::Rank(text.parse::<rank::Rank>().ok()?),
+        schema::Kind::ReadKind => object::ObjectName::ReadKind(name::KindName::parse(text).ok()?),
+        schema::Kind::Caller => object::ObjectName::Caller(name::CallerName::parse(text).ok()?),
+        schema::Kind::StopRule => object::ObjectName::StopRule,
+        schema::Kind::Reign => object::ObjectName::Reign(name::GroupName::parse(text).ok()?),
+        schema::Kind::Unspecified => return None,
+    })
+}
+
+/// The content of an entry, or the path of the field that is not accepted.
+fn spec_from(entry: &schema::Entry) -> Result<object::Spec, String> {
+    use schema::entry::Spec;
+    Ok(match entry.spec.as_ref().ok_or("spec")? {
+        Spec::Group(group) => object::Spec::Group(group_from(group)?),
+        Spec::Rank(rule) => object::Spec::Rank(object::RankRule {
+            share_percent: rule.share_percent,
+            target_ms: rule.target_ms,
+            deadline_ms: rule.deadline_ms,
+            queue: rule.queue,
+        }),
+        Spec::ReadKind(kind) => object::Spec::ReadKind(object::ReadRule {
+            staleness_ms: kind.staleness_ms,
+        }),
+        Spec::Caller(rule) => object::Spec::Caller(object::CallerRule {
+            weight: rule.weight,
+            connections: rule.connections,
+        }),
+        Spec::StopRule(rule) => object::Spec::StopRule(object::StopRule {
+            grace_ms: rule.grace_ms,
+            idle_ms: rule.idle_ms,
+        }),
+        Spec::Reign(_) => return Err("kind".to_owned()),
+    })
+}
+
+fn group_from(group: &schema::Group) -> Result<spec::GroupSpec, String> {
+    let mut members = Vec::new();
+    for (i, member) in group.members.iter().enumerate() {
+        let path = |field: &str| format!("members[{i}].{field}");
+        members.push(spec::MemberSpec {
+            name: name::MemberName::parse(&member.name).map_err(|_| path("name"))?,
+            zone: name::ZoneName::parse(&member.zone).map_err(|_| path("zone"))?,
+            address: member.address.clone(),
+            draining: member.draining,
+        });
+    }
+    Ok(spec::GroupSpec {
+        members,
+        slots: group.slots,
+        connections: group.connections,
+        key_retention_s: group.key_retention_s,
+    })
+}
+
+fn entry_to(name: &object::ObjectName, entry: &config::Entry) -> schema::Entry {
+    let (kind, text) = match name {
+        object::ObjectName::Group(name) => (schema::Kind::Group, name.to_string()),
+        object::ObjectName::Rank(rank) => (schema::Kind::Rank, rank.to_string()),
+        object::ObjectName::ReadKind(name) => (schema::Kind::ReadKind, name.to_string()),
+        object::ObjectName::Caller(name) => (schema::Kind::Caller, name.to_string()),
+        object::ObjectName::StopRule => (schema::Kind::StopRule, "default".to_owned()),
+        object::ObjectName::Reign(name) => (schema::Kind::Reign, name.to_string()),
+    };
+    schema::Entry {
+        kind: kind.into(),
+        name: text,
+        version: entry.change.version,
+        removed: entry.change.removed,
+        author: entry
+            .envelope
+            .as_ref()
+            .map(|e| e.author.clone())
+            .unwrap_or_default(),
+        spec: entry.envelope.as_ref().map(|e| spec_to(&e.spec)),
+    }
+}
+
+fn spec_to(spec: &object::Spec) -> schema::entry::Spec {
+    use schema::entry::Spec;
+    match spec {
+        object::Spec::Group(group) => Spec::Group(schema::Group {
+            members: group.members.iter().map(member_spec_to).collect(),
+            slots: group.slots,
+            connections: group.connections,
+            key_retention_s: group.key_retention_s,
+        }),
+        object::Spec::Rank(rule) => Spec::Rank(schema::RankRule {
+            share_percent: rule.share_percent,
+            target_ms: rule.target_ms,
+            deadline_ms: rule.deadline_ms,
+            queue: rule.queue,
+        }),
+        object::Spec::ReadKind(rule) => Spec::ReadKind(schema::ReadKind {
+            staleness_ms: rule.staleness_ms,
+        }),
+        object::Spec::Caller(rule) => Spec::Caller(schema::CallerLimit {
+            weight: rule.weight,
+            connections: rule.connections,
+        }),
+        object::Spec::StopRule(rule) => Spec::StopRule(schema::StopRule {
+            grace_ms: rule.grace_ms,
+            idle_ms: rule.idle_ms,
+        }),
+        object::Spec::Reign(reign) => Spec::Reign(schema::Reign {
+            term: reign.term.0,
+            primary: reign
+                .primary
+                .as_ref()
+                .map(|p| p.to_string())
+                .unwrap_or_default(),
+            wanted: reign
+                .wanted
+                .as_ref()
+                .map(|p| p.to_string())
+                .unwrap_or_default(),
+        }),
+    }
+}
+
+fn member_spec_to(member: &spec::MemberSpec) -> schema::Member {
+    schema::Member {
+        name: member.name.to_string(),
+        zone: member.zone.to_string(),
+        address: member.address.clone(),
+        draining: member.draining,
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -0,0 +1,240 @@
+//! The task that owns the instance's group and endpoint tasks.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use cardamomhold_config::config;
+use cardamomhold_core::name;
+use cardamomhold_core::outcome;
+use cardamomhold_core::rank;
+use cardamomhold_fleet::fleet;
+use cardamomhold_group::spec;
+use cardamomhold_queue::queue;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::endpoint;
+use crate::group;
+use crate::lane;
+use crate::work;
+
+/// Messages that wait for the task.
+const MAILBOX: usize = 4096;
+
+/// Part of an endpoint's connections that one owner uses, so that two owners with
+/// different views stay within the endpoint's limit.
+const POOL_DIVISOR: usize = 3;
+
+/// What the task is asked.
+#[derive(Debug)]
+pub enum Request {
+    /// Serves a lane.
+    Open(Box<lane::Ticket>, lane::LaneEnd),
+    /// Shows the groups and endpoints that have tasks here.
+    Show(oneshot::Sender<Shown>),
+}
+
+/// The groups and endpoints that have tasks here.
+#[derive(Debug, Clone, Default)]
+pub struct Shown {
+    /// The groups' tasks.
+    pub groups: Vec<(name::GroupName, group::Handle)>,
+    /// The endpoints' tasks.
+    pub endpoints: Vec<(name::MemberName, endpoint::Handle)>,
+}
+
+/// Where the task finds itself.
+#[derive(Debug, Clone)]
+pub struct Setting {
+    /// This instance.
+    pub instance: name::InstanceName,
+    /// The configuration as it changes.
+    pub config: watch::Receiver<sync::Arc<config::Config>>,
+    /// The fleet as it changes.
+    pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
+    /// The clock.
+    pub clock: clock::Clock,
+}
+
+/// Starts the task; it ends when its last handle is dropped.
+pub fn start(setting: Setting) -> mpsc::Sender<Request> {
+    let (requests, mailbox) = mpsc::channel(MAILBOX);
+    let task = Task {
+        setting,
+        groups: collections::BTreeMap::new(),
+        endpoints: collections::BTreeMap::new(),
+    };
+    tokio::spawn(task.run(mailbox));
+    requests
+}
+
+struct Task {
+    setting: Setting,
+    groups: collections::BTreeMap<name::GroupName, group::Handle>,
+    endpoints: collections::BTreeMap<name::MemberName, Pool>,
+}
+
+#[derive(Debug)]
+struct Pool {
+    address: String,
+    handle: endpoint::Handle,
+}
+
+impl Task {
+    async fn run(mut self, mut mailbox: mpsc::Receiver<Request>) {
+        let mut config = self.setting.config.clone();
+        let mut fleet = self.setting.fleet.clone();
+        loop {
+            tokio::select! {
+                request = mailbox.recv() => match request {
+                    Some(Request::Open(ticket, end)) => self.open(*ticket, end),
+                    Some(Request::Show(reply)) => {
+                        // Whoever asked may have stopped waiting.
+                        let _ = reply.send(self.show());
+                    }
+                    None => return,
+                },
+                changed = config.changed() => match changed {
+                    Ok(()) => self.reshape(),
+                    Err(_) => return,
+                },
+                changed = fleet.changed() => match changed {
+                    Ok(()) => self.reshape(),
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
+    /// Starts the tasks of what this instance owns, and ends those of what is no more.
+    fn reshape(&mut self) {
+        let config = self.setting.config.borrow().clone();
+        let fleet = self.setting.fleet.borrow().clone();
+        let mut members = collections::BTreeMap::new();
+        for (group, spec) in config.groups() {
+            for member in &spec.members {
+                members.insert(&member.name, &member.address);
+                let owner = fleet.owner(&member.name, &member.zone);
+                if owner.is_some_and(|o| o.name == self.setting.instance) {
+                    self.ensure_group(group);
+                }
+            }
+        }
+        self.groups.retain(|name, _| config.group(name).is_some());
+        self.endpoints
+            .retain(|name, pool| members.get(name).is_some_and(|a| **a == pool.address));
+    }
+
+    fn ensure_group(&mut self, group: &name::GroupName) -> group::Handle {
+        let setting = &self.setting;
+        let handle = self.groups.entry(group.clone()).or_insert_with(|| {
+            group::start(group::Setting {
+                group: group.clone(),
+                instance: setting.instance.clone(),
+                config: setting.config.clone(),
+            })
+        });
+        handle.clone()
+    }
+
+    fn ensure_endpoint(
+        &mut self,
+        group: &name::GroupName,
+        spec: &spec::GroupSpec,
+        member: &spec::MemberSpec,
+        waiting: usize,
+    ) -> endpoint::Handle {
+        let setting = &self.setting;
+        let pool = self
+            .endpoints
+            .entry(member.name.clone())
+            .or_insert_with(|| {
+                let login = endpoint::login(&member.address, group, &setting.instance);
+                let bounds = bounds_of(spec, waiting);
+                let handle = endpoint::start(login, bounds, setting.clock);
+                Pool {
+                    address: member.address.clone(),
+                    handle,
+                }
+            });
+        pool.handle.clone()
+    }
+
+    fn open(&mut self, ticket: lane::Ticket, end: lane::LaneEnd) {
+        let config = self.setting.config.borrow().clone();
+        match self.context(&config, &ticket) {
+            Ok(context) => {
+                tokio::spawn(work::run(context, ticket, end));
+            }
+            Err(refusal) => {
+                let failure = lane::Down::Failure(lane::Failure::NotRun(refusal));
+                // The lane is fresh, so there is room; a caller that has gone needs no answer.
+                let _ = end.down.try_send(failure);
+            }
+        }
+    }
+
+    fn context(
+        &mut self,
+        config: &config::Config,
+        ticket: &lane::Ticket,
+    ) -> Result<work::Context, outcome::Refusal> {
+        let spec = config
+            .group(&ticket.group)
+            .ok_or(outcome::Refusal::StaleView)?;
+        let member = spec
+            .member(&ticket.member)
+            .ok_or(outcome::Refusal::StaleView)?;
+        let term = config
+            .reign(&ticket.group)
+            .map(|r| r.term)
+            .unwrap_or_default();
+        if !ticket.access.is_read() && ticket.term < term {
+            return Err(outcome::Refusal::StaleView);
+        }
+        let waiting = rank::Rank::ALL
+            .iter()
+            .map(|r| config.rank_rule(*r).queue as usize)
+            .max();
+        Ok(work::Context {
+            group: self.ensure_group(&ticket.group),
+            endpoint: self.ensure_endpoint(
+                &ticket.group,
+                spec,
+                member,
+                waiting.unwrap_or_default(),
+            ),
+            retention: spec.key_retention(),
+            idle: time::Duration::from_millis(config.stop_rule().idle_ms),
+        })
+    }
+
+    fn show(&self) -> Shown {
+        Shown {
+            groups: self
+                .groups
+                .iter()
+                .map(|(n, h)| (n.clone(), h.clone()))
+                .collect(),
+            endpoints: self
+                .endpoints
+                .iter()
+                .map(|(n, p)| (n.clone(), p.handle.clone()))
+                .collect(),
+        }
+    }
+}
+
+fn bounds_of(spec: &spec::GroupSpec, waiting: usize) -> endpoint::Bounds {
+    let connections = (spec.connections as usize / POOL_DIVISOR).max(1);
+    endpoint::Bounds {
+        limits: queue::Limits {
+            running: connections,
+            waiting,
+        },
+        connections,
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/settings.rs
@@ -0,0 +1,99 @@
+//! The settings of one instance, read from JSON and checked before anything starts.
+
+use std::fmt;
+use std::net;
+
+use cardamomhold_core::name;
+
+/// Shortest accepted token secret, in bytes.
+pub const MIN_SECRET_LEN: usize = 16;
+
+/// Settings of one instance.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub instance: name::InstanceName,
+    /// Its availability zone.
+    pub zone: name::ZoneName,
+    /// Where callers connect, `ip:port`.
+    pub listen: net::SocketAddr,
+    /// Where other instances and operators connect, `ip:port`.
+    pub peer: net::SocketAddr,
+    /// Where metrics and the readiness probe are served, `ip:port`.
+    pub metrics: net::SocketAddr,
+    /// Address of the platform's object API, `ip:port`.
+    pub platform: net::SocketAddr,
+    /// Secret that signs session tokens; the same on every instance.
+    pub token_secret: String,
+}
+
+/// Why settings are not accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SettingsError {
+    /// The text is no JSON of the expected form.
+    Field {
+        /// Path of the field.
+        path: String,
+        /// What is wrong and what would be accepted.
+        problem: String,
+    },
+    /// The token secret is too short.
+    ShortSecret(usize),
+    /// Two services would listen on the same address.
+    SharedAddress(&'static str, &'static str),
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Field { path, problem } => write!(f, "{path}: {problem}"),
+            Self::ShortSecret(len) => {
+                write!(
+                    f,
+                    "token_secret: has {len} bytes; use at least {MIN_SECRET_LEN}"
+                )
+            }
+            Self::SharedAddress(a, b) => write!(f, "{b}: same address as {a}; use another port"),
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Reads and checks settings.
+///
+/// # Errors
+/// [`SettingsError`] naming the field that is not accepted.
+pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let settings: Settings = serde_path_to_error::deserialize(&mut json).map_err(|error| {
+        let path = error.path().to_string();
+        SettingsError::Field {
+            path,
+            problem: error.into_inner().to_string(),
+        }
+    })?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn check(settings: &Settings) -> Result<(), SettingsError> {
+    let len = settings.token_secret.len();
+    if len < MIN_SECRET_LEN {
+        return Err(SettingsError::ShortSecret(len));
+    }
+    let services = [
+        ("listen", settings.listen),
+        ("peer", settings.peer),
+        ("metrics", settings.metrics),
+    ];
+    for (i, (name, address)) in services.iter().enumerate() {
+        for (other, taken) in &services[..i] {
+            if address == taken && address.port() != 0 {
+                return Err(SettingsError::SharedAddress(other, name));
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -0,0 +1,398 @@
+//! The work of one lane at the endpoint's owner: admission, guards, confirmation.
+
+use std::time;
+
+use cardamomhold_core::key;
+use cardamomhold_core::outcome;
+use cardamomhold_core::position;
+use cardamomhold_endpoint::connection;
+
+use crate::clock;
+use crate::endpoint;
+use crate::group;
+use crate::lane;
+use crate::relay;
+
+const READ_ONLY_SETTING: &str = "SET default_transaction_read_only = on";
+
+/// Creates the table of request keys in a group.
+pub const KEY_TABLE: &str = "CREATE TABLE IF NOT EXISTS cardamomhold_request_key \
+     (request_key TEXT PRIMARY KEY, tag TEXT NOT NULL)";
+
+/// SQLSTATE of a key that is there already.
+const UNIQUE_VIOLATION: &str = "23505";
+
+/// What the work needs besides its lane.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// The group's task.
+    pub group: group::Handle,
+    /// The endpoint's task.
+    pub endpoint: endpoint::Handle,
+    /// Time that the group keeps request keys.
+    pub retention: time::Duration,
+    /// Time that a transaction may stay idle.
+    pub idle: time::Duration,
+}
+
+/// Serves a lane from its first batch to the end of its transaction.
+pub async fn run(context: Context, ticket: lane::Ticket, mut end: lane::LaneEnd) {
+    let failure = match Work::admit(context, &ticket).await {
+        Ok(work) => work.serve(&ticket, &mut end).await.err(),
+        Err(refusal) => Some(lane::Failure::NotRun(refusal)),
+    };
+    if let Some(failure) = failure {
+        // The caller may be gone, then nobody needs the failure.
+        let _ = end.down.send(lane::Down::Failure(failure)).await;
+    }
+}
+
+struct Work {
+    context: Context,
+    lease: endpoint::Lease,
+    deadline: tokio::time::Instant,
+    is_read: bool,
+    sent: bool,
+    forwarded: bool,
+}
+
+/// What the guard of a request key found.
+enum Guard {
+    /// The transaction may go on.
+    Passed,
+    /// The key ran before.
+    Repeated(lane::Failure),
+}
+
+impl Work {
+    async fn admit(context: Context, ticket: &lane::Ticket) -> Result<Self, outcome::Refusal> {
+        let deadline = tokio::time::Instant::now() + ticket.deadline;
+        if let lane::Access::ReadReplica(staleness) = ticket.access {
+            let fresh = group::Freshness {
+                member: ticket.member.clone(),
+                seen: ticket.seen,
+                staleness,
+            };
+            context.group.await_fresh(fresh, deadline).await?;
+        }
+        let lease = context.endpoint.admit(ticket, deadline).await?;
+        let is_read = ticket.access.is_read();
+        Ok(Self {
+            context,
+            lease,
+            deadline,
+            is_read,
+            sent: false,
+            forwarded: false,
+        })
+    }
+
+    async fn serve(
+        mut self,
+        ticket: &lane::Ticket,
+        end: &mut lane::LaneEnd,
+    ) -> Result<(), lane::Failure> {
+        let result = self.serve_all(ticket, end).await;
+        if result.is_ok() {
+            self.lease.give_back().await;
+        }
+        result
+    }
+
+    async fn serve_all(
+        &mut self,
+        ticket: &lane::Ticket,
+        end: &mut lane::LaneEnd,
+    ) -> Result<(), lane::Failure> {
+        self.set_up(ticket).await?;
+        let wraps = ticket.request_key.is_some() && !ticket.begins;
+        let mut key = ticket.request_key;
+        if let Some(key) = key {
+            self.check_age(key)?;
+        }
+        if wraps {
+            self.run_own("BEGIN").await?;
+            self.pass(ticket, key.take()).await?;
+        }
+        let mut status = lane::Status::Idle;
+        loop {
+            let batch = match self.next_batch(end, status).await {
+                Some(batch) => batch,
+                None => return self.abandon(status).await,
+            };
+            self.sent = true;
+            self.lease
+                .connection()
+                .send(&batch.frames)
+                .await
+                .map_err(|e| self.doubt(&e.into()))?;
+            if !batch.sync {
+                // A flush has no end of its own; its answers come with the next batch.
+                continue;
+            }
+            let ended = self.relay(end).await?;
+            status = ended.status;
+            if status == lane::Status::Transaction && key.is_some() {
+                self.pass(ticket, key.take()).await?;
+            }
+            if wraps {
+                status = self.unwrap(ticket, &ended).await?;
+            }
+            let written = self.confirm(ticket, status, &ended).await?;
+            if !ended.held.is_empty() {
+                self.send(end, lane::Down::Frames(ended.held)).await?;
+            }
+            self.send(end, lane::Down::Ready(lane::Ready { status, written }))
+                .await?;
+            if status == lane::Status::Idle {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Brings the connection to the session's settings.
+    async fn set_up(&mut self, ticket: &lane::Ticket) -> Result<(), lane::Failure> {
+        for statement in &ticket.setup {
+            self.run_own(statement).await?;
+        }
+        if self.is_read {
+            self.run_own(READ_ONLY_SETTING).await?;
+        }
+        Ok(())
+    }
+
+    /// Runs a statement of the proxy's own before anything of the caller's.
+    async fn run_own(&mut self, statement: &str) -> Result<(), lane::Failure> {
+        let answer = self.query(statement).await;
+        answer
+            .map(drop)
+            .map_err(|_| lane::Failure::NotRun(outcome::Refusal::ConnectFailed))
+    }
+
+    async fn query(
+        &mut self,
+        statement: &str,
+    ) -> Result<Option<connection::Row>, connection::ConnectionError> {
+        let answer = self.lease.connection().query(statement);
+        match tokio::time::timeout_at(self.deadline, answer).await {
+            Ok(answer) => answer,
+            Err(_) => Err(connection::ConnectionError::Timeout),
+        }
+    }
+
+    fn check_age(&self, key: key::RequestKey) -> Result<(), lane::Failure> {
+        if key.is_expired(clock::unix_now(), self.context.retention) {
+            return Err(lane::Failure::Unknown(outcome::Doubt::KeyExpired));
+        }
+        Ok(())
+    }
+
+    /// Records the transaction's key, unless it is recorded already.
+    async fn pass(
+        &mut self,
+        ticket: &lane::Ticket,
+        key: Option<key::RequestKey>,
+    ) -> Result<(), lane::Failure> {
+        let Some(key) = key else {
+            return Ok(());
+        };
+        match self.record(ticket, key).await? {
+            Guard::Passed => Ok(()),
+            Guard::Repeated(failure) => Err(failure),
+        }
+    }
+
+    async fn record(
+        &mut self,
+        ticket: &lane::Ticket,
+        key: key::RequestKey,
+    ) -> Result<Guard, lane::Failure> {
+        let insert =
+            format!("INSERT INTO cardamomhold_request_key (request_key, tag) VALUES ('{key}', '')");
+        match self.query(&insert).await {
+            Ok(_) => Ok(Guard::Passed),
+            Err(connection::ConnectionError::Failed { code }) if code == UNIQUE_VIOLATION => {
+                Ok(Guard::Repeated(self.repeat(ticket, key).await?))
+            }
+            Err(error) => Err(self.doubt(&error.into())),
+        }
+    }
+
+    /// The answer to a key that has run: what was kept with it, once that is confirmed.
+    async fn repeat(
+        &mut self,
+        ticket: &lane::Ticket,
+        key: key::RequestKey,
+    ) -> Result<lane::Failure, lane::Failure> {
+        let select =
+            format!("SELECT tag FROM cardamomhold_request_key WHERE request_key = '{key}'");
+        let row = match self.query("ROLLBACK").await {
+            Ok(_) => self.query(&select).await,
+            Err(error) => Err(error),
+        };
+        let Ok(Some(row)) = row else {
+            return Err(lane::Failure::Unknown(outcome::Doubt::ConnectionLost));
+        };
+        let written = self.confirmed_position(ticket).await?;
+        Ok(lane::Failure::Ran {
+            tag: row.text(0).unwrap_or_default().to_owned(),
+            written,
+        })
+    }
+
+    /// Ends the transaction that the guard of a single statement opened.
+    async fn unwrap(
+        &mut self,
+        ticket: &lane::Ticket,
+        ended: &relay::Ended,
+    ) -> Result<lane::Status, lane::Failure> {
+        match ended.status {
+            lane::Status::Idle => return Ok(lane::Status::Idle),
+            lane::Status::Failed => {
+                let rolled_back = self.query("ROLLBACK").await;
+                rolled_back.map_err(|e| self.doubt(&e.into()))?;
+                return Ok(lane::Status::Idle);
+            }
+            lane::Status::Transaction => {}
+        }
+        let Some(key) = ticket.request_key else {
+            return Ok(lane::Status::Idle);
+        };
+        let tag = ended.tag.replace('\'', "");
+        let update = format!(
+            "UPDATE cardamomhold_request_key SET tag = '{tag}' WHERE request_key = '{key}'"
+        );
+        self.query(&update)
+            .await
+            .map_err(|e| self.doubt(&e.into()))?;
+        self.query("COMMIT")
+            .await
+            .map_err(|e| self.doubt(&e.into()))?;
+        Ok(lane::Status::Idle)
+    }
+
+    async fn relay(&mut self, end: &mut lane::LaneEnd) -> Result<relay::Ended, lane::Failure> {
+        let cancel = self.lease.connection().cancel_key();
+        let deadline = self.deadline;
+        let result = {
+            let relaying = relay::relay(self.lease.connection(), &end.down);
+            tokio::pin!(relaying);
+            loop {
+                tokio::select! {
+                    result = &mut relaying => break result,
+                    up = end.up.recv() => match up {
+                        Some(lane::Up::Cancel) => {
+                            // A cancel that fails leaves the statement running, as the protocol allows.
+                            let _ = cancel.cancel().await;
+                        }
+                        Some(lane::Up::Batch(_)) | None => break Err(relay::RelayError::CallerGone),
+                    },
+                    () = tokio::time::sleep_until(deadline) => {
+                        let error = connection::ConnectionError::Timeout;
+                        break Err(relay::RelayError::Connection(error));
+                    }
+                }
+            }
+        };
+        match result {
+            Ok(ended) => {
+                self.forwarded |= ended.forwarded;
+                Ok(ended)
+            }
+            Err(error) => Err(self.doubt(&error)),
+        }
+    }
+
+    /// The failure for an error after which the outcome may be unknown.
+    fn doubt(&self, error: &relay::RelayError) -> lane::Failure {
+        if !self.sent || (self.is_read && !self.forwarded) {
+            return lane::Failure::NotRun(outcome::Refusal::ConnectFailed);
+        }
+        lane::Failure::Unknown(match error {
+            relay::RelayError::Connection(connection::ConnectionError::Timeout) => {
+                outcome::Doubt::DeadlinePassed
+            }
+            _ => outcome::Doubt::ConnectionLost,
+        })
+    }
+
+    /// Waits until what was committed is confirmed, and returns its position.
+    async fn confirm(
+        &mut self,
+        ticket: &lane::Ticket,
+        status: lane::Status,
+        ended: &relay::Ended,
+    ) -> Result<Option<position::Position>, lane::Failure> {
+        if self.is_read || status != lane::Status::Idle {
+            return Ok(None);
+        }
+        if ended.failed && ended.held.is_empty() {
+            return Ok(None);
+        }
+        self.confirmed_position(ticket).await.map(Some)
+    }
+
+    async fn confirmed_position(
+        &mut self,
+        ticket: &lane::Ticket,
+    ) -> Result<position::Position, lane::Failure> {
+        let unconfirmed = lane::Failure::Unknown(outcome::Doubt::Unconfirmed);
+        let asking = self.lease.connection().position();
+        let position = match tokio::time::timeout_at(self.deadline, asking).await {
+            Ok(Ok(position)) if position.term == ticket.term => position,
+            _ => return Err(unconfirmed),
+        };
+        let confirmed = self
+            .context
+            .group
+            .confirm(&ticket.member, position, self.deadline)
+            .await;
+        confirmed.map_err(|_| unconfirmed)?;
+        Ok(position)
+    }
+
+    async fn next_batch(
+        &mut self,
+        end: &mut lane::LaneEnd,
+        status: lane::Status,
+    ) -> Option<lane::Batch> {
+        let idle = self.context.idle;
+        loop {
+            let next = if status == lane::Status::Idle {
+                end.up.recv().await
+            } else {
+                tokio::time::timeout(idle, end.up.recv())
+                    .await
+                    .unwrap_or(None)
+            };
+            match next? {
+                lane::Up::Batch(batch) => {
+                    self.renew_deadline(status);
+                    return Some(batch);
+                }
+                lane::Up::Cancel => continue,
+            }
+        }
+    }
+
+    /// Each statement of an open transaction has the time of the first one.
+    fn renew_deadline(&mut self, status: lane::Status) {
+        if status != lane::Status::Idle {
+            self.deadline = tokio::time::Instant::now() + self.lease.allowance();
+        }
+    }
+
+    /// Ends a lane whose caller went away between batches.
+    async fn abandon(&mut self, status: lane::Status) -> Result<(), lane::Failure> {
+        if status == lane::Status::Idle && !self.sent {
+            return Ok(());
+        }
+        let rolled_back = self.query("ROLLBACK").await;
+        rolled_back.map(drop).map_err(|e| self.doubt(&e.into()))
+    }
+
+    async fn send(&self, end: &lane::LaneEnd, down: lane::Down) -> Result<(), lane::Failure> {
+        let sent = end.down.send(down).await;
+        sent.map_err(|_| lane::Failure::Unknown(outcome::Doubt::ConnectionLost))
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_endpoint/src/control.rs
@@ -0,0 +1,179 @@
+//! Control of a member: its status, and the steps of a change of primary.
+
+use std::fmt;
+use std::future;
+use std::time;
+
+use cardamomhold_core::position;
+use cardamomhold_group::status;
+
+use crate::connection;
+
+/// Time added to a status wait before the member counts as silent.
+pub const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// Why a member did not do as asked.
+#[derive(Debug)]
+pub enum ControlError {
+    /// No answer came in time.
+    Timeout,
+    /// The connection ended.
+    Closed,
+    /// The member refused: its term is another one.
+    WrongTerm,
+    /// The connection failed.
+    Connection(connection::ConnectionError),
+}
+
+impl fmt::Display for ControlError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Timeout => f.write_str("no answer in time"),
+            Self::Closed => f.write_str("connection closed"),
+            Self::WrongTerm => f.write_str("member is at another term"),
+            Self::Connection(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for ControlError {}
+
+impl From<connection::ConnectionError> for ControlError {
+    fn from(error: connection::ConnectionError) -> Self {
+        match error {
+            connection::ConnectionError::Timeout => Self::Timeout,
+            connection::ConnectionError::Closed => Self::Closed,
+            connection::ConnectionError::Failed { .. } => Self::WrongTerm,
+            other => Self::Connection(other),
+        }
+    }
+}
+
+/// What a status wait waits for: a log that has moved on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Seen {
+    /// The received position already known.
+    pub received: position::LogPosition,
+    /// The applied position already known.
+    pub applied: position::LogPosition,
+}
+
+/// Control of one member.
+pub trait Control: Send {
+    /// Reports the status, as soon as the log has moved past `seen` or `wait` has passed.
+    fn status(
+        &mut self,
+        seen: Seen,
+        wait: time::Duration,
+    ) -> impl future::Future<Output = Result<status::MemberStatus, ControlError>> + Send;
+
+    /// Takes no log of terms below `term` any more. Idempotent.
+    fn fence(
+        &mut self,
+        term: position::Term,
+    ) -> impl future::Future<Output = Result<status::MemberStatus, ControlError>> + Send;
+
+    /// Becomes the primary of `term`, at which it must be fenced. Idempotent.
+    fn promote(
+        &mut self,
+        term: position::Term,
+    ) -> impl future::Future<Output = Result<status::MemberStatus, ControlError>> + Send;
+
+    /// Follows the primary of `term`, giving up what that primary does not hold. Idempotent.
+    fn follow(
+        &mut self,
+        term: position::Term,
+        primary: &str,
+    ) -> impl future::Future<Output = Result<status::MemberStatus, ControlError>> + Send;
+}
+
+/// Control by the members' own commands on a connection of the usual protocol.
+#[derive(Debug)]
+pub struct SqlControl {
+    connection: connection::Connection,
+}
+
+impl SqlControl {
+    /// Opens a control connection.
+    ///
+    /// # Errors
+    /// [`ControlError`] when the member can't be reached.
+    pub async fn open(login: &connection::Login) -> Result<Self, ControlError> {
+        let connection = connection::Connection::open(login).await?;
+        Ok(Self { connection })
+    }
+
+    async fn ask(
+        &mut self,
+        command: &str,
+        wait: time::Duration,
+    ) -> Result<status::MemberStatus, ControlError> {
+        let answer =
+            tokio::time::timeout(wait + ANSWER_TIMEOUT, self.connection.query(command)).await;
+        let row = match answer {
+            Ok(row) => row?,
+            Err(_) => return Err(ControlError::Timeout),
+        };
+        let row = row.ok_or(connection::ConnectionError::BadAnswer)?;
+        Ok(status_of(&row)?)
+    }
+}
+
+fn status_of(row: &connection::Row) -> Result<status::MemberStatus, connection::ConnectionError> {
+    let role = match row.text(0) {
+        Some("primary") => status::MemberRole::Primary,
+        Some("replica") => status::MemberRole::Replica,
+        _ => return Err(connection::ConnectionError::BadAnswer),
+    };
+    Ok(status::MemberStatus {
+        role,
+        term: position::Term(row.number(1)?),
+        fenced: position::Term(row.number(2)?),
+        received: position::LogPosition(row.number(3)?),
+        applied: position::LogPosition(row.number(4)?),
+        silence: time::Duration::from_millis(row.number(5)?),
+        lag: time::Duration::from_millis(row.number(6)?),
+        leaving: row.number(7)? == 1,
+    })
+}
+
+impl Control for SqlControl {
+    async fn status(
+        &mut self,
+        seen: Seen,
+        wait: time::Duration,
+    ) -> Result<status::MemberStatus, ControlError> {
+        let command = format!(
+            "MEMBER STATUS AFTER {} {} WAIT {}",
+            seen.received,
+            seen.applied,
+            wait.as_millis()
+        );
+        self.ask(&command, wait).await
+    }
+
+    async fn fence(&mut self, term: position::Term) -> Result<status::MemberStatus, ControlError> {
+        self.ask(&format!("MEMBER FENCE {term}"), time::Duration::ZERO)
+            .await
+    }
+
+    async fn promote(
+        &mut self,
+        term: position::Term,
+    ) -> Result<status::MemberStatus, ControlError> {
+        self.ask(&format!("MEMBER PROMOTE {term}"), time::Duration::ZERO)
+            .await
+    }
+
+    async fn follow(
+        &mut self,
+        term: position::Term,
+        primary: &str,
+    ) -> Result<status::MemberStatus, ControlError> {
+        self.ask(
+            &format!("MEMBER FOLLOW {term} {primary}"),
+            time::Duration::ZERO,
+        )
+        .await
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_fleet/src/lib.rs
@@ -0,0 +1,18 @@
+//! The fleet aggregate: which instances are there, and which of them owns an endpoint.
+//!
+//! ```
+//! use cardamomhold_core::prelude::*;
+//! use cardamomhold_fleet::owner;
+//!
+//! let a = InstanceName::parse("a").unwrap();
+//! let endpoint = MemberName::parse("bookings-1").unwrap();
+//! assert_eq!(owner::choose(&endpoint, [&a]), Some(&a));
+//! ```
+
+pub mod fleet;
+pub mod owner;
+
+/// The types that users of the aggregate need most.
+pub mod prelude {
+    pub use crate::fleet::{Fleet, Instance, InstanceState};
+}
--- /dev/null
+++ b/crates/cardamomhold_group/src/confirm.rs
@@ -0,0 +1,72 @@
+//! Confirmation of commits by a majority of the members.
+//!
+//! A commit is acknowledged only once a majority of the members, the primary
+//! among them, hold its log position in the current term. A promotion first
+//! fences a majority; both sets share a member, so a fenced-off primary can get
+//! no further confirmation, whatever its clock does.
+
+use std::collections;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+
+use crate::status;
+
+/// Collects the members' reports and tells which positions are confirmed.
+#[derive(Debug, Clone)]
+pub struct Confirmations {
+    majority: usize,
+    reports: collections::BTreeMap<name::MemberName, status::MemberStatus>,
+}
+
+impl Confirmations {
+    /// Starts without any report.
+    pub fn new(majority: usize) -> Self {
+        Self {
+            majority,
+            reports: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes a member's latest report.
+    pub fn observe(&mut self, member: &name::MemberName, report: &status::MemberStatus) {
+        self.reports.insert(member.clone(), report.clone());
+    }
+
+    /// Takes note that the primary itself holds a position of its own term.
+    pub fn note(&mut self, member: &name::MemberName, held: position::Position) {
+        let Some(report) = self.reports.get_mut(member) else {
+            return;
+        };
+        if report.term == held.term {
+            report.received = report.received.max(held.log);
+        }
+    }
+
+    /// The member's latest report.
+    pub fn report(&self, member: &str) -> Option<&status::MemberStatus> {
+        self.reports.get(member)
+    }
+
+    /// Drops the reports of members that left the group, and takes the new majority.
+    pub fn reshape(&mut self, majority: usize, members: &[name::MemberName]) {
+        self.majority = majority;
+        self.reports.retain(|name, _| members.contains(name));
+    }
+
+    /// Whether a majority holds `position` in its term.
+    pub fn is_confirmed(&self, position: position::Position) -> bool {
+        let holders = self
+            .reports
+            .values()
+            .filter(|r| r.confirms(position))
+            .count();
+        holders >= self.majority
+    }
+
+    /// The newest term that any report speaks of; commits of older terms can't be confirmed.
+    pub fn newest_term(&self) -> position::Term {
+        let terms = self.reports.values().map(|r| r.term.max(r.fenced));
+        terms.max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_group/src/lib.rs
@@ -0,0 +1,25 @@
+//! The database-group aggregate: members, terms, confirmation of commits, change of primary.
+//!
+//! Everything here is a state machine without I/O: events and the time come in,
+//! decisions go out.
+//!
+//! ```
+//! use cardamomhold_core::prelude::*;
+//! use cardamomhold_group::reign;
+//!
+//! let reign = reign::Reign::first(MemberName::parse("bookings-1").unwrap());
+//! assert_eq!(reign.term, Term(1));
+//! ```
+
+pub mod confirm;
+pub mod reign;
+pub mod spec;
+pub mod status;
+
+/// The types that users of the aggregate need most.
+pub mod prelude {
+    pub use crate::confirm::Confirmations;
+    pub use crate::reign::Reign;
+    pub use crate::spec::{GroupSpec, MemberSpec};
+    pub use crate::status::{MemberRole, MemberStatus};
+}
--- /dev/null
+++ b/crates/cardamomhold_session/src/lib.rs
@@ -0,0 +1,17 @@
+//! The session aggregate: what a caller declared, and where its next statement goes.
+//!
+//! ```
+//! use cardamomhold_session::session;
+//!
+//! let session = session::Session::default();
+//! assert!(session.read_kind.is_none());
+//! ```
+
+pub mod route;
+pub mod session;
+
+/// The types that users of the aggregate need most.
+pub mod prelude {
+    pub use crate::route::{Route, View};
+    pub use crate::session::Session;
+}
--- /dev/null
+++ b/crates/cardamomhold_session/src/session.rs
@@ -0,0 +1,69 @@
+//! What one caller's session has declared and written.
+
+use std::time;
+
+use cardamomhold_core::key;
+use cardamomhold_core::name;
+use cardamomhold_core::rank;
+use cardamomhold_core::token;
+
+/// Most session settings that are carried from connection to connection.
+pub const MAX_SETTINGS: usize = 32;
+
+/// A session's declarations.
+#[derive(Debug, Clone, Default)]
+pub struct Session {
+    /// Rank of its statements; the default rank when none is given.
+    pub rank: rank::Rank,
+    /// Declared kind of read; every statement is a read while it is set.
+    pub read_kind: Option<name::KindName>,
+    /// Idempotency key of the next transaction.
+    pub request_key: Option<key::RequestKey>,
+    /// Deadline of each statement, counted from its arrival.
+    pub deadline: Option<time::Duration>,
+    /// What the session must see.
+    pub token: token::SessionToken,
+    settings: Vec<Setting>,
+}
+
+/// A setting of the endpoint's own that the session carries along.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Setting {
+    name: String,
+    statement: String,
+}
+
+/// The session carries more than [`MAX_SETTINGS`] settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TooManySettings;
+
+impl Session {
+    /// Keeps a setting's statement, to be run again on each connection.
+    ///
+    /// # Errors
+    /// [`TooManySettings`] when a new name finds no room.
+    pub fn keep(&mut self, name: &str, statement: &str) -> Result<(), TooManySettings> {
+        if let Some(setting) = self.settings.iter_mut().find(|s| s.name == name) {
+            statement.clone_into(&mut setting.statement);
+            return Ok(());
+        }
+        if self.settings.len() >= MAX_SETTINGS {
+            return Err(TooManySettings);
+        }
+        self.settings.push(Setting {
+            name: name.to_owned(),
+            statement: statement.to_owned(),
+        });
+        Ok(())
+    }
+
+    /// Forgets a setting, so that connections keep their default.
+    pub fn forget(&mut self, name: &str) {
+        self.settings.retain(|s| s.name != name);
+    }
+
+    /// The statements that bring a fresh connection to the session's settings.
+    pub fn setup(&self) -> impl Iterator<Item = &str> {
+        self.settings.iter().map(|s| s.statement.as_str())
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_wire/src/frame.rs
@@ -0,0 +1,187 @@
+//! Framed reading of protocol messages, with a limit on their size.
+
+use std::fmt;
+use std::io;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use pgwire::messages;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+
+/// Greatest accepted message from a caller, in bytes.
+pub const MAX_CALLER_MESSAGE: usize = 16 * 1024 * 1024;
+
+/// Greatest accepted message from an endpoint, in bytes; one row must fit.
+pub const MAX_ENDPOINT_MESSAGE: usize = 64 * 1024 * 1024;
+
+const READ_CHUNK: usize = 16 * 1024;
+const HEADER_LEN: usize = 5;
+
+/// Why no message could be read.
+#[derive(Debug)]
+pub enum FrameError {
+    /// The socket failed.
+    Io(io::Error),
+    /// The peer closed the connection in the middle of a message.
+    Truncated,
+    /// The message is longer than the limit.
+    TooLarge {
+        /// Length that the message announces, in bytes.
+        len: usize,
+        /// The limit, in bytes.
+        limit: usize,
+    },
+    /// The bytes are no message of the protocol.
+    Malformed(pgwire::error::PgWireError),
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => write!(f, "socket failed: {error}"),
+            Self::Truncated => f.write_str("connection closed in the middle of a message"),
+            Self::TooLarge { len, limit } => write!(f, "message of {len} bytes, at most {limit}"),
+            Self::Malformed(error) => write!(f, "malformed message: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+impl From<io::Error> for FrameError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// Reads messages from one half of a socket.
+#[derive(Debug)]
+pub struct Reader<R> {
+    io: R,
+    buf: BytesMut,
+    context: messages::DecodeContext,
+    limit: usize,
+}
+
+impl<R: AsyncRead + Unpin> Reader<R> {
+    /// A reader of a caller's messages, which starts with the startup packet.
+    pub fn for_caller(io: R) -> Self {
+        Self::new(io, messages::DecodeContext::default(), MAX_CALLER_MESSAGE)
+    }
+
+    /// A reader of an endpoint's messages.
+    pub fn for_endpoint(io: R) -> Self {
+        let mut context = messages::DecodeContext::default();
+        context.protocol_version = messages::ProtocolVersion::PROTOCOL3_0;
+        Self::new(io, context, MAX_ENDPOINT_MESSAGE)
+    }
+
+    fn new(io: R, context: messages::DecodeContext, limit: usize) -> Self {
+        Self {
+            io,
+            buf: BytesMut::new(),
+            context,
+            limit,
+        }
+    }
+
+    /// The next message of a caller; `None` when the connection ended between two messages.
+    ///
+    /// Safe to drop and call again: what was read stays in the buffer.
+    ///
+    /// # Errors
+    /// [`FrameError`] when the socket fails or the bytes are no acceptable message.
+    pub async fn next_frontend(
+        &mut self,
+    ) -> Result<Option<messages::PgWireFrontendMessage>, FrameError> {
+        loop {
+            self.check_size()?;
+            let decoded = messages::PgWireFrontendMessage::decode(&mut self.buf, &self.context)
+                .map_err(FrameError::Malformed)?;
+            if let Some(message) = decoded {
+                self.follow_startup(&message);
+                return Ok(Some(message));
+            }
+            if !self.fill().await? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// The next message of an endpoint; `None` when the connection ended between two messages.
+    ///
+    /// # Errors
+    /// [`FrameError`] when the socket fails or the bytes are no acceptable message.
+    pub async fn next_backend(
+        &mut self,
+    ) -> Result<Option<messages::PgWireBackendMessage>, FrameError> {
+        loop {
+            if let Some(message) = self.take_backend()? {
+                return Ok(Some(message));
+            }
+            if !self.fill().await? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// The next message of an endpoint that has already arrived in full.
+    ///
+    /// # Errors
+    /// [`FrameError`] when the bytes are no acceptable message.
+    pub fn take_backend(&mut self) -> Result<Option<messages::PgWireBackendMessage>, FrameError> {
+        self.check_size()?;
+        messages::PgWireBackendMessage::decode(&mut self.buf, &self.context)
+            .map_err(FrameError::Malformed)
+    }
+
+    /// Whether bytes wait that belong to no message taken yet.
+    pub fn has_rest(&self) -> bool {
+        self.buf.has_remaining()
+    }
+
+    async fn fill(&mut self) -> Result<bool, FrameError> {
+        self.buf.reserve(READ_CHUNK);
+        let n = self.io.read_buf(&mut self.buf).await?;
+        if n > 0 {
+            return Ok(true);
+        }
+        if self.buf.is_empty() {
+            return Ok(false);
+        }
+        Err(FrameError::Truncated)
+    }
+
+    fn check_size(&self) -> Result<(), FrameError> {
+        if self.context.awaiting_frontend_startup && self.limit == MAX_CALLER_MESSAGE {
+            return Ok(());
+        }
+        if self.buf.len() < HEADER_LEN {
+            return Ok(());
+        }
+        let len = (&self.buf[1..HEADER_LEN]).get_u32() as usize;
+        if len > self.limit {
+            return Err(FrameError::TooLarge {
+                len,
+                limit: self.limit,
+            });
+        }
+        Ok(())
+    }
+
+    fn follow_startup(&mut self, message: &messages::PgWireFrontendMessage) {
+        match message {
+            messages::PgWireFrontendMessage::SslNegotiation(
+                messages::SslNegotiationMetaMessage::None,
+            ) => {
+                self.context.awaiting_frontend_ssl = false;
+            }
+            messages::PgWireFrontendMessage::Startup(_) => {
+                self.context.awaiting_frontend_ssl = false;
+                self.context.awaiting_frontend_startup = false;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_wire/src/sqlstate.rs
@@ -0,0 +1,135 @@
+//! One SQLSTATE for every outcome and every refusal of bad input.
+
+use cardamomhold_core::outcome;
+
+/// An error as a caller sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Five-character SQLSTATE.
+    pub code: &'static str,
+    /// One sentence on what happened.
+    pub message: String,
+    /// What to do next; may be empty.
+    pub hint: &'static str,
+}
+
+/// Input that the proxy refuses before it takes any decision on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BadInput {
+    /// A session parameter has a bad value.
+    Parameter {
+        /// The parameter's name.
+        name: String,
+        /// What is wrong with the value.
+        problem: String,
+    },
+    /// The parameter is not known.
+    UnknownParameter(String),
+    /// COPY is not carried.
+    Copy,
+    /// LISTEN, UNLISTEN and NOTIFY are not carried.
+    Listen,
+    /// A statement that leaves state on a connection, which pooling can't keep.
+    SessionState(&'static str),
+    /// The message broke the protocol.
+    Protocol(String),
+    /// A prepared statement of that name does not exist.
+    UnknownStatement(String),
+    /// The caller's group does not exist.
+    UnknownGroup(String),
+    /// Too many connections of one caller.
+    TooManyConnections,
+}
+
+impl BadInput {
+    /// The error to send.
+    pub fn report(&self) -> Report {
+        let (code, message, hint) = match self {
+            Self::Parameter { name, problem } => (
+                "22023",
+                format!("invalid value for parameter \"{name}\": {problem}"),
+                "",
+            ),
+            Self::UnknownParameter(name) => (
+                "42704",
+                format!("unrecognized configuration parameter \"{name}\""),
+                "",
+            ),
+            Self::Copy => (
+                "0A000",
+                "COPY is not supported through the proxy".to_owned(),
+                "use INSERT",
+            ),
+            Self::Listen => (
+                "0A000",
+                "LISTEN and NOTIFY are not supported through the proxy".to_owned(),
+                "poll a table instead",
+            ),
+            Self::SessionState(what) => (
+                "0A000",
+                format!(
+                    "{what} is not supported through the proxy: connections are shared between transactions"
+                ),
+                "",
+            ),
+            Self::Protocol(problem) => ("08P01", format!("protocol violation: {problem}"), ""),
+            Self::UnknownStatement(name) => (
+                "26000",
+                format!("prepared statement \"{name}\" does not exist"),
+                "",
+            ),
+            Self::UnknownGroup(name) => (
+                "3D000",
+                format!("database group \"{name}\" does not exist"),
+                "",
+            ),
+            Self::TooManyConnections => (
+                "53300",
+                "too many connections of this caller".to_owned(),
+                "",
+            ),
+        };
+        Report {
+            code,
+            message,
+            hint,
+        }
+    }
+}
+
+/// The error for an outcome.
+pub fn report(outcome: outcome::Outcome) -> Report {
+    match outcome {
+        outcome::Outcome::NotRun(refusal) => not_run(refusal),
+        outcome::Outcome::Ran => Report {
+            code: "23505",
+            message: "a request with this request key has already run".to_owned(),
+            hint: "do not repeat it",
+        },
+        outcome::Outcome::Unknown(doubt) => Report {
+            code: "08007",
+            message: format!("transaction resolution unknown: {doubt}"),
+            hint: "repeat it only with the same request key",
+        },
+    }
+}
+
+fn not_run(refusal: outcome::Refusal) -> Report {
+    let code = match refusal {
+        outcome::Refusal::UnknownGroup => "3D000",
+        outcome::Refusal::DeadlineUnmet | outcome::Refusal::QueueFull => "53300",
+        outcome::Refusal::Stopping => "57P01",
+        outcome::Refusal::NoPrimary
+        | outcome::Refusal::StaleView
+        | outcome::Refusal::ReplicaBehind
+        | outcome::Refusal::EndpointDown
+        | outcome::Refusal::OwnerUnreachable
+        | outcome::Refusal::ConnectFailed
+        | outcome::Refusal::Rejoining => "57P03",
+    };
+    Report {
+        code,
+        message: format!("not run: {refusal}"),
+        hint: "it is safe to try again",
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_wire/src/statement.rs
@@ -0,0 +1,212 @@
+//! Sorting statements by their first words.
+//!
+//! The tokens come from `sqlparser`; only the statements that the proxy must answer,
+//! refuse or route by itself are told apart.
+
+use sqlparser::dialect;
+use sqlparser::tokenizer;
+
+/// What a statement means to the proxy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Class {
+    /// Anything that just runs.
+    Plain,
+    /// Starts a transaction.
+    Begin {
+        /// Whether it is declared read-only.
+        read_only: bool,
+    },
+    /// Sets a session parameter.
+    Set(Setting),
+    /// Shows a parameter of the proxy's own.
+    Show(String),
+    /// COPY in either direction.
+    Copy,
+    /// LISTEN, UNLISTEN or NOTIFY.
+    Listen,
+    /// Leaves state on the connection that pooling can't keep.
+    SessionState(&'static str),
+}
+
+/// A `SET name = value` for the session.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Setting {
+    /// Lower-case name, with its prefix.
+    pub name: String,
+    /// The value without quotes; `None` for DEFAULT.
+    pub value: Option<String>,
+    /// Whether the statement is `SET LOCAL`, which ends with the transaction.
+    pub local: bool,
+}
+
+/// Sorts the first statement of a text; texts that can't be read are plain.
+pub fn classify(text: &str) -> Class {
+    let first = first_word(text);
+    if !is_special(first) {
+        return Class::Plain;
+    }
+    let words = words(text);
+    let Some(first) = words.first() else {
+        return Class::Plain;
+    };
+    match upper(first).as_str() {
+        "BEGIN" => Class::Begin {
+            read_only: has_pair(&words, "READ", "ONLY"),
+        },
+        "START" => Class::Begin {
+            read_only: has_pair(&words, "READ", "ONLY"),
+        },
+        "SET" => set(&words[1..]),
+        "RESET" => reset(&words[1..]),
+        "SHOW" => show(&words[1..]),
+        "COPY" => Class::Copy,
+        "LISTEN" | "UNLISTEN" | "NOTIFY" => Class::Listen,
+        "PREPARE" if words.get(1).map(upper).as_deref() != Some("TRANSACTION") => {
+            Class::SessionState("PREPARE")
+        }
+        "DEALLOCATE" => Class::SessionState("DEALLOCATE"),
+        "DISCARD" => Class::SessionState("DISCARD"),
+        "LOAD" => Class::SessionState("LOAD"),
+        _ => Class::Plain,
+    }
+}
+
+fn first_word(text: &str) -> &str {
+    let text = text.trim_start();
+    let end = text
+        .find(|c: char| !c.is_ascii_alphabetic())
+        .unwrap_or(text.len());
+    &text[..end]
+}
+
+fn is_special(word: &str) -> bool {
+    if word.is_empty() {
+        return true;
+    }
+    let special = [
+        "BEGIN",
+        "START",
+        "SET",
+        "RESET",
+        "SHOW",
+        "COPY",
+        "LISTEN",
+        "UNLISTEN",
+        "NOTIFY",
+        "PREPARE",
+        "DEALLOCATE",
+        "DISCARD",
+        "LOAD",
+    ];
+    special.iter().any(|s| s.eq_ignore_ascii_case(word))
+}
+
+fn words(text: &str) -> Vec<tokenizer::Token> {
+    let dialect = dialect::PostgreSqlDialect {};
+    let Ok(tokens) = tokenizer::Tokenizer::new(&dialect, text).tokenize() else {
+        return Vec::new();
+    };
+    let mut words = Vec::new();
+    for token in tokens {
+        match token {
+            tokenizer::Token::Whitespace(_) => continue,
+            tokenizer::Token::SemiColon if words.is_empty() => continue,
+            tokenizer::Token::SemiColon => break,
+            token => words.push(token),
+        }
+    }
+    words
+}
+
+fn upper(token: &tokenizer::Token) -> String {
+    token.to_string().to_ascii_uppercase()
+}
+
+fn has_pair(words: &[tokenizer::Token], first: &str, second: &str) -> bool {
+    words
+        .windows(2)
+        .any(|pair| upper(&pair[0]) == first && upper(&pair[1]) == second)
+}
+
+fn set(words: &[tokenizer::Token]) -> Class {
+    let (local, words) = match words.first().map(upper).as_deref() {
+        Some("LOCAL") => (true, &words[1..]),
+        Some("SESSION") => (false, &words[1..]),
+        _ => (false, words),
+    };
+    let Some(split) = words.iter().position(is_assignment) else {
+        return Class::Plain;
+    };
+    let name = joined(&words[..split]).to_ascii_lowercase();
+    let value = joined(&words[split + 1..]);
+    let value = if value.eq_ignore_ascii_case("default") {
+        None
+    } else {
+        Some(value)
+    };
+    Class::Set(Setting { name, value, local })
+}
+
+fn reset(words: &[tokenizer::Token]) -> Class {
+    let name = joined(words).to_ascii_lowercase();
+    Class::Set(Setting {
+        name,
+        value: None,
+        local: false,
+    })
+}
+
+fn show(words: &[tokenizer::Token]) -> Class {
+    let name = joined(words).to_ascii_lowercase();
+    if name.starts_with(crate::param::PREFIX) {
+        Class::Show(name)
+    } else {
+        Class::Plain
+    }
+}
+
+fn is_assignment(token: &tokenizer::Token) -> bool {
+    matches!(token, tokenizer::Token::Eq) || upper(token) == "TO"
+}
+
+fn joined(words: &[tokenizer::Token]) -> String {
+    let mut text = String::new();
+    for word in words {
+        match word {
+            tokenizer::Token::SingleQuotedString(s) => text.push_str(s),
+            other => text.push_str(&other.to_string()),
+        }
+    }
+    text
+}
+
+/// Splits a text at its top-level semicolons; empty statements are left out.
+pub fn split(text: &str) -> Vec<String> {
+    if !text.contains(';') {
+        let is_empty = text.trim().is_empty();
+        return if is_empty {
+            Vec::new()
+        } else {
+            vec![text.to_owned()]
+        };
+    }
+    let dialect = dialect::PostgreSqlDialect {};
+    let Ok(tokens) = tokenizer::Tokenizer::new(&dialect, text)
+        .with_unescape(false)
+        .tokenize()
+    else {
+        return vec![text.to_owned()];
+    };
+    let mut statements = Vec::new();
+    let mut current = String::new();
+    for token in tokens {
+        if token == tokenizer::Token::SemiColon {
+            statements.push(std::mem::take(&mut current));
+            continue;
+        }
+        current.push_str(&token.to_string());
+    }
+    statements.push(current);
+    statements.retain(|s| !s.trim().is_empty());
+    statements
+}
--- /dev/null
+++ b/tests/src/bed.rs
@@ -0,0 +1,189 @@
+//! A platform, a group of three members and an instance in each of three zones.
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_daemon::settings;
+use cardamomhold_standin::endpoint;
+use cardamomhold_standin::member;
+use cardamomhold_standin::platform;
+use tokio_postgres::NoTls;
+
+use crate::instance;
+
+/// The zones; member and instance `i` are in zone `i`.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// The group's name.
+pub const GROUP: &str = "bookings";
+
+/// Longest wait for something that must come.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+/// Everything that a failure test needs.
+pub struct Bed {
+    /// The platform.
+    pub platform: platform::Platform,
+    /// The members; the first one is the first primary.
+    pub members: Vec<endpoint::Endpoint>,
+    /// The instances.
+    pub instances: Vec<instance::Instance>,
+}
+
+/// Changes the members' behaviour before they start.
+pub type Shape = fn(&mut member::Options);
+
+impl Bed {
+    /// Starts everything and waits until every instance serves.
+    pub async fn start() -> Self {
+        Self::shaped(|_| {}).await
+    }
+
+    /// Starts everything with members of a certain behaviour.
+    pub async fn shaped(shape: Shape) -> Self {
+        let platform = platform::Platform::start("127.0.0.1:0")
+            .await
+            .expect("platform");
+        let members = start_members(shape).await;
+        platform.store("config/group/bookings", group_object(&members).as_bytes());
+        let report = r#"{"author":"test","change":"1","spec":{"read_kind":{"staleness_ms":5000}}}"#;
+        platform.store("config/read_kind/report", report.as_bytes());
+        let mut bed = Self {
+            platform,
+            members,
+            instances: Vec::new(),
+        };
+        for zone in ZONES {
+            let instance = bed.start_instance(&format!("entry-{zone}"), zone).await;
+            bed.instances.push(instance);
+        }
+        bed.await_owners().await;
+        bed
+    }
+
+    /// Starts one instance and puts it on the platform's list.
+    pub async fn start_instance(&self, name: &str, zone: &str) -> instance::Instance {
+        let any = "127.0.0.1:0".parse().expect("address");
+        let settings = settings::Settings {
+            instance: name::InstanceName::parse(name).expect("name"),
+            zone: name::ZoneName::parse(zone).expect("name"),
+            listen: any,
+            peer: any,
+            metrics: any,
+            platform: self.platform.address(),
+            token_secret: "a secret for tests only".to_owned(),
+        };
+        let instance = instance::Instance::start(settings).await;
+        self.platform
+            .list_instance(name, zone, &instance.addresses.peer.to_string(), false);
+        instance
+    }
+
+    async fn await_owners(&self) {
+        for at in 0..self.instances.len() {
+            let deadline = tokio::time::Instant::now() + PATIENCE;
+            loop {
+                let client = self.try_connect(at, "").await;
+                if let Some(client) = client
+                    && client.batch_execute("SELECT 1").await.is_ok()
+                {
+                    break;
+                }
+                assert!(
+                    tokio::time::Instant::now() < deadline,
+                    "instance {at} does not serve"
+                );
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    async fn try_connect(&self, at: usize, options: &str) -> Option<tokio_postgres::Client> {
+        let address = self.instances[at].addresses.listen;
+        let mut config = tokio_postgres::Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user("kalkbok")
+            .dbname(GROUP);
+        if !options.is_empty() {
+            config.options(options);
+        }
+        let (client, connection) = config.connect(NoTls).await.ok()?;
+        tokio::spawn(connection);
+        Some(client)
+    }
+
+    /// A caller's connection to an instance.
+    pub async fn connect(&self, at: usize) -> tokio_postgres::Client {
+        self.connect_with(at, "").await
+    }
+
+    /// A caller's connection with startup options, such as `-c cardamomhold.rank=bulk`.
+    pub async fn connect_with(&self, at: usize, options: &str) -> tokio_postgres::Client {
+        self.try_connect(at, options)
+            .await
+            .expect("instance accepts callers")
+    }
+}
+
+async fn start_members(shape: Shape) -> Vec<endpoint::Endpoint> {
+    let mut members: Vec<endpoint::Endpoint> = Vec::new();
+    for zone in ZONES {
+        let mut options = member::Options::new(&format!("bookings-{zone}"), GROUP);
+        shape(&mut options);
+        let part = match members.first() {
+            None => endpoint::Part::Primary,
+            Some(primary) => endpoint::Part::Replica(primary.address().to_string()),
+        };
+        members.push(
+            endpoint::Endpoint::start(options, "127.0.0.1:0", part)
+                .await
+                .expect("member"),
+        );
+    }
+    members
+}
+
+fn group_object(members: &[endpoint::Endpoint]) -> String {
+    let mut specs = Vec::new();
+    for (member, zone) in members.iter().zip(ZONES) {
+        specs.push(serde_json::json!({
+            "name": format!("bookings-{zone}"),
+            "zone": zone,
+            "address": member.address().to_string(),
+        }));
+    }
+    let group = serde_json::json!({
+        "members": specs, "slots": 3, "connections": 50, "key_retention_s": 86400,
+    });
+    serde_json::json!({"author": "test", "change": "1", "spec": {"group": group}}).to_string()
+}
+
+/// The session token that a connection shows.
+pub async fn token_of(client: &tokio_postgres::Client) -> String {
+    let row = client
+        .query_one("SHOW cardamomhold.session_token", &[])
+        .await
+        .expect("token");
+    row.get(0)
+}
+
+/// The SQLSTATE of a failed statement; empty when there was none.
+pub fn code_of(error: &tokio_postgres::Error) -> &str {
+    error.code().map(|c| c.code()).unwrap_or_default()
+}
+
+/// A fresh request key.
+pub fn request_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// Counts the rows of a table at an instance, at the primary.
+pub async fn count(client: &tokio_postgres::Client, table: &str) -> i64 {
+    let row = client
+        .query_one(&format!("SELECT count(*) FROM {table}"), &[])
+        .await
+        .expect("count");
+    row.get(0)
+}
