--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::outcome;
 use cardamomhold_core::position;
 use cardamomhold_group::spec;
+use cardamomhold_session::retry;
 use cardamomhold_session::route;
 use cardamomhold_wire::sqlstate;
 use cardamomhold_wire::statement;
@@ -16,6 +17,7 @@
 
 use crate::batch;
 use crate::caller;
+use crate::clock;
 use crate::lane;
 use crate::owner;
 use crate::peer;
@@ -31,11 +33,19 @@
 #[derive(Debug)]
 pub struct OpenLane {
     lane: lane::Lane,
+    access: lane::Access,
     /// State of the transaction.
     pub status: lane::Status,
     allowance: time::Duration,
 }
 
+impl OpenLane {
+    /// Whether its transaction is a declared read.
+    pub(crate) fn is_read(&self) -> bool {
+        self.access.is_read()
+    }
+}
+
 /// How a batch ended.
 enum Ended {
     Ready(lane::Ready),
@@ -55,13 +65,23 @@
     /// Runs a batch in the open transaction, or in a new one.
     pub(crate) async fn transact(&mut self, batch: &batch::Batch) -> Result<(), caller::End> {
         let start = tokio::time::Instant::now();
+        let was_open = self.lane.is_some();
         let ended = match self.lane.take() {
             Some(open) => self.go_on(open, batch).await?,
             None => self.try_all(batch, start).await?,
         };
         match ended {
-            Ended::Ready(ready) => self.finish(batch, ready, start).await,
-            Ended::Failure { failure, .. } => self.give_up(batch, &failure).await,
+            Ended::Ready(ready) => {
+                self.context
+                    .metrics
+                    .answered(&self.group, self.session.rank, start.elapsed());
+                self.finish(batch, ready, was_open).await
+            }
+            Ended::Failure { failure, .. } => {
+                // A change that finds no room was never staged for long.
+                let _ = self.session.settle(false);
+                self.give_up(batch, &failure).await
+            }
         }
     }
 
@@ -69,25 +89,32 @@
         &mut self,
         batch: &batch::Batch,
         ready: lane::Ready,
-        start: tokio::time::Instant,
+        was_open: bool,
     ) -> Result<(), caller::End> {
-        self.context
-            .metrics
-            .answered(&self.group, self.session.rank, start.elapsed());
         if let Some(written) = ready.written {
             self.see(written);
         }
-        if let statement::Class::Set(setting) = &batch.class
-            && batch.executes()
-        {
-            self.follow_setting(setting, &batch.text);
+        if batch.executes() {
+            self.stage_settings(batch);
         }
-        if ready.status == lane::Status::Idle && batch.executes() {
-            self.session.request_key = None;
+        if !batch.sync {
+            return self.flush().await;
+        }
+        if ready.status == lane::Status::Idle {
+            self.end_transaction(ready.rolled_back);
+            if batch.executes() || was_open {
+                self.session.request_key = None;
+            }
         }
         self.ready().await
     }
 
+    fn end_transaction(&mut self, rolled_back: bool) {
+        if self.session.settle(!rolled_back).is_err() {
+            log::warn!("event=too_many_settings group={}", self.group);
+        }
+    }
+
     fn see(&mut self, written: position::Position) {
         let group = self.group.clone();
         if self.session.token.observe(&group, written).is_err() {
@@ -96,16 +123,16 @@
     }
 
     /// Carries a setting of the endpoint's own over to the session's next connections.
-    fn follow_setting(&mut self, setting: &statement::Setting, text: &str) {
-        if setting.local {
-            return;
-        }
-        match setting.value {
-            None => self.session.forget(&setting.name),
-            Some(_) if self.session.keep(&setting.name, text).is_err() => {
-                log::warn!("event=too_many_settings group={}", self.group);
+    fn stage_settings(&mut self, batch: &batch::Batch) {
+        for statement in &batch.statements {
+            let statement::Class::Set(setting) = &statement.class else {
+                continue;
+            };
+            if setting.local {
+                continue;
             }
-            Some(_) => {}
+            let text = setting.value.as_ref().map(|_| statement.text.as_str());
+            self.session.stage(&setting.name, text);
         }
     }
 
@@ -117,7 +144,7 @@
         if let lane::Failure::Ran { tag, written } = failure {
             self.see(*written);
             self.session.request_key = None;
-            if !matches!(batch.class, statement::Class::Begin { .. }) {
+            if !batch.begins() && !tag.is_empty() {
                 return self.answer_locally(batch, tag, None).await;
             }
         }
@@ -142,6 +169,7 @@
         let up = lane::Up::Batch(lane::Batch {
             frames: batch.frames.clone(),
             sync: batch.sync,
+            answers: batch.answers(),
         });
         let ended = if open.lane.up.send(up).await.is_err() {
             lost()
@@ -149,7 +177,9 @@
             self.await_end(&mut open.lane, batch, deadline).await?
         };
         if let Ended::Ready(ready) = &ended {
-            open.status = ready.status;
+            if batch.sync {
+                open.status = ready.status;
+            }
             if ready.status != lane::Status::Idle {
                 self.lane = Some(open);
             }
@@ -169,48 +199,58 @@
             .deadline
             .unwrap_or(time::Duration::from_millis(rule.deadline_ms));
         let deadline = start + allowance;
-        let mut doubt = None;
-        let mut skips_replica = false;
+        let clock = clock::Clock::start();
+        let last = clock.now().after(allowance.saturating_sub(RETRY));
+        let mut retry = retry::Retry::new(self.guard_of(batch), last);
         loop {
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
-            let plan = self.plan(batch, left, skips_replica);
-            let (failure, forwarded) = match plan {
-                Ok(plan) => match self.try_once(plan, batch, allowance, deadline).await? {
-                    Ended::Ready(ready) => return Ok(Ended::Ready(ready)),
-                    Ended::Failure { failure, forwarded } => (failure, forwarded),
-                },
+            let mut replica = None;
+            let (failure, forwarded) = match self.plan(batch, left, &retry) {
+                Ok(plan) => {
+                    if let lane::Access::ReadReplica(_) = plan.ticket.access {
+                        replica = Some(plan.ticket.member.clone());
+                    }
+                    match self.try_once(plan, batch, allowance, deadline).await? {
+                        Ended::Ready(ready) => return Ok(Ended::Ready(ready)),
+                        Ended::Failure { failure, forwarded } => (failure, forwarded),
+                    }
+                }
                 Err(refusal) => (lane::Failure::NotRun(refusal), false),
             };
-            let is_over = tokio::time::Instant::now() + RETRY >= deadline;
-            match failure {
-                lane::Failure::NotRun(outcome::Refusal::ReplicaBehind) => {
-                    skips_replica = true;
-                    continue;
-                }
-                lane::Failure::NotRun(refusal) if refusal.is_transient() && !is_over => {}
-                lane::Failure::Unknown(why) if self.may_repeat(batch) && !forwarded && !is_over => {
-                    doubt = Some(why);
-                }
-                failure => {
-                    let failure = keep_doubt(failure, doubt);
+            if matches!(failure, lane::Failure::Ran { .. }) && !forwarded {
+                return Ok(Ended::Failure { failure, forwarded });
+            }
+            let attempt = retry::Attempt {
+                outcome: failure.outcome(),
+                replica: replica.as_ref(),
+                forwarded,
+            };
+            match retry.fail(clock.now(), attempt) {
+                retry::Step::Now => {}
+                retry::Step::Later => tokio::time::sleep(RETRY).await,
+                retry::Step::GiveUp(outcome) => {
+                    let failure = with_outcome(failure, outcome);
                     return Ok(Ended::Failure { failure, forwarded });
                 }
             }
-            tokio::time::sleep(RETRY).await;
         }
     }
 
-    /// Whether a batch whose outcome is unknown may be sent again: its key sees to it
-    /// that it runs at most once.
-    fn may_repeat(&self, batch: &batch::Batch) -> bool {
-        self.session.request_key.is_some() && !matches!(batch.class, statement::Class::Begin { .. })
+    fn guard_of(&self, batch: &batch::Batch) -> retry::Guard {
+        if !batch.executes() || batch.begins() || self.session.read_kind.is_some() {
+            return retry::Guard::Harmless;
+        }
+        match self.session.request_key {
+            Some(_) => retry::Guard::Key,
+            None => retry::Guard::None,
+        }
     }
 
     fn plan(
         &mut self,
         batch: &batch::Batch,
         deadline: time::Duration,
-        skips_replica: bool,
+        retry: &retry::Retry,
     ) -> Result<Plan, outcome::Refusal> {
         let config = self.context.config.borrow().clone();
         let spec = config
@@ -219,16 +259,16 @@
         let reign = config
             .reign(&self.group)
             .ok_or(outcome::Refusal::UnknownGroup)?;
-        let kind = self.kind_of(&batch.class, &config);
+        let kind = self.kind_of(batch.class(), &config);
         let seen = self.session.token.position(self.group.as_str());
-        let replicas = self.replicas(spec, reign.primary.as_ref());
+        let replicas = self.replicas(spec, reign.primary.as_ref(), retry);
         let view = route::View {
             term: reign.term,
             primary: reign.primary.as_ref(),
             replicas: &replicas,
         };
         self.spread = self.spread.wrapping_add(1);
-        let wants_replica = kind.is_some() && !skips_replica;
+        let wants_replica = kind.is_some();
         let (member, access) = match route::choose(view, wants_replica, seen, self.spread)? {
             route::Route::Replica(member) => {
                 (member, lane::Access::ReadReplica(kind.unwrap_or_default()))
@@ -247,8 +287,8 @@
             request_key: self
                 .session
                 .request_key
-                .filter(|_| batch.executes() && !access.is_read()),
-            begins: matches!(batch.class, statement::Class::Begin { .. }),
+                .filter(|_| (batch.executes() || !batch.sync) && !access.is_read()),
+            begins: batch.begins(),
             seen,
             setup: self.session.setup().map(str::to_owned).collect(),
         };
@@ -273,12 +313,16 @@
         &self,
         spec: &'a spec::GroupSpec,
         primary: Option<&name::MemberName>,
+        retry: &retry::Retry,
     ) -> Vec<route::Candidate<'a>> {
         let mut replicas = Vec::new();
         for member in &spec.members {
             if Some(&member.name) == primary || member.draining {
                 continue;
             }
+            if !retry.allows(&member.name) {
+                continue;
+            }
             replicas.push(route::Candidate {
                 member: &member.name,
                 is_near: member.zone == self.context.zone,
@@ -336,6 +380,7 @@
         let up = lane::Up::Batch(lane::Batch {
             frames: batch.frames.clone(),
             sync: batch.sync,
+            answers: batch.answers(),
         });
         // A lane that was refused at once still reports why.
         let _ = lane.up.send(up).await;
@@ -351,6 +396,7 @@
             if ready.status != lane::Status::Idle {
                 self.lane = Some(OpenLane {
                     lane,
+                    access,
                     status: ready.status,
                     allowance,
                 });
@@ -377,7 +423,10 @@
                     }
                     Some(lane::Down::Ready(ready)) => return Ok(Ended::Ready(ready)),
                     Some(lane::Down::Failure(failure)) => return Ok(Ended::Failure { failure, forwarded }),
-                    None => return Ok(lost()),
+                    None => return Ok(Ended::Failure {
+                        failure: lane::Failure::Unknown(outcome::Doubt::OwnerLost),
+                        forwarded,
+                    }),
                 },
                 target = self.cancels.recv() => {
                     if target.is_ok_and(|t| t == self.own) {
@@ -402,11 +451,12 @@
     }
 }
 
-/// Once an attempt may have run, no later refusal makes the request "not run".
-fn keep_doubt(failure: lane::Failure, doubt: Option<outcome::Doubt>) -> lane::Failure {
-    match (failure, doubt) {
-        (lane::Failure::NotRun(_), Some(doubt)) => lane::Failure::Unknown(doubt),
-        (failure, _) => failure,
+/// The failure as the caller is to be told of it.
+fn with_outcome(failure: lane::Failure, outcome: outcome::Outcome) -> lane::Failure {
+    match outcome {
+        outcome::Outcome::NotRun(refusal) => lane::Failure::NotRun(refusal),
+        outcome::Outcome::Unknown(doubt) => lane::Failure::Unknown(doubt),
+        outcome::Outcome::Ran => failure,
     }
 }
 
--- a/crates/cardamomhold_daemon/src/batch.rs
+++ b/crates/cardamomhold_daemon/src/batch.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 use cardamomhold_wire::answer;
+use cardamomhold_wire::param;
 use cardamomhold_wire::sqlstate;
 use cardamomhold_wire::statement;
 use pgwire::messages;
@@ -29,8 +30,7 @@
 pub struct Gatherer {
     prepared: collections::HashMap<String, Prepared>,
     frames: BytesMut,
-    class: Option<statement::Class>,
-    text: String,
+    statements: Vec<statement::Statement>,
     steps: Vec<Step>,
     parsed: Option<String>,
     skips_to_sync: bool,
@@ -45,6 +45,8 @@
     Batch(Batch),
     /// The message is refused; the caller's next sync ends the refusal.
     Refused(sqlstate::BadInput),
+    /// A simple query is refused.
+    RefusedQuery(sqlstate::BadInput),
     /// A sync that only ends an earlier refusal.
     Resynced,
     /// The caller says goodbye.
@@ -56,10 +58,8 @@
 pub struct Batch {
     /// The encoded messages.
     pub frames: bytes::Bytes,
-    /// What the first statement is.
-    pub class: statement::Class,
-    /// Text of the first statement.
-    pub text: String,
+    /// The statements, in their order.
+    pub statements: Vec<statement::Statement>,
     /// Whether the simple protocol is used.
     pub is_simple: bool,
     /// Whether the batch ends with a sync.
@@ -73,6 +73,91 @@
     pub fn executes(&self) -> bool {
         self.is_simple || self.steps.contains(&Step::Execute)
     }
+
+    /// The class of a batch that is a single statement; plain for all others.
+    pub fn class(&self) -> &statement::Class {
+        match self.statements.as_slice() {
+            [only] => &only.class,
+            _ => &statement::Class::Plain,
+        }
+    }
+
+    /// Whether the batch runs a BEGIN and nothing else.
+    pub fn begins(&self) -> bool {
+        self.executes() && matches!(self.class(), statement::Class::Begin { .. })
+    }
+
+    /// Number of answers that the messages bring before the endpoint waits.
+    pub fn answers(&self) -> u32 {
+        self.steps.len() as u32
+    }
+
+    /// Refuses statements that a pooled connection can't carry, wherever they stand.
+    ///
+    /// # Errors
+    /// The [`sqlstate::BadInput`] of the first such statement.
+    pub fn check(&self) -> Result<(), sqlstate::BadInput> {
+        for statement in &self.statements {
+            let own = match &statement.class {
+                statement::Class::Copy => return Err(sqlstate::BadInput::Copy),
+                statement::Class::Listen => return Err(sqlstate::BadInput::Listen),
+                statement::Class::SessionState(what) => {
+                    return Err(sqlstate::BadInput::SessionState(what));
+                }
+                statement::Class::Set(setting) => &setting.name,
+                statement::Class::Show(name) => name,
+                statement::Class::Plain
+                | statement::Class::Opaque
+                | statement::Class::Begin { .. }
+                | statement::Class::End => continue,
+            };
+            if self.statements.len() > 1 && own.starts_with(param::PREFIX) {
+                return Err(sqlstate::BadInput::NotAlone(own.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Refuses what would end a keyed transaction before its key is recorded, or go on
+    /// without the key afterwards.
+    ///
+    /// # Errors
+    /// [`sqlstate::BadInput::KeyedControl`].
+    pub fn check_keyed(&self, is_open: bool) -> Result<(), sqlstate::BadInput> {
+        for (i, statement) in self.statements.iter().enumerate() {
+            let is_last = i + 1 == self.statements.len();
+            let is_fine = match statement.class {
+                statement::Class::Begin { .. } => {
+                    self.sync && !is_open && self.statements.len() == 1
+                }
+                statement::Class::End => is_open && is_last,
+                statement::Class::Opaque => false,
+                _ => true,
+            };
+            if !is_fine {
+                return Err(sqlstate::BadInput::KeyedControl);
+            }
+        }
+        Ok(())
+    }
+
+    /// Refuses what would let a declared read write.
+    ///
+    /// # Errors
+    /// [`sqlstate::BadInput::DeclaredRead`].
+    pub fn check_read(&self) -> Result<(), sqlstate::BadInput> {
+        let mut texts = self.statements.iter().map(|s| s.text.as_str());
+        let ends_early = self
+            .statements
+            .iter()
+            .rev()
+            .skip(1)
+            .any(|s| s.class == statement::Class::End);
+        if ends_early || texts.any(statement::lifts_read_only) {
+            return Err(sqlstate::BadInput::DeclaredRead);
+        }
+        Ok(())
+    }
 }
 
 /// A message of the extended protocol that brings an answer.
@@ -160,8 +245,7 @@
 
     fn clear(&mut self) {
         self.frames.clear();
-        self.class = None;
-        self.text.clear();
+        self.statements.clear();
         self.steps.clear();
         self.parsed = None;
     }
@@ -169,8 +253,7 @@
     fn finish(&mut self, is_simple: bool, sync: bool) -> Batch {
         let batch = Batch {
             frames: self.frames.split().freeze(),
-            class: self.class.take().unwrap_or(statement::Class::Plain),
-            text: std::mem::take(&mut self.text),
+            statements: std::mem::take(&mut self.statements),
             is_simple,
             sync,
             steps: std::mem::take(&mut self.steps),
@@ -180,18 +263,18 @@
     }
 
     fn simple(&mut self, query: messages::simplequery::Query) -> Gathered {
-        self.clear();
+        if !self.frames.is_empty() {
+            self.clear();
+            let problem = "query in the middle of a batch without its sync";
+            return Gathered::RefusedQuery(sqlstate::BadInput::Protocol(problem.to_owned()));
+        }
         self.note(&query.query);
         answer::put(&mut self.frames, &query);
         Gathered::Batch(self.finish(true, true))
     }
 
     fn note(&mut self, text: &str) {
-        if self.class.is_some() {
-            return;
-        }
-        self.class = Some(statement::classify(text));
-        text.clone_into(&mut self.text);
+        self.statements.extend(statement::classify_all(text));
     }
 
     fn parse(&mut self, parse: extendedquery::Parse) -> Result<(), sqlstate::BadInput> {
@@ -221,10 +304,10 @@
         let Some(prepared) = self.prepared.get(name).cloned() else {
             return Err(sqlstate::BadInput::UnknownStatement(name.to_owned()));
         };
-        self.note(&prepared.query);
         if self.parsed.as_deref() == Some(name) {
             return Ok(());
         }
+        self.note(&prepared.query);
         answer::put(
             &mut self.frames,
             &extendedquery::Parse::new(None, prepared.query, prepared.types),
--- a/crates/cardamomhold_daemon/src/caller.rs
+++ b/crates/cardamomhold_daemon/src/caller.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::outcome;
 use cardamomhold_core::token;
 use cardamomhold_fleet::fleet;
+use cardamomhold_fleet::mark;
 use cardamomhold_session::session;
 use cardamomhold_wire::answer;
 use cardamomhold_wire::frame;
@@ -33,6 +34,7 @@
 use crate::metrics;
 use crate::owner;
 use crate::peer;
+use crate::seats;
 
 /// Version that drivers are told of.
 const SERVER_VERSION: &str = "16.0 (cardamomhold)";
@@ -56,6 +58,8 @@
     pub peers: mpsc::Sender<peer::Forward>,
     /// Cancel requests of callers.
     pub cancels: broadcast::Sender<CancelTarget>,
+    /// Counts each caller's connections.
+    pub seats: seats::Handle,
     /// The metrics.
     pub metrics: metrics::Metrics,
     /// True once the instance is stopping.
@@ -71,6 +75,26 @@
     pub secret: i32,
 }
 
+impl CancelTarget {
+    /// The target of an instance's connection.
+    pub fn new(instance: &name::InstanceName, connection: u32, secret: i32) -> Self {
+        let number = u32::from(mark::of(instance)) << MARK_SHIFT | connection & CONNECTION_MASK;
+        Self {
+            number: number as i32,
+            secret,
+        }
+    }
+
+    /// The mark of the instance that serves the connection.
+    fn mark(self) -> u16 {
+        (self.number as u32 >> MARK_SHIFT) as u16
+    }
+}
+
+/// Bits of a number that tell an instance's connections apart.
+const MARK_SHIFT: u32 = 16;
+const CONNECTION_MASK: u32 = 0xffff;
+
 /// Why a caller's task ends before the caller's farewell.
 #[derive(Debug)]
 pub enum End {
@@ -134,12 +158,12 @@
                 writer.write_all(b"N").await.map_err(|_| End::Gone)?;
             }
             messages::PgWireFrontendMessage::CancelRequest(request) => {
-                if let startup::SecretKey::I32(secret) = request.secret_key {
-                    // Without a subscriber there is nothing to cancel.
-                    let _ = context.cancels.send(CancelTarget {
+                if let Some(secret) = secret_of(&request.secret_key) {
+                    let target = CancelTarget {
                         number: request.pid,
                         secret,
-                    });
+                    };
+                    pass_on(&context, target).await;
                 }
                 return Ok(());
             }
@@ -147,16 +171,51 @@
             _ => return Err(End::Gone),
         }
     };
-    let caller = match admit(context, reader, writer, own, &startup) {
+    let seats = context.seats.clone();
+    let mut caller = match admit(context, reader, writer, own, &startup) {
         Ok(caller) => caller,
         Err(refused) => {
             let (input, mut writer) = *refused;
             return turn_away(&mut writer, &input).await;
         }
     };
+    let limit = caller
+        .context
+        .config
+        .borrow()
+        .caller_rule(&caller.caller)
+        .connections;
+    let Some(_seat) = seats.take(&caller.caller, limit as usize).await else {
+        return turn_away(&mut caller.writer, &sqlstate::BadInput::TooManyConnections).await;
+    };
     caller.serve().await
 }
 
+/// The secret of a cancel request; its form depends on a version that the request
+/// does not name.
+fn secret_of(key: &startup::SecretKey) -> Option<i32> {
+    match key {
+        startup::SecretKey::I32(secret) => Some(*secret),
+        startup::SecretKey::Bytes(bytes) => {
+            let bytes = bytes.as_ref().try_into().ok()?;
+            Some(i32::from_be_bytes(bytes))
+        }
+    }
+}
+
+/// Brings a cancel request to the instance that serves the connection.
+async fn pass_on(context: &Context, target: CancelTarget) {
+    // Without a subscriber there is nothing to cancel.
+    let _ = context.cancels.send(target);
+    let fleet = context.fleet.borrow().clone();
+    for instance in fleet.instances() {
+        let is_other = instance.name != context.instance;
+        if is_other && mark::of(&instance.name) == target.mark() {
+            peer::cancel(&instance.address, target).await;
+        }
+    }
+}
+
 async fn turn_away(
     writer: &mut tcp::OwnedWriteHalf,
     input: &sqlstate::BadInput,
@@ -246,6 +305,9 @@
                 self.set_param(&name, Some(&value))?;
                 continue;
             }
+            if !is_setting_name(&name) {
+                return Err(sqlstate::BadInput::UnknownParameter(name));
+            }
             let quoted = value.replace('\'', "''");
             self.keep_setting(&name, &format!("SET {name} = '{quoted}'"))?;
         }
@@ -271,6 +333,9 @@
                 }
                 self.session.read_kind = Some(kind);
             }
+            param::Param::RequestKey(Some(_)) if self.lane.is_some() => {
+                return Err(sqlstate::BadInput::KeyedControl);
+            }
             param::Param::RequestKey(key) => self.session.request_key = key,
             param::Param::Deadline(deadline) => self.session.deadline = deadline,
             param::Param::Token(token) => {
@@ -309,6 +374,10 @@
                 batch::Gathered::Refused(input) => {
                     answer::put_error(&mut self.out, answer::Severity::Error, &input.report());
                 }
+                batch::Gathered::RefusedQuery(input) => {
+                    answer::put_error(&mut self.out, answer::Severity::Error, &input.report());
+                    self.ready().await?;
+                }
                 batch::Gathered::Resynced => self.ready().await?,
                 batch::Gathered::End => return Ok(()),
             }
@@ -365,11 +434,14 @@
     }
 
     async fn run_batch(&mut self, batch: batch::Batch) -> Result<(), End> {
-        if let Some(input) = refused_class(&batch.class) {
+        if let Err(input) = self.check(&batch) {
             return self.refuse(&batch, &input).await;
         }
-        match &batch.class {
+        match batch.class() {
             statement::Class::Set(setting) if setting.name.starts_with(param::PREFIX) => {
+                if !batch.executes() {
+                    return self.answer_locally(&batch, "SET", None).await;
+                }
                 match self.set_param(&setting.name, setting.value.as_deref()) {
                     Ok(()) => self.answer_locally(&batch, "SET", None).await,
                     Err(input) => self.refuse(&batch, &input).await,
@@ -389,6 +461,25 @@
         }
     }
 
+    fn check(&self, batch: &batch::Batch) -> Result<(), sqlstate::BadInput> {
+        batch.check()?;
+        if self.is_read() {
+            batch.check_read()?;
+        }
+        if self.session.request_key.is_some() && batch.executes() {
+            batch.check_keyed(self.lane.is_some())?;
+        }
+        Ok(())
+    }
+
+    /// Whether what comes next is a declared read.
+    fn is_read(&self) -> bool {
+        match &self.lane {
+            Some(open) => open.is_read(),
+            None => self.session.read_kind.is_some(),
+        }
+    }
+
     fn show(&self, name: &str) -> Result<String, sqlstate::BadInput> {
         let session = &self.session;
         Ok(match name.strip_prefix(param::PREFIX) {
@@ -488,16 +579,9 @@
     }
 }
 
-fn refused_class(class: &statement::Class) -> Option<sqlstate::BadInput> {
-    match class {
-        statement::Class::Copy => Some(sqlstate::BadInput::Copy),
-        statement::Class::Listen => Some(sqlstate::BadInput::Listen),
-        statement::Class::SessionState(what) => Some(sqlstate::BadInput::SessionState(what)),
-        statement::Class::Plain
-        | statement::Class::Begin { .. }
-        | statement::Class::Set(_)
-        | statement::Class::Show(_) => None,
-    }
+fn is_setting_name(name: &str) -> bool {
+    let is_part = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '.';
+    !name.is_empty() && name.chars().all(is_part)
 }
 
 async fn is_stopping(stopping: &mut watch::Receiver<bool>) {
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::operator;
 use crate::owner;
 use crate::peer;
+use crate::seats;
 use crate::settings;
 
 /// Cancel requests that wait for slow tasks.
@@ -108,6 +109,7 @@
         });
         let (ready, ready_seen) = watch::channel(false);
         let (stopping, stopping_seen) = watch::channel(false);
+        let cancels = broadcast::Sender::new(CANCELS);
         let context = caller::Context {
             instance: own.name.clone(),
             zone: own.zone.clone(),
@@ -116,13 +118,15 @@
             fleet: fleet.clone(),
             owner: owner.clone(),
             peers: peer::start(),
-            cancels: broadcast::Sender::new(CANCELS),
+            cancels: cancels.clone(),
+            seats: seats::start(),
             metrics: metrics.clone(),
             stopping: stopping_seen,
         };
         let peers = peer::Service {
             owner: owner.clone(),
             config: config.config.clone(),
+            cancels,
         };
         let operators = operator::Service {
             platform,
@@ -224,7 +228,7 @@
 async fn accept(listener: net::TcpListener, context: caller::Context) -> task::JoinSet<()> {
     let mut callers = task::JoinSet::new();
     let mut stopping = context.stopping.clone();
-    let mut number = 0;
+    let mut number = 0u32;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -242,9 +246,9 @@
         if socket.set_nodelay(true).is_err() {
             continue;
         }
-        number += 1;
+        number = number.wrapping_add(1);
         let secret = uuid::Uuid::new_v4().as_u128() as i32;
-        let own = caller::CancelTarget { number, secret };
+        let own = caller::CancelTarget::new(&context.instance, number, secret);
         callers.spawn(caller::run(context.clone(), socket, own));
     }
 }
--- a/crates/cardamomhold_daemon/src/lane.rs
+++ b/crates/cardamomhold_daemon/src/lane.rs
@@ -80,6 +80,8 @@
     pub frames: Bytes,
     /// Whether the endpoint ends its answer with "ready for query".
     pub sync: bool,
+    /// Without a sync: number of answers that the messages bring.
+    pub answers: u32,
 }
 
 /// Towards the caller's task.
@@ -100,6 +102,8 @@
     pub status: Status,
     /// The confirmed position of what was committed.
     pub written: Option<position::Position>,
+    /// Whether the batch failed or rolled its transaction back.
+    pub rolled_back: bool,
 }
 
 /// Whether a transaction is open.
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod owner;
 pub mod peer;
 pub mod relay;
+pub mod seats;
 pub mod settings;
 pub mod work;
--- a/crates/cardamomhold_daemon/src/peer.rs
+++ b/crates/cardamomhold_daemon/src/peer.rs
@@ -13,12 +13,14 @@
 use cardamomhold_core::position;
 use cardamomhold_core::rank;
 use cardamomhold_proto::peer as schema;
+use tokio::sync::broadcast;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers;
 use tonic::transport;
 
+use crate::caller;
 use crate::lane;
 use crate::owner;
 
@@ -156,6 +158,19 @@
     }
 }
 
+/// Passes a cancel request on to the instance that serves the connection.
+pub async fn cancel(address: &str, target: caller::CancelTarget) {
+    let Some(mut client) = connect(address).await else {
+        return;
+    };
+    let request = schema::CancelRequest {
+        number: target.number,
+        secret: target.secret,
+    };
+    // A cancel request has no answer, whether it arrives or not.
+    let _ = tokio::time::timeout(CONNECT_TIMEOUT, client.cancel(request)).await;
+}
+
 /// The peer service of an instance.
 #[derive(Debug)]
 pub struct Service {
@@ -163,6 +178,8 @@
     pub owner: mpsc::Sender<owner::Request>,
     /// The configuration that peers ask for.
     pub config: watch::Receiver<sync::Arc<config::Config>>,
+    /// Cancel requests of callers.
+    pub cancels: broadcast::Sender<caller::CancelTarget>,
 }
 
 #[tonic::async_trait]
@@ -195,6 +212,19 @@
         Ok(tonic::Response::new(Box::pin(downs)))
     }
 
+    async fn cancel(
+        &self,
+        request: tonic::Request<schema::CancelRequest>,
+    ) -> Result<tonic::Response<schema::CancelReply>, tonic::Status> {
+        let request = request.into_inner();
+        // Without a subscriber there is nothing to cancel.
+        let _ = self.cancels.send(caller::CancelTarget {
+            number: request.number,
+            secret: request.secret,
+        });
+        Ok(tonic::Response::new(schema::CancelReply {}))
+    }
+
     async fn changes(
         &self,
         request: tonic::Request<schema::ChangesRequest>,
@@ -227,6 +257,7 @@
             Some(schema::up::Kind::Batch(batch)) => lane::Up::Batch(lane::Batch {
                 frames: batch.frames,
                 sync: batch.sync,
+                answers: batch.answers,
             }),
             Some(schema::up::Kind::Cancel(_)) => lane::Up::Cancel,
             _ => return,
@@ -318,6 +349,7 @@
         lane::Up::Batch(batch) => schema::up::Kind::Batch(schema::Batch {
             frames: batch.frames,
             sync: batch.sync,
+            answers: batch.answers,
         }),
         lane::Up::Cancel => schema::up::Kind::Cancel(schema::Cancel {}),
     };
@@ -337,6 +369,7 @@
             schema::down::Kind::Ready(schema::Ready {
                 status: status.into(),
                 written,
+                rolled_back: ready.rolled_back,
             })
         }
         lane::Down::Failure(failure) => schema::down::Kind::Failure(failure_to(&failure)),
@@ -371,6 +404,7 @@
             lane::Down::Ready(lane::Ready {
                 status,
                 written: ready.written.map(place_from),
+                rolled_back: ready.rolled_back,
             })
         }
         schema::down::Kind::Failure(failure) => lane::Down::Failure(failure_from(failure)?),
--- a/crates/cardamomhold_daemon/src/relay.rs
+++ b/crates/cardamomhold_daemon/src/relay.rs
@@ -23,6 +23,8 @@
     CallerGone,
     /// Too much follows a commit in the same batch.
     HeldTooLong,
+    /// The endpoint waits for a copy, which the proxy does not carry.
+    Copy,
 }
 
 impl From<connection::ConnectionError> for RelayError {
@@ -31,6 +33,27 @@
     }
 }
 
+/// How an answer is relayed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mode {
+    /// Answers to wait for; none to wait for "ready for query".
+    pub answers: Option<u32>,
+    /// Whether a short answer is held back as a whole, so that another attempt may
+    /// still give it.
+    pub holds: bool,
+}
+
+/// What a relayed answer has done so far, which also counts when it breaks off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Progress {
+    /// Whether anything was sent on.
+    pub forwarded: bool,
+    /// Completed commands.
+    pub completed: u32,
+    /// Whether there were rows.
+    pub has_rows: bool,
+}
+
 /// The end of an answer.
 #[derive(Debug)]
 pub struct Ended {
@@ -42,11 +65,11 @@
     pub tag: String,
     /// Whether the endpoint reported an error.
     pub failed: bool,
-    /// Whether anything was sent on.
-    pub forwarded: bool,
+    /// Whether a COMMIT is among what is held back.
+    pub is_commit_held: bool,
 }
 
-/// Relays until "ready for query".
+/// Relays until "ready for query", or until so many answers have come.
 ///
 /// The last "command complete" is held back, and everything from a COMMIT on: both
 /// would tell the caller of a commit that is not confirmed yet.
@@ -56,39 +79,74 @@
 pub async fn relay(
     connection: &mut connection::Connection,
     down: &mpsc::Sender<lane::Down>,
+    mode: Mode,
+    progress: &mut Progress,
 ) -> Result<Ended, RelayError> {
-    let mut state = State::default();
-    loop {
+    let mut state = State::new(mode);
+    while !state.is_complete() {
         let message = match connection.take()? {
             Some(message) => message,
             None => {
-                state.flush(down).await?;
+                state.flush(down, progress).await?;
                 connection.next().await?
             }
         };
         if let messages::PgWireBackendMessage::ReadyForQuery(ready) = &message {
-            state.flush(down).await?;
-            return Ok(state.end(ready.status));
+            state.flush(down, progress).await?;
+            return Ok(state.end(status_of(ready.status)));
         }
-        state.take(&message)?;
+        state.take(&message, progress)?;
         if state.out.len() >= CHUNK_LEN {
-            state.flush(down).await?;
+            state.holds = false;
+            state.flush(down, progress).await?;
         }
     }
+    state.flush(down, progress).await?;
+    Ok(state.end(lane::Status::Transaction))
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    left: Option<u32>,
+    holds: bool,
     out: BytesMut,
     held: BytesMut,
     is_commit_held: bool,
     tag: String,
     failed: bool,
-    forwarded: bool,
 }
 
 impl State {
-    fn take(&mut self, message: &messages::PgWireBackendMessage) -> Result<(), RelayError> {
+    fn new(mode: Mode) -> Self {
+        Self {
+            left: mode.answers,
+            holds: mode.holds,
+            out: BytesMut::new(),
+            held: BytesMut::new(),
+            is_commit_held: false,
+            tag: String::new(),
+            failed: false,
+        }
+    }
+
+    /// Whether all answers have come; after an error the endpoint waits for a sync.
+    fn is_complete(&self) -> bool {
+        self.left.is_some_and(|left| left == 0 || self.failed)
+    }
+
+    fn take(
+        &mut self,
+        message: &messages::PgWireBackendMessage,
+        progress: &mut Progress,
+    ) -> Result<(), RelayError> {
+        if is_copy(message) {
+            return Err(RelayError::Copy);
+        }
+        if ends_answer(message) {
+            self.left = self.left.map(|left| left.saturating_sub(1));
+        }
+        progress.has_rows |= matches!(message, messages::PgWireBackendMessage::RowDescription(_));
+        progress.has_rows |= matches!(message, messages::PgWireBackendMessage::DataRow(_));
         if matches!(message, messages::PgWireBackendMessage::ParameterStatus(_)) {
             return Ok(());
         }
@@ -98,8 +156,9 @@
         }
         match message {
             messages::PgWireBackendMessage::CommandComplete(complete) => {
+                progress.completed += 1;
                 complete.tag.clone_into(&mut self.tag);
-                self.is_commit_held |= complete.tag == COMMIT_TAG;
+                self.is_commit_held |= complete.tag.starts_with(COMMIT_TAG);
                 put(&mut self.held, message);
             }
             messages::PgWireBackendMessage::ErrorResponse(_) => {
@@ -120,23 +179,28 @@
         Ok(())
     }
 
-    async fn flush(&mut self, down: &mpsc::Sender<lane::Down>) -> Result<(), RelayError> {
-        if self.out.is_empty() {
+    async fn flush(
+        &mut self,
+        down: &mpsc::Sender<lane::Down>,
+        progress: &mut Progress,
+    ) -> Result<(), RelayError> {
+        if self.out.is_empty() || self.holds {
             return Ok(());
         }
-        self.forwarded = true;
+        progress.forwarded = true;
         let frames = self.out.split().freeze();
         let sent = down.send(lane::Down::Frames(frames)).await;
         sent.map_err(|_| RelayError::CallerGone)
     }
 
-    fn end(self, status: response::TransactionStatus) -> Ended {
+    fn end(mut self, status: lane::Status) -> Ended {
+        self.out.extend_from_slice(&self.held);
         Ended {
-            status: status_of(status),
-            held: self.held.freeze(),
+            status,
+            held: self.out.freeze(),
             tag: self.tag,
             failed: self.failed,
-            forwarded: self.forwarded,
+            is_commit_held: self.is_commit_held,
         }
     }
 }
@@ -149,6 +213,30 @@
     }
 }
 
+fn is_copy(message: &messages::PgWireBackendMessage) -> bool {
+    matches!(
+        message,
+        messages::PgWireBackendMessage::CopyInResponse(_)
+            | messages::PgWireBackendMessage::CopyOutResponse(_)
+            | messages::PgWireBackendMessage::CopyBothResponse(_)
+    )
+}
+
+/// Whether a message is the last one that answers a message of the extended protocol.
+fn ends_answer(message: &messages::PgWireBackendMessage) -> bool {
+    matches!(
+        message,
+        messages::PgWireBackendMessage::ParseComplete(_)
+            | messages::PgWireBackendMessage::BindComplete(_)
+            | messages::PgWireBackendMessage::CloseComplete(_)
+            | messages::PgWireBackendMessage::CommandComplete(_)
+            | messages::PgWireBackendMessage::EmptyQueryResponse(_)
+            | messages::PgWireBackendMessage::PortalSuspended(_)
+            | messages::PgWireBackendMessage::RowDescription(_)
+            | messages::PgWireBackendMessage::NoData(_)
+    )
+}
+
 /// Appends a message that callers may see; others are left out.
 pub fn put(out: &mut BytesMut, message: &messages::PgWireBackendMessage) {
     match message {
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -22,6 +22,19 @@
 /// SQLSTATE of a key that is there already.
 const UNIQUE_VIOLATION: &str = "23505";
 
+/// Class of SQLSTATEs of integrity constraints.
+const INTEGRITY_CLASS: &str = "23";
+
+const SERIALIZATION_FAILURE: &str = "40001";
+const DEADLOCK: &str = "40P01";
+
+const ROLLBACK_TAG: &str = "ROLLBACK";
+
+/// Whether an error says for certain that a COMMIT has been rolled back.
+fn is_abort(code: &str) -> bool {
+    code.starts_with(INTEGRITY_CLASS) || code == SERIALIZATION_FAILURE || code == DEADLOCK
+}
+
 /// What the work needs besides its lane.
 #[derive(Debug, Clone)]
 pub struct Context {
@@ -52,8 +65,9 @@
     lease: endpoint::Lease,
     deadline: tokio::time::Instant,
     is_read: bool,
-    sent: bool,
-    forwarded: bool,
+    may_have_run: bool,
+    is_synced: bool,
+    progress: relay::Progress,
 }
 
 /// What the guard of a request key found.
@@ -82,8 +96,9 @@
             lease,
             deadline,
             is_read,
-            sent: false,
-            forwarded: false,
+            may_have_run: false,
+            is_synced: true,
+            progress: relay::Progress::default(),
         })
     }
 
@@ -93,7 +108,8 @@
         end: &mut lane::LaneEnd,
     ) -> Result<(), lane::Failure> {
         let result = self.serve_all(ticket, end).await;
-        if result.is_ok() {
+        // After anything else the connection's state is in doubt, and it is closed.
+        if matches!(result, Ok(()) | Err(lane::Failure::Ran { .. })) {
             self.lease.give_back().await;
         }
         result
@@ -118,20 +134,28 @@
         loop {
             let batch = match self.next_batch(end, status).await {
                 Some(batch) => batch,
-                None => return self.abandon(status).await,
+                None => return self.abandon().await,
             };
-            self.sent = true;
+            // What only a COMMIT of the guard's own would make last can't have run before
+            // it; neither has a lone BEGIN any effect.
+            let is_begin = ticket.begins && status == lane::Status::Idle;
+            self.may_have_run |= !wraps && !is_begin;
+            self.is_synced = batch.sync;
             self.lease
                 .connection()
                 .send(&batch.frames)
                 .await
                 .map_err(|e| self.doubt(&e.into()))?;
+            let mode = relay::Mode {
+                answers: (!batch.sync).then_some(batch.answers),
+                holds: wraps && batch.sync,
+            };
+            let ended = self.relay(end, mode).await?;
+            status = ended.status;
             if !batch.sync {
-                // A flush has no end of its own; its answers come with the next batch.
+                self.answer_flush(ticket, end, ended).await?;
                 continue;
             }
-            let ended = self.relay(end).await?;
-            status = ended.status;
             if status == lane::Status::Transaction && key.is_some() {
                 self.pass(ticket, key.take()).await?;
             }
@@ -142,14 +166,41 @@
             if !ended.held.is_empty() {
                 self.send(end, lane::Down::Frames(ended.held)).await?;
             }
-            self.send(end, lane::Down::Ready(lane::Ready { status, written }))
-                .await?;
+            let rolled_back = ended.failed || ended.tag.starts_with(ROLLBACK_TAG);
+            let ready = lane::Ready {
+                status,
+                written,
+                rolled_back,
+            };
+            self.send(end, lane::Down::Ready(ready)).await?;
             if status == lane::Status::Idle {
                 return Ok(());
             }
         }
     }
 
+    /// Answers a batch that ends with a flush; its transaction goes on.
+    async fn answer_flush(
+        &mut self,
+        ticket: &lane::Ticket,
+        end: &mut lane::LaneEnd,
+        ended: relay::Ended,
+    ) -> Result<(), lane::Failure> {
+        let mut written = None;
+        if ended.is_commit_held && !self.is_read {
+            written = Some(self.confirmed_position(ticket).await?);
+        }
+        if !ended.held.is_empty() {
+            self.send(end, lane::Down::Frames(ended.held)).await?;
+        }
+        let ready = lane::Ready {
+            status: lane::Status::Transaction,
+            written,
+            rolled_back: ended.failed,
+        };
+        self.send(end, lane::Down::Ready(ready)).await
+    }
+
     /// Brings the connection to the session's settings.
     async fn set_up(&mut self, ticket: &lane::Ticket) -> Result<(), lane::Failure> {
         for statement in &ticket.setup {
@@ -258,24 +309,42 @@
         let Some(key) = ticket.request_key else {
             return Ok(lane::Status::Idle);
         };
-        let tag = ended.tag.replace('\'', "");
+        let tag = self.kept_tag(&ended.tag);
         let update = format!(
             "UPDATE cardamomhold_request_key SET tag = '{tag}' WHERE request_key = '{key}'"
         );
         self.query(&update)
             .await
             .map_err(|e| self.doubt(&e.into()))?;
-        self.query("COMMIT")
-            .await
-            .map_err(|e| self.doubt(&e.into()))?;
-        Ok(lane::Status::Idle)
+        self.may_have_run = true;
+        match self.query("COMMIT").await {
+            Ok(_) => Ok(lane::Status::Idle),
+            Err(connection::ConnectionError::Failed { code }) if is_abort(&code) => {
+                Err(lane::Failure::NotRun(outcome::Refusal::ConnectFailed))
+            }
+            Err(error) => Err(self.doubt(&error.into())),
+        }
     }
 
-    async fn relay(&mut self, end: &mut lane::LaneEnd) -> Result<relay::Ended, lane::Failure> {
+    /// The tag that a repeated key is answered with; none for an answer of which the tag
+    /// is only a part.
+    fn kept_tag(&self, tag: &str) -> String {
+        if self.progress.has_rows || self.progress.completed != 1 {
+            return String::new();
+        }
+        tag.replace('\'', "")
+    }
+
+    async fn relay(
+        &mut self,
+        end: &mut lane::LaneEnd,
+        mode: relay::Mode,
+    ) -> Result<relay::Ended, lane::Failure> {
         let cancel = self.lease.connection().cancel_key();
         let deadline = self.deadline;
         let result = {
-            let relaying = relay::relay(self.lease.connection(), &end.down);
+            let connection = self.lease.connection();
+            let relaying = relay::relay(connection, &end.down, mode, &mut self.progress);
             tokio::pin!(relaying);
             loop {
                 tokio::select! {
@@ -294,18 +363,16 @@
                 }
             }
         };
-        match result {
-            Ok(ended) => {
-                self.forwarded |= ended.forwarded;
-                Ok(ended)
-            }
-            Err(error) => Err(self.doubt(&error)),
+        if result.is_err() {
+            // Nobody waits for the statement any more; its slot is needed.
+            tokio::spawn(async move { cancel.cancel().await });
         }
+        result.map_err(|error| self.doubt(&error))
     }
 
     /// The failure for an error after which the outcome may be unknown.
     fn doubt(&self, error: &relay::RelayError) -> lane::Failure {
-        if !self.sent || (self.is_read && !self.forwarded) {
+        if !self.may_have_run || (self.is_read && !self.progress.forwarded) {
             return lane::Failure::NotRun(outcome::Refusal::ConnectFailed);
         }
         lane::Failure::Unknown(match error {
@@ -326,7 +393,7 @@
         if self.is_read || status != lane::Status::Idle {
             return Ok(None);
         }
-        if ended.failed && ended.held.is_empty() {
+        if ended.failed && !ended.is_commit_held {
             return Ok(None);
         }
         self.confirmed_position(ticket).await.map(Some)
@@ -383,9 +450,9 @@
     }
 
     /// Ends a lane whose caller went away between batches.
-    async fn abandon(&mut self, status: lane::Status) -> Result<(), lane::Failure> {
-        if status == lane::Status::Idle && !self.sent {
-            return Ok(());
+    async fn abandon(&mut self) -> Result<(), lane::Failure> {
+        if !self.is_synced {
+            return Err(lane::Failure::Unknown(outcome::Doubt::ConnectionLost));
         }
         let rolled_back = self.query("ROLLBACK").await;
         rolled_back.map(drop).map_err(|e| self.doubt(&e.into()))
--- a/crates/cardamomhold_fleet/src/lib.rs
+++ b/crates/cardamomhold_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 pub mod fleet;
+pub mod mark;
 pub mod owner;
 
 /// The types that users of the aggregate need most.
--- a/crates/cardamomhold_session/src/lib.rs
+++ b/crates/cardamomhold_session/src/lib.rs
@@ -7,8 +7,10 @@
 //! assert!(session.read_kind.is_none());
 //! ```
 
+pub mod retry;
 pub mod route;
 pub mod session;
+pub mod wait;
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
--- a/crates/cardamomhold_session/src/session.rs
+++ b/crates/cardamomhold_session/src/session.rs
@@ -10,6 +10,9 @@
 /// Most session settings that are carried from connection to connection.
 pub const MAX_SETTINGS: usize = 32;
 
+/// Name that RESET gives to every setting together.
+const ALL: &str = "all";
+
 /// A session's declarations.
 #[derive(Debug, Clone, Default)]
 pub struct Session {
@@ -24,6 +27,14 @@
     /// What the session must see.
     pub token: token::SessionToken,
     settings: Vec<Setting>,
+    staged: Vec<Change>,
+}
+
+/// A change of a setting whose transaction has not ended yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Change {
+    Keep(Setting),
+    Forget(String),
 }
 
 /// A setting of the endpoint's own that the session carries along.
@@ -57,9 +68,41 @@
         Ok(())
     }
 
-    /// Forgets a setting, so that connections keep their default.
+    /// Forgets a setting, or `all` of them, so that connections keep their default.
     pub fn forget(&mut self, name: &str) {
-        self.settings.retain(|s| s.name != name);
+        self.settings.retain(|s| s.name != name && name != ALL);
+    }
+
+    /// Takes a change that holds once its transaction commits; no statement resets.
+    pub fn stage(&mut self, name: &str, statement: Option<&str>) {
+        let name = name.to_owned();
+        self.staged.push(match statement {
+            Some(statement) => Change::Keep(Setting {
+                name,
+                statement: statement.to_owned(),
+            }),
+            None => Change::Forget(name),
+        });
+    }
+
+    /// Ends the transaction of the staged changes.
+    ///
+    /// # Errors
+    /// [`TooManySettings`] when not all of them find room.
+    pub fn settle(&mut self, committed: bool) -> Result<(), TooManySettings> {
+        let mut result = Ok(());
+        for change in std::mem::take(&mut self.staged) {
+            if !committed {
+                continue;
+            }
+            match change {
+                Change::Keep(setting) => {
+                    result = result.and(self.keep(&setting.name, &setting.statement));
+                }
+                Change::Forget(name) => self.forget(&name),
+            }
+        }
+        result
     }
 
     /// The statements that bring a fresh connection to the session's settings.
--- a/crates/cardamomhold_standin/src/endpoint.rs
+++ b/crates/cardamomhold_standin/src/endpoint.rs
@@ -26,6 +26,8 @@
     pub faults: fault::Faults,
     /// Process numbers whose statement is to be cancelled.
     pub cancels: broadcast::Sender<i32>,
+    /// Rows of `STREAM` that were handed to a socket.
+    pub streamed: sync::Arc<atomic::AtomicU64>,
     slots: sync::Arc<tokio::sync::Semaphore>,
     open: sync::Arc<atomic::AtomicUsize>,
 }
@@ -55,6 +57,7 @@
     numbers: sync::Arc<atomic::AtomicU64>,
     open: sync::Arc<atomic::AtomicUsize>,
     peak: sync::Arc<atomic::AtomicUsize>,
+    streamed: sync::Arc<atomic::AtomicU64>,
     state: State,
 }
 
@@ -139,6 +142,7 @@
             numbers: sync::Arc::default(),
             open: sync::Arc::default(),
             peak: sync::Arc::default(),
+            streamed: sync::Arc::default(),
             state: State::Killed(None),
         };
         endpoint.launch(listener, kept)?;
@@ -158,6 +162,7 @@
             options: sync::Arc::new(self.options.clone()),
             faults: self.faults.clone(),
             cancels: broadcast::Sender::new(64),
+            streamed: self.streamed.clone(),
             slots: sync::Arc::new(tokio::sync::Semaphore::new(self.options.slots)),
             open: self.open.clone(),
         };
@@ -229,6 +234,11 @@
         self.peak.load(atomic::Ordering::SeqCst)
     }
 
+    /// Rows of `STREAM` that were handed to a socket.
+    pub fn streamed(&self) -> u64 {
+        self.streamed.load(atomic::Ordering::SeqCst)
+    }
+
     /// Lets every connection that is open now go silent for good.
     pub fn silence_open(&self) {
         let next = self.numbers.load(atomic::Ordering::SeqCst);
--- a/crates/cardamomhold_standin/src/session.rs
+++ b/crates/cardamomhold_standin/src/session.rs
@@ -1,6 +1,7 @@
 //! One client's connection to the endpoint stand-in.
 
 use std::collections;
+use std::sync::atomic;
 use std::time;
 
 use bytes::BufMut;
@@ -415,6 +416,12 @@
             _ if matches!(self.transaction, Transaction::Failed) => {
                 self.fail(&error("25P02", "current transaction is aborted"));
             }
+            "DISCARD" if !matches!(self.transaction, Transaction::Idle) => {
+                self.fail(&error(
+                    "25001",
+                    "DISCARD ALL cannot run inside a transaction",
+                ));
+            }
             "SET" | "RESET" | "DISCARD" => self.set(&statement.sql, &word),
             "SHOW" => self.show(&statement.sql),
             "STREAM" => self.generate(&statement.sql).await?,
@@ -424,8 +431,15 @@
         Ok(())
     }
 
+    fn is_read_only(&self) -> bool {
+        let setting = self.settings.get("default_transaction_read_only");
+        setting.is_some_and(|value| value == "on")
+    }
+
     fn begin(&mut self, sql: &str) {
-        let read_only = sql.to_ascii_uppercase().contains("READ ONLY");
+        let sql = sql.to_ascii_uppercase();
+        let read_only =
+            sql.contains("READ ONLY") || self.is_read_only() && !sql.contains("READ WRITE");
         if matches!(self.transaction, Transaction::Idle) {
             self.transaction = Transaction::Open {
                 read_only,
@@ -478,6 +492,7 @@
                 Some(value) => {
                     self.settings.insert(setting.name, value);
                 }
+                None if setting.name == "all" => self.settings.clear(),
                 None => {
                     self.settings.remove(&setting.name);
                 }
@@ -534,6 +549,9 @@
             if self.out.len() >= FLUSH_LEN {
                 self.flush().await?;
             }
+            self.endpoint
+                .streamed
+                .fetch_add(1, atomic::Ordering::SeqCst);
         }
         answer::put_complete(&mut self.out, &format!("SELECT {rows}"));
         Ok(())
@@ -569,9 +587,10 @@
         let is_autocommit = matches!(self.transaction, Transaction::Idle);
         let result = if is_autocommit {
             let statement = statement.clone();
+            let read_only = self.is_read_only();
             let request = |reply| member::Request::Run {
                 statement,
-                read_only: false,
+                read_only,
                 reply,
             };
             replication::ask(&self.endpoint.member, request)
--- a/crates/cardamomhold_wire/src/frame.rs
+++ b/crates/cardamomhold_wire/src/frame.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::panic;
 
 use bytes::Buf;
 use bytes::BytesMut;
@@ -17,6 +18,7 @@
 
 const READ_CHUNK: usize = 16 * 1024;
 const HEADER_LEN: usize = 5;
+const LENGTH_LEN: usize = 4;
 
 /// Why no message could be read.
 #[derive(Debug)]
@@ -32,6 +34,10 @@
         /// The limit, in bytes.
         limit: usize,
     },
+    /// The message announces fewer bytes than its own length takes.
+    TooShort(usize),
+    /// The message ends before its fields do.
+    Garbled,
     /// The bytes are no message of the protocol.
     Malformed(pgwire::error::PgWireError),
 }
@@ -42,6 +48,8 @@
             Self::Io(error) => write!(f, "socket failed: {error}"),
             Self::Truncated => f.write_str("connection closed in the middle of a message"),
             Self::TooLarge { len, limit } => write!(f, "message of {len} bytes, at most {limit}"),
+            Self::TooShort(len) => write!(f, "message of {len} bytes, at least {LENGTH_LEN}"),
+            Self::Garbled => f.write_str("malformed message: it ends before its fields do"),
             Self::Malformed(error) => write!(f, "malformed message: {error}"),
         }
     }
@@ -97,8 +105,8 @@
     ) -> Result<Option<messages::PgWireFrontendMessage>, FrameError> {
         loop {
             self.check_size()?;
-            let decoded = messages::PgWireFrontendMessage::decode(&mut self.buf, &self.context)
-                .map_err(FrameError::Malformed)?;
+            let decoded =
+                guarded(|| messages::PgWireFrontendMessage::decode(&mut self.buf, &self.context))?;
             if let Some(message) = decoded {
                 self.follow_startup(&message);
                 return Ok(Some(message));
@@ -132,8 +140,7 @@
     /// [`FrameError`] when the bytes are no acceptable message.
     pub fn take_backend(&mut self) -> Result<Option<messages::PgWireBackendMessage>, FrameError> {
         self.check_size()?;
-        messages::PgWireBackendMessage::decode(&mut self.buf, &self.context)
-            .map_err(FrameError::Malformed)
+        guarded(|| messages::PgWireBackendMessage::decode(&mut self.buf, &self.context))
     }
 
     /// Whether bytes wait that belong to no message taken yet.
@@ -161,6 +168,9 @@
             return Ok(());
         }
         let len = (&self.buf[1..HEADER_LEN]).get_u32() as usize;
+        if len < LENGTH_LEN {
+            return Err(FrameError::TooShort(len));
+        }
         if len > self.limit {
             return Err(FrameError::TooLarge {
                 len,
@@ -185,3 +195,14 @@
         }
     }
 }
+
+/// Decodes a message; the codec panics on some messages that are too short for their
+/// fields, and the connection ends after such a one, so that the buffer is not used again.
+fn guarded<M>(
+    decode: impl FnOnce() -> pgwire::error::PgWireResult<Option<M>>,
+) -> Result<Option<M>, FrameError> {
+    match panic::catch_unwind(panic::AssertUnwindSafe(decode)) {
+        Ok(decoded) => decoded.map_err(FrameError::Malformed),
+        Err(_) => Err(FrameError::Garbled),
+    }
+}
--- a/crates/cardamomhold_wire/src/sqlstate.rs
+++ b/crates/cardamomhold_wire/src/sqlstate.rs
@@ -31,6 +31,12 @@
     Listen,
     /// A statement that leaves state on a connection, which pooling can't keep.
     SessionState(&'static str),
+    /// A parameter of the proxy's own is set or shown together with other statements.
+    NotAlone(String),
+    /// A request key covers one transaction, and the batch ends or starts others.
+    KeyedControl,
+    /// A declared read tries to become a write.
+    DeclaredRead,
     /// The message broke the protocol.
     Protocol(String),
     /// A prepared statement of that name does not exist.
@@ -72,6 +78,21 @@
                 ),
                 "",
             ),
+            Self::NotAlone(name) => (
+                "0A000",
+                format!("parameter \"{name}\" must be set or shown by a statement sent alone"),
+                "",
+            ),
+            Self::KeyedControl => (
+                "0A000",
+                "a request key covers one transaction: send BEGIN alone and end it last".to_owned(),
+                "",
+            ),
+            Self::DeclaredRead => (
+                "25006",
+                "a declared read stays read-only".to_owned(),
+                "end the declaration first",
+            ),
             Self::Protocol(problem) => ("08P01", format!("protocol violation: {problem}"), ""),
             Self::UnknownStatement(name) => (
                 "26000",
--- a/crates/cardamomhold_wire/src/statement.rs
+++ b/crates/cardamomhold_wire/src/statement.rs
@@ -16,6 +16,8 @@
         /// Whether it is declared read-only.
         read_only: bool,
     },
+    /// Ends the transaction, one way or the other.
+    End,
     /// Sets a session parameter.
     Set(Setting),
     /// Shows a parameter of the proxy's own.
@@ -24,6 +26,8 @@
     Copy,
     /// LISTEN, UNLISTEN or NOTIFY.
     Listen,
+    /// Several statements may hide in a text that can't be read.
+    Opaque,
     /// Leaves state on the connection that pooling can't keep.
     SessionState(&'static str),
 }
@@ -56,6 +60,7 @@
         "START" => Class::Begin {
             read_only: has_pair(&words, "READ", "ONLY"),
         },
+        "COMMIT" | "END" | "ROLLBACK" | "ABORT" => end(&words),
         "SET" => set(&words[1..]),
         "RESET" => reset(&words[1..]),
         "SHOW" => show(&words[1..]),
@@ -86,6 +91,10 @@
     let special = [
         "BEGIN",
         "START",
+        "COMMIT",
+        "END",
+        "ROLLBACK",
+        "ABORT",
         "SET",
         "RESET",
         "SHOW",
@@ -128,12 +137,39 @@
         .any(|pair| upper(&pair[0]) == first && upper(&pair[1]) == second)
 }
 
+/// A rollback to a savepoint ends nothing; a chained transaction would have no guard.
+fn end(words: &[tokenizer::Token]) -> Class {
+    if has_pair(words, "AND", "CHAIN") {
+        return Class::SessionState("AND CHAIN");
+    }
+    let is_partial = words.iter().any(|w| {
+        let word = upper(w);
+        word == "TO" || word == "PREPARED"
+    });
+    if is_partial { Class::Plain } else { Class::End }
+}
+
+/// Whether a statement would let a declared read write.
+pub fn lifts_read_only(text: &str) -> bool {
+    let first = first_word(text);
+    if !is_special(first) {
+        return false;
+    }
+    match classify(text) {
+        Class::Set(setting) => setting.name.ends_with("transaction_read_only"),
+        _ => has_pair(&words(text), "READ", "WRITE"),
+    }
+}
+
 fn set(words: &[tokenizer::Token]) -> Class {
     let (local, words) = match words.first().map(upper).as_deref() {
         Some("LOCAL") => (true, &words[1..]),
         Some("SESSION") => (false, &words[1..]),
         _ => (false, words),
     };
+    if let Some(what) = words.first().and_then(unkept) {
+        return Class::SessionState(what);
+    }
     let Some(split) = words.iter().position(is_assignment) else {
         return Class::Plain;
     };
@@ -147,6 +183,18 @@
     Class::Set(Setting { name, value, local })
 }
 
+/// Forms of SET that name no parameter, and that a pool can't carry along.
+fn unkept(word: &tokenizer::Token) -> Option<&'static str> {
+    match upper(word).as_str() {
+        "ROLE" => Some("SET ROLE"),
+        "AUTHORIZATION" => Some("SET SESSION AUTHORIZATION"),
+        "CHARACTERISTICS" => Some("SET SESSION CHARACTERISTICS"),
+        "TIME" => Some("SET TIME ZONE"),
+        "NAMES" => Some("SET NAMES"),
+        _ => None,
+    }
+}
+
 fn reset(words: &[tokenizer::Token]) -> Class {
     let name = joined(words).to_ascii_lowercase();
     Class::Set(Setting {
@@ -180,6 +228,31 @@
     text
 }
 
+/// One statement of a text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Statement {
+    /// What it means to the proxy.
+    pub class: Class,
+    /// Its own text.
+    pub text: String,
+}
+
+/// Sorts every statement of a text.
+pub fn classify_all(text: &str) -> Vec<Statement> {
+    let mut statements = Vec::new();
+    let parts = split(text);
+    let is_opaque = parts.len() == 1 && parts[0].contains(';') && words(text).is_empty();
+    for text in parts {
+        let class = if is_opaque {
+            Class::Opaque
+        } else {
+            classify(&text)
+        };
+        statements.push(Statement { class, text });
+    }
+    statements
+}
+
 /// Splits a text at its top-level semicolons; empty statements are left out.
 pub fn split(text: &str) -> Vec<String> {
     if !text.contains(';') {
--- /dev/null
+++ b/tests/tests/bad_input.rs
@@ -0,0 +1,98 @@
+//! Bad input gets a typed error, and nothing of another session is touched.
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::raw;
+
+async fn turned_away(bed: &bed::Bed, parameters: &[(&str, &str)]) -> String {
+    let address = bed.instances[0].addresses.listen;
+    let (_, answer) = raw::Raw::connect(address, parameters).await;
+    assert!(!answer.is_ready);
+    answer.code
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_startups() {
+    let bed = bed::Bed::start().await;
+    let token = bed::token_of(&bed.connect(0).await).await;
+    let cut = &token[..token.len() - 1];
+    let forged = token.replace("v1", "v1;bookings=9/9");
+    assert_eq!(turned_away(&bed, &[("database", "nothing")]).await, "3D000");
+    for (name, value) in [
+        ("cardamomhold.rank", "first"),
+        ("cardamomhold.read_kind", "unheard"),
+        ("cardamomhold.request_key", "7"),
+        ("cardamomhold.deadline_ms", "0"),
+        ("cardamomhold.session_token", cut),
+        ("cardamomhold.session_token", forged.as_str()),
+        ("cardamomhold.session_token", "v9;x"),
+    ] {
+        assert_eq!(turned_away(&bed, &[(name, value)]).await, "22023", "{name}");
+    }
+    assert_eq!(
+        turned_away(&bed, &[("cardamomhold.other", "1")]).await,
+        "42704"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_frames() {
+    let bed = bed::Bed::start().await;
+    let address = bed.instances[0].addresses.listen;
+    let mut neighbour = bed.connect(0).await;
+    let transaction = neighbour.transaction().await.expect("begin");
+    for bytes in [
+        &b"Q\x7f\xff\xff\xff"[..],
+        &b"Q\0\0\0\0"[..],
+        &b"Q\0\0\0\x03"[..],
+        &b"Q\xff\xff\xff\xff"[..],
+        &b"\xfe\0\0\0\x05x"[..],
+        &b"P\0\0\0\x06ab"[..],
+        &b"B\0\0\0\x0c\0\0\x7f\xff\x7f\xff\x7f\xff"[..],
+        &b"E\0\0\0\x05x"[..],
+        &b"d\0\0\0\x08abcd"[..],
+    ] {
+        let (mut caller, _) = raw::Raw::connect(address, &[]).await;
+        caller.send_bytes(bytes).await;
+        let sync = pgwire::messages::extendedquery::Sync::new();
+        caller.send(&sync).await;
+        let answer = caller.read_answer().await;
+        assert_eq!(answer.code, "08P01", "{bytes:?}");
+    }
+    let mut stranger = raw::Raw::dial(address).await;
+    stranger.send_bytes(b"GET / HTTP/1.1\r\n\r\n").await;
+    assert!(!stranger.read_answer().await.is_ready);
+    let row = transaction.query_one("SELECT 7", &[]).await.expect("query");
+    assert_eq!(row.get::<_, i64>(0), 7);
+    transaction.commit().await.expect("commit");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hidden_statements() {
+    let bed = bed::Bed::start().await;
+    let address = bed.instances[0].addresses.listen;
+    let (mut caller, _) = raw::Raw::connect(address, &[]).await;
+    for text in [
+        "COPY booking FROM STDIN",
+        "SELECT 1; COPY booking FROM STDIN",
+        "SELECT 1; LISTEN x",
+        "SELECT 1; SET cardamomhold.rank = 'bulk'",
+        "SET cardamomhold.rank = 'bulk'; SELECT 1",
+        "SELECT 1; SHOW cardamomhold.rank",
+        "SELECT 1; DISCARD ALL",
+        "SET ROLE admin",
+    ] {
+        let answer = caller.query(text).await;
+        assert_eq!(answer.code, "0A000", "{text}");
+        assert!(answer.is_ready);
+    }
+    let kind = "SET cardamomhold.read_kind = 'report'";
+    assert_eq!(caller.query(kind).await.tags, ["SET"]);
+    for text in [
+        "BEGIN READ WRITE",
+        "SET default_transaction_read_only = off",
+        "SELECT 1; SET TRANSACTION READ WRITE",
+    ] {
+        assert_eq!(caller.query(text).await.code, "25006", "{text}");
+    }
+    assert_eq!(caller.query("SELECT 1").await.rows, 1);
+}
--- /dev/null
+++ b/tests/tests/large_answers.rs
@@ -0,0 +1,56 @@
+//! Large answers stream, and come whole or with an error.
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::raw;
+
+async fn reader(bed: &bed::Bed) -> raw::Raw {
+    let kind = ("cardamomhold.read_kind", "report");
+    let long = ("cardamomhold.deadline_ms", "60000");
+    let (raw, answer) = raw::Raw::connect(bed.instances[1].addresses.listen, &[kind, long]).await;
+    assert!(answer.is_ready);
+    raw
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_twice() {
+    let mut bed = bed::Bed::start().await;
+    let mut caller = reader(&bed).await;
+    caller.ask("STREAM 20000 1000").await;
+    let mut rows = 0;
+    while rows < 100 {
+        let message = caller.next().await.expect("rows");
+        rows += usize::from(matches!(
+            message,
+            pgwire::messages::PgWireBackendMessage::DataRow(_)
+        ));
+    }
+    bed.members[1].kill().await;
+    let answer = caller.read_answer().await;
+    assert!(answer.is_ready);
+    assert_ne!(answer.code, "", "the rest is missing");
+    assert!(rows + answer.rows < 20_000, "rows of a second attempt");
+    assert_eq!(caller.query("STREAM 7 10").await.rows, 7);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_reader() {
+    let bed = bed::Bed::start().await;
+    let mut caller = reader(&bed).await;
+    caller.ask("STREAM 1000000 1000").await;
+    let mut sent = 0;
+    // Backpressure reaches the endpoint once the buffers between are full.
+    loop {
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        let now = bed.members[1].streamed();
+        if now == sent && now > 0 {
+            break;
+        }
+        sent = now;
+        assert!(
+            sent < 500_000,
+            "{sent} rows sent to a reader that has stopped"
+        );
+    }
+    let answer = caller.read_answer().await;
+    assert_eq!((answer.rows, answer.code.as_str()), (1_000_000, ""));
+}
--- /dev/null
+++ b/tests/tests/pooled_state.rs
@@ -0,0 +1,80 @@
+//! Settings follow their session over pooled connections, and no other session.
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::raw;
+
+async fn connect(bed: &bed::Bed) -> raw::Raw {
+    let (raw, answer) = raw::Raw::connect(bed.instances[0].addresses.listen, &[]).await;
+    assert!(answer.is_ready);
+    raw
+}
+
+async fn shown(caller: &tokio_postgres::Client, name: &str) -> String {
+    let messages = caller.simple_query(&format!("SHOW {name}")).await;
+    for message in messages.expect("show") {
+        if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
+            return row.get(0).unwrap_or_default().to_owned();
+        }
+    }
+    unreachable!("a row")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_follow() {
+    let bed = bed::Bed::start().await;
+    let first = bed.connect(0).await;
+    let second = bed.connect(0).await;
+    first
+        .batch_execute("SET work_mem = '8MB'")
+        .await
+        .expect("set");
+    for _ in 0..5 {
+        assert_eq!(shown(&first, "work_mem").await, "8MB");
+        assert_eq!(shown(&second, "work_mem").await, "");
+    }
+    first.batch_execute("RESET ALL").await.expect("reset");
+    assert_eq!(shown(&first, "work_mem").await, "");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rollback_undoes_set() {
+    let bed = bed::Bed::start().await;
+    let client = bed.connect(0).await;
+    for (end, kept) in [("ROLLBACK", ""), ("COMMIT", "8MB")] {
+        for text in ["BEGIN", "SET work_mem = '8MB'", end] {
+            client.batch_execute(text).await.expect("run");
+        }
+        assert_eq!(shown(&client, "work_mem").await, kept, "after {end}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn set_carries_nothing() {
+    let bed = bed::Bed::start().await;
+    let mut caller = connect(&bed).await;
+    caller.query("CREATE TABLE booking (n BIGINT)").await;
+    let answer = caller
+        .query("SET work_mem = '8MB'; INSERT INTO booking VALUES (1)")
+        .await;
+    assert_eq!(answer.tags, ["SET", "INSERT 0 1"]);
+    for _ in 0..3 {
+        let answer = caller.query("SELECT n FROM booking").await;
+        assert_eq!(answer.rows, 1, "the insert runs once");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_stay_apart() {
+    let bed = bed::Bed::start().await;
+    let mut caller = connect(&bed).await;
+    caller.query("CREATE TABLE booking (n BIGINT)").await;
+    for _ in 0..4 {
+        let mut gone = connect(&bed).await;
+        for text in ["BEGIN", "INSERT INTO booking VALUES (1)"] {
+            assert_eq!(gone.query(text).await.code, "");
+        }
+        drop(gone);
+        let answer = caller.query("SELECT n FROM booking").await;
+        assert_eq!((answer.rows, answer.code.as_str()), (0, ""));
+    }
+}
