--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -103,7 +103,7 @@
         if ready.status == lane::Status::Idle {
             self.end_transaction(ready.rolled_back);
             if batch.executes() || was_open {
-                self.session.request_key = None;
+                self.session.end_request();
             }
         }
         self.ready().await
@@ -143,11 +143,14 @@
     ) -> Result<(), caller::End> {
         if let lane::Failure::Ran { tag, written } = failure {
             self.see(*written);
-            self.session.request_key = None;
+            self.session.end_request();
             if !batch.begins() && !tag.is_empty() {
                 return self.answer_locally(batch, tag, None).await;
             }
         }
+        if let lane::Failure::Unknown(doubt) = failure {
+            self.session.leave_in_doubt(*doubt);
+        }
         let reason = match failure.outcome() {
             outcome::Outcome::NotRun(refusal) => refusal.as_str(),
             outcome::Outcome::Unknown(doubt) => doubt.as_str(),
@@ -201,7 +204,8 @@
         let deadline = start + allowance;
         let clock = clock::Clock::start();
         let last = clock.now().after(allowance.saturating_sub(RETRY));
-        let mut retry = retry::Retry::new(self.guard_of(batch), last);
+        let guard = self.guard_of(batch);
+        let mut retry = retry::Retry::resume(guard, last, self.session.doubt());
         loop {
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
             let mut replica = None;
--- a/crates/cardamomhold_session/src/retry.rs
+++ b/crates/cardamomhold_session/src/retry.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Goes on from an earlier request with the same key whose outcome is unknown.
+    pub fn resume(guard: Guard, deadline: Timestamp, doubt: Option<outcome::Doubt>) -> Self {
+        Self {
+            doubt: doubt.filter(|_| guard == Guard::Key),
+            ..Self::new(guard, deadline)
+        }
+    }
+
     /// Whether a replica may be asked by the next attempt.
     pub fn allows(&self, replica: &name::MemberName) -> bool {
         !self.skips_replicas && !self.avoided.contains(replica)
--- a/crates/cardamomhold_session/src/session.rs
+++ b/crates/cardamomhold_session/src/session.rs
@@ -4,6 +4,7 @@
 
 use cardamomhold_core::key;
 use cardamomhold_core::name;
+use cardamomhold_core::outcome;
 use cardamomhold_core::rank;
 use cardamomhold_core::token;
 
@@ -26,6 +27,7 @@
     pub deadline: Option<time::Duration>,
     /// What the session must see.
     pub token: token::SessionToken,
+    in_doubt: Option<(key::RequestKey, outcome::Doubt)>,
     settings: Vec<Setting>,
     staged: Vec<Change>,
 }
@@ -49,6 +51,23 @@
 pub struct TooManySettings;
 
 impl Session {
+    /// Why the outcome of an earlier request with the present key is unknown.
+    pub fn doubt(&self) -> Option<outcome::Doubt> {
+        let (key, doubt) = self.in_doubt?;
+        (self.request_key == Some(key)).then_some(doubt)
+    }
+
+    /// Takes note that the outcome of the request with the present key is unknown.
+    pub fn leave_in_doubt(&mut self, doubt: outcome::Doubt) {
+        self.in_doubt = self.request_key.map(|key| (key, doubt));
+    }
+
+    /// Ends the present key's transaction.
+    pub fn end_request(&mut self) {
+        self.request_key = None;
+        self.in_doubt = None;
+    }
+
     /// Keeps a setting's statement, to be run again on each connection.
     ///
     /// # Errors
