A planned stop that cuts nothing: phases, lanes of others, farewells

Cause: `Daemon::stop` ended its peer service as soon as its own callers had gone, so the lanes that other instances had open at this owner were cut. New tests showed it first: `owner_keeps_lanes` failed in the open transaction, and in `owner_stops_unnoticed` 3 of 6 callers got "08007 transaction resolution unknown: owner_lost". An idle transaction that had been ended was reported as unknown too, although nothing of it had run.

Change: an instance publishes the phase of its end (`stop::Phase`). Leaving: not ready, serves on for `notice_ms` of the stop rule (new, 3 s by default). Draining: takes no caller, refuses new lanes of other instances with "stopping", and waits within the grace until no lane is open and nobody has asked for one for 250 ms. Ending: works tell their callers, then the connections close. An entry that is refused by a stopping owner goes to the next owner at once, even while the list of instances lags. A caller's request that has arrived is served before the farewell (57P01), and a farewell is not lost to a reset. An idle transaction that is ended is reported as 25P03.

Seen to fail: without the refusal at a draining owner `owner_stops_unnoticed` printed "08007 ... owner_lost" for a write; without passing over stopping owners it printed "the load stands still"; with the quiet time counted from nothing all 6 callers got "08007 ... owner_lost".

--- a/crates/cardamomhold_config/src/check.rs
+++ b/crates/cardamomhold_config/src/check.rs
@@ -110,6 +110,7 @@
             range("connections", rule.connections.into(), 1, 1_000_000)
         }
         (object::ObjectName::StopRule, object::Spec::StopRule(rule)) => {
+            range("notice_ms", rule.notice_ms, 0, 60_000)?;
             range("grace_ms", rule.grace_ms, 0, 600_000)?;
             range("idle_ms", rule.idle_ms, 100, 3_600_000)
         }
--- a/crates/cardamomhold_config/src/object.rs
+++ b/crates/cardamomhold_config/src/object.rs
@@ -148,6 +148,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StopRule {
+    /// Time that the balancer and the other instances get to notice a stop, in milliseconds.
+    #[serde(default = "StopRule::default_notice")]
+    pub notice_ms: u64,
     /// Time that open transactions get to end, in milliseconds.
     pub grace_ms: u64,
     /// Time that a transaction may stay idle, in milliseconds.
@@ -157,12 +160,19 @@
 impl Default for StopRule {
     fn default() -> Self {
         Self {
+            notice_ms: Self::default_notice(),
             grace_ms: 30_000,
             idle_ms: 60_000,
         }
     }
 }
 
+impl StopRule {
+    fn default_notice() -> u64 {
+        3_000
+    }
+}
+
 /// The content of an object.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cardamomhold_core/src/outcome.rs
+++ b/crates/cardamomhold_core/src/outcome.rs
@@ -38,11 +38,13 @@
     ConnectFailed,
     /// The instance lost its place in the fleet and rejoins first.
     Rejoining,
+    /// The transaction was idle for too long and was rolled back.
+    IdleTransaction,
 }
 
 impl Refusal {
     /// Every value; the place of each is its code between instances and never changes.
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 12] = [
         Self::UnknownGroup,
         Self::NoPrimary,
         Self::StaleView,
@@ -54,6 +56,7 @@
         Self::OwnerUnreachable,
         Self::ConnectFailed,
         Self::Rejoining,
+        Self::IdleTransaction,
     ];
 
     /// The value's code between instances.
@@ -80,6 +83,7 @@
             Self::OwnerUnreachable => "owner_unreachable",
             Self::ConnectFailed => "connect_failed",
             Self::Rejoining => "rejoining",
+            Self::IdleTransaction => "idle_transaction",
         }
     }
 
@@ -94,7 +98,9 @@
             | Self::ConnectFailed
             | Self::Rejoining
             | Self::Stopping => true,
-            Self::UnknownGroup | Self::DeadlineUnmet | Self::QueueFull => false,
+            Self::UnknownGroup | Self::DeadlineUnmet | Self::QueueFull | Self::IdleTransaction => {
+                false
+            }
         }
     }
 }
--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -143,11 +143,9 @@
             frames: batch.frames.clone(),
             sync: batch.sync,
         });
-        let ended = if open.lane.up.send(up).await.is_err() {
-            lost()
-        } else {
-            self.await_end(&mut open.lane, batch, deadline).await?
-        };
+        // A lane that has ended still reports why.
+        let _ = open.lane.up.send(up).await;
+        let ended = self.await_end(&mut open.lane, batch, deadline).await?;
         if let Ended::Ready(ready) = &ended {
             open.status = ready.status;
             if ready.status != lane::Status::Idle {
@@ -171,9 +169,11 @@
         let deadline = start + allowance;
         let mut doubt = None;
         let mut skips_replica = false;
+        let mut stopping = Vec::new();
         loop {
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
-            let plan = self.plan(batch, left, skips_replica);
+            let plan = self.plan(batch, left, skips_replica, &stopping);
+            let address = plan.as_ref().ok().and_then(|p| p.address.clone());
             let (failure, forwarded) = match plan {
                 Ok(plan) => match self.try_once(plan, batch, allowance, deadline).await? {
                     Ended::Ready(ready) => return Ok(Ended::Ready(ready)),
@@ -187,6 +187,12 @@
                     skips_replica = true;
                     continue;
                 }
+                lane::Failure::NotRun(outcome::Refusal::Stopping)
+                    if address.as_ref().is_some_and(|a| !stopping.contains(a)) =>
+                {
+                    stopping.extend(address);
+                    continue;
+                }
                 lane::Failure::NotRun(refusal) if refusal.is_transient() && !is_over => {}
                 lane::Failure::Unknown(why) if self.may_repeat(batch) && !forwarded && !is_over => {
                     doubt = Some(why);
@@ -211,6 +217,7 @@
         batch: &batch::Batch,
         deadline: time::Duration,
         skips_replica: bool,
+        stopping: &[String],
     ) -> Result<Plan, outcome::Refusal> {
         let config = self.context.config.borrow().clone();
         let spec = config
@@ -252,7 +259,7 @@
             seen,
             setup: self.session.setup().map(str::to_owned).collect(),
         };
-        let address = self.owner_address(spec, member)?;
+        let address = self.owner_address(spec, member, stopping)?;
         Ok(Plan { ticket, address })
     }
 
@@ -288,12 +295,17 @@
     }
 
     /// Address of the instance that owns a member; none when it is this one.
+    ///
+    /// Owners that have said that they are stopping are passed over, even while the
+    /// list of instances does not know it yet.
     fn owner_address(
         &self,
         spec: &spec::GroupSpec,
         member: &name::MemberName,
+        stopping: &[String],
     ) -> Result<Option<String>, outcome::Refusal> {
         let fleet = self.context.fleet.borrow().clone();
+        let fleet = fleet.without(stopping);
         let zone = &spec.member(member).ok_or(outcome::Refusal::NoPrimary)?.zone;
         let owner = fleet
             .owner(member, zone)
--- a/crates/cardamomhold_daemon/src/batch.rs
+++ b/crates/cardamomhold_daemon/src/batch.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Whether messages of an unfinished batch are held.
+    pub fn is_empty(&self) -> bool {
+        self.frames.is_empty() && self.steps.is_empty()
+    }
+
     fn clear(&mut self) {
         self.frames.clear();
         self.class = None;
--- a/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
+++ b/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
@@ -3,24 +3,18 @@
 use std::fs;
 use std::path;
 use std::process;
-use std::time;
 
 use cardamomhold_daemon::daemon;
 use cardamomhold_daemon::settings;
+use cardamomhold_daemon::shutdown;
 use tokio::signal::unix;
 
-/// Time that open transactions get to end when the instance stops.
-const GRACE: time::Duration = time::Duration::from_secs(30);
-
 /// Exit code for settings that are not accepted.
 const EXIT_SETTINGS: u8 = 2;
 
 /// Exit code for an instance that can't start.
 const EXIT_START: u8 = 3;
 
-/// Exit code for connections that were cut at the end of the grace time.
-const EXIT_CUT: u8 = 4;
-
 /// The flags, as the library generates them.
 #[allow(missing_docs)]
 mod flags {
@@ -113,15 +107,12 @@
         _ = interrupt.recv() => {}
     }
     log::info!("event=stopping");
-    let left = tokio::select! {
-        left = daemon.stop(GRACE) => left,
-        _ = terminate.recv() => {
-            log::warn!("event=stopped_by_second_signal");
-            return process::ExitCode::from(EXIT_CUT);
+    let second = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
         }
     };
-    if left > 0 {
-        return process::ExitCode::from(EXIT_CUT);
-    }
-    process::ExitCode::SUCCESS
+    let ended = shutdown::run(daemon, second).await;
+    process::ExitCode::from(ended.exit_code())
 }
--- a/crates/cardamomhold_daemon/src/caller.rs
+++ b/crates/cardamomhold_daemon/src/caller.rs
@@ -33,6 +33,7 @@
 use crate::metrics;
 use crate::owner;
 use crate::peer;
+use crate::stop;
 
 /// Version that drivers are told of.
 const SERVER_VERSION: &str = "16.0 (cardamomhold)";
@@ -58,8 +59,8 @@
     pub cancels: broadcast::Sender<CancelTarget>,
     /// The metrics.
     pub metrics: metrics::Metrics,
-    /// True once the instance is stopping.
-    pub stopping: watch::Receiver<bool>,
+    /// How far the instance's end has come.
+    pub stop: stop::Stop,
 }
 
 /// Whose statement is to be cancelled.
@@ -286,12 +287,19 @@
 
     async fn serve(mut self) -> Result<(), End> {
         self.welcome().await?;
-        let mut stopping = self.context.stopping.clone();
+        let mut stop = self.context.stop.clone();
         loop {
-            let is_idle = self.lane.is_none();
+            let is_idle = self.lane.is_none() && self.gatherer.is_empty();
+            let last = if is_idle {
+                stop::Phase::Draining
+            } else {
+                stop::Phase::Ending
+            };
             let message = tokio::select! {
+                // A request that has arrived is served before the farewell.
+                biased;
                 message = self.reader.next_frontend() => message,
-                () = is_stopping(&mut stopping), if is_idle => return self.say_stopping().await,
+                () = stop.reached(last) => return self.say_stopping().await,
             };
             let message = match message {
                 Ok(Some(message)) => message,
@@ -339,7 +347,13 @@
     async fn say_stopping(&mut self) -> Result<(), End> {
         let report = sqlstate::report(outcome::Outcome::NotRun(outcome::Refusal::Stopping));
         answer::put_error(&mut self.out, answer::Severity::Fatal, &report);
-        self.flush().await
+        self.flush().await?;
+        self.writer.shutdown().await.map_err(|_| End::Gone)?;
+        // Closing a socket with unread bytes would reset it, and the farewell could be lost.
+        let rest = async { while let Ok(Some(_)) = self.reader.next_frontend().await {} };
+        // A caller that does not hang up is cut off.
+        let _ = tokio::time::timeout(stop::END_MARGIN, rest).await;
+        Ok(())
     }
 
     pub(crate) async fn flush(&mut self) -> Result<(), End> {
@@ -500,11 +514,5 @@
     }
 }
 
-async fn is_stopping(stopping: &mut watch::Receiver<bool>) {
-    if stopping.wait_for(|s| *s).await.is_err() {
-        std::future::pending().await
-    }
-}
-
 /// Longest wait of a caller's task for the end of a statement beyond its deadline.
 pub const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(500);
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -12,6 +12,8 @@
 use cardamomhold_proto::peer as peer_schema;
 use tokio::net;
 use tokio::sync::broadcast;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task;
 use tokio_stream::wrappers;
@@ -26,6 +28,7 @@
 use crate::owner;
 use crate::peer;
 use crate::settings;
+use crate::stop;
 
 /// Cancel requests that wait for slow tasks.
 const CANCELS: usize = 256;
@@ -65,8 +68,11 @@
     peer: SocketAddr,
     metrics: SocketAddr,
     ready: watch::Sender<bool>,
-    stopping: watch::Sender<bool>,
+    phase: watch::Sender<stop::Phase>,
+    config: config::Handle,
+    owner: mpsc::Sender<owner::Request>,
     callers: task::JoinHandle<task::JoinSet<()>>,
+    peers: task::JoinHandle<()>,
     services: task::JoinSet<()>,
 }
 
@@ -100,14 +106,16 @@
         };
         let config = config::start(platform.clone());
         let fleet = fleet_task::start(platform.clone(), own.clone());
+        let phase = watch::Sender::new(stop::Phase::default());
+        let stop = stop::Stop::new(phase.subscribe());
         let owner = owner::start(owner::Setting {
             instance: own.name.clone(),
             config: config.config.clone(),
             fleet: fleet.clone(),
             clock: clock::Clock::start(),
+            stop: stop.clone(),
         });
         let (ready, ready_seen) = watch::channel(false);
-        let (stopping, stopping_seen) = watch::channel(false);
         let context = caller::Context {
             instance: own.name.clone(),
             zone: own.zone.clone(),
@@ -118,7 +126,7 @@
             peers: peer::start(),
             cancels: broadcast::Sender::new(CANCELS),
             metrics: metrics.clone(),
-            stopping: stopping_seen,
+            stop,
         };
         let peers = peer::Service {
             owner: owner.clone(),
@@ -128,11 +136,12 @@
             platform,
             config: config.clone(),
             fleet,
-            owner,
+            owner: owner.clone(),
             own,
         };
         let mut services = task::JoinSet::new();
-        services.spawn(serve_peers(peer_listener, peers, operators));
+        let ended = stop::Stop::new(phase.subscribe());
+        let peers = tokio::spawn(serve_peers(peer_listener, peers, operators, ended));
         services.spawn(http::run(metrics_listener, metrics, ready_seen));
         services.spawn(become_ready(config.config.clone(), ready.clone()));
         let callers = tokio::spawn(accept(callers_listener, context));
@@ -146,8 +155,11 @@
             peer,
             metrics: metrics_address,
             ready,
-            stopping,
+            phase,
+            config,
+            owner,
             callers,
+            peers,
             services,
         })
     }
@@ -174,23 +186,75 @@
         let _ = ready.wait_for(|r| *r).await;
     }
 
-    /// Stops gracefully: no new work, then what is in flight ends, within `grace`.
+    /// Time that open transactions get to end, as the operators have set it.
+    pub fn grace(&self) -> time::Duration {
+        time::Duration::from_millis(self.config.config.borrow().stop_rule().grace_ms)
+    }
+
+    /// Stops gracefully.
+    ///
+    /// The instance is not ready any more and leaves the owners, and serves on until the
+    /// balancer and the other instances have had time to notice. Then it takes no new work,
+    /// and what is in flight gets `grace` to end.
     ///
-    /// Returns the number of connections that were still open when the time was over.
+    /// Returns the number of connections and lanes that were still open after that.
     pub async fn stop(mut self, grace: time::Duration) -> usize {
-        self.ready.send_replace(false);
-        self.stopping.send_replace(true);
-        let mut left = 0;
-        if let Ok(mut callers) = self.callers.await {
-            let all = async { while callers.join_next().await.is_some() {} };
-            // What is left over is counted.
-            let _ = tokio::time::timeout(grace, all).await;
-            left = callers.len();
-        }
+        self.leave();
+        let rule = self.config.config.borrow().stop_rule();
+        tokio::time::sleep(time::Duration::from_millis(rule.notice_ms)).await;
+        self.enter(stop::Phase::Draining);
+        let deadline = tokio::time::Instant::now() + grace;
+        let mut callers = (&mut self.callers).await.unwrap_or_default();
+        // What is left over is counted.
+        let _ = tokio::time::timeout_at(deadline, all_ended(&mut callers)).await;
+        let lanes = self.await_lanes(deadline).await;
+        let left = callers.len().max(lanes);
+        self.enter(stop::Phase::Ending);
+        let _ = tokio::time::timeout(stop::END_MARGIN, all_ended(&mut callers)).await;
+        // Connections of other instances close once their last lane has reported.
+        let _ = tokio::time::timeout(stop::END_MARGIN, &mut self.peers).await;
+        self.peers.abort();
+        callers.shutdown().await;
         self.services.shutdown().await;
         log::info!("event=stopped left={left}");
         left
     }
+
+    /// Lets the balancer and the other instances know that this instance is going.
+    fn leave(&self) {
+        self.ready.send_replace(false);
+        self.enter(stop::Phase::Leaving);
+    }
+
+    fn enter(&self, phase: stop::Phase) {
+        log::info!("event=stop_phase phase={phase}");
+        self.phase.send_replace(phase);
+    }
+
+    /// Waits until no lane is open here; returns how many are left at the deadline.
+    async fn await_lanes(&self, deadline: tokio::time::Instant) -> usize {
+        let (reply, answer) = oneshot::channel();
+        let asked = self.owner.send(owner::Request::AwaitIdle(reply)).await;
+        if asked.is_err() {
+            return 0;
+        }
+        match tokio::time::timeout_at(deadline, answer).await {
+            Ok(_) => 0,
+            Err(_) => self.count_lanes().await,
+        }
+    }
+
+    async fn count_lanes(&self) -> usize {
+        let (reply, answer) = oneshot::channel();
+        if self.owner.send(owner::Request::Lanes(reply)).await.is_err() {
+            return 0;
+        }
+        answer.await.unwrap_or_default()
+    }
+}
+
+async fn all_ended(tasks: &mut task::JoinSet<()>) {
+    while tasks.join_next().await.is_some() {}
 }
 
 async fn become_ready(
@@ -206,6 +270,7 @@
     listener: net::TcpListener,
     peers: peer::Service,
     operators: operator::Service<client::GrpcPlatform>,
+    mut stop: stop::Stop,
 ) {
     let incoming = wrappers::TcpListenerStream::new(listener);
     let served = tonic::transport::Server::builder()
@@ -214,7 +279,10 @@
         .add_service(operator_schema::operator_server::OperatorServer::new(
             operators,
         ))
-        .serve_with_incoming(incoming);
+        .serve_with_incoming_shutdown(
+            incoming,
+            async move { stop.reached(stop::Phase::Ending).await },
+        );
     if let Err(error) = served.await {
         log::error!("event=peer_service_end error=\"{error}\"");
     }
@@ -223,12 +291,12 @@
 /// Accepts callers until the instance stops; returns the tasks still running then.
 async fn accept(listener: net::TcpListener, context: caller::Context) -> task::JoinSet<()> {
     let mut callers = task::JoinSet::new();
-    let mut stopping = context.stopping.clone();
+    let mut stop = context.stop.clone();
     let mut number = 0;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopping.wait_for(|s| *s) => return callers,
+            () = stop.reached(stop::Phase::Draining) => return callers,
         };
         while callers.try_join_next().is_some() {}
         let socket = match accepted {
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -28,4 +28,6 @@
 pub mod peer;
 pub mod relay;
 pub mod settings;
+pub mod shutdown;
+pub mod stop;
 pub mod work;
--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -374,6 +374,7 @@
             connections: rule.connections,
         }),
         Spec::StopRule(rule) => object::Spec::StopRule(object::StopRule {
+            notice_ms: rule.notice_ms,
             grace_ms: rule.grace_ms,
             idle_ms: rule.idle_ms,
         }),
@@ -446,6 +447,7 @@
             connections: rule.connections,
         }),
         object::Spec::StopRule(rule) => Spec::StopRule(schema::StopRule {
+            notice_ms: rule.notice_ms,
             grace_ms: rule.grace_ms,
             idle_ms: rule.idle_ms,
         }),
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -14,11 +14,13 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task;
 
 use crate::clock;
 use crate::endpoint;
 use crate::group;
 use crate::lane;
+use crate::stop;
 use crate::work;
 
 /// Messages that wait for the task.
@@ -28,11 +30,20 @@
 /// different views stay within the endpoint's limit.
 const POOL_DIVISOR: usize = 3;
 
+/// Time without requests of other instances after which they are taken to have noticed a stop.
+const QUIET: time::Duration = time::Duration::from_millis(250);
+
 /// What the task is asked.
 #[derive(Debug)]
 pub enum Request {
-    /// Serves a lane.
+    /// Serves a lane of a caller of this instance.
     Open(Box<lane::Ticket>, lane::LaneEnd),
+    /// Serves a lane of another instance; refused once this one is draining.
+    Forwarded(Box<lane::Ticket>, lane::LaneEnd),
+    /// Answered once no lane is open and no other instance asks for one.
+    AwaitIdle(oneshot::Sender<()>),
+    /// Tells how many lanes are open.
+    Lanes(oneshot::Sender<usize>),
     /// Shows the groups and endpoints that have tasks here.
     Show(oneshot::Sender<Shown>),
 }
@@ -57,6 +68,8 @@
     pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
     /// The clock.
     pub clock: clock::Clock,
+    /// How far the instance's end has come.
+    pub stop: stop::Stop,
 }
 
 /// Starts the task; it ends when its last handle is dropped.
@@ -66,6 +79,9 @@
         setting,
         groups: collections::BTreeMap::new(),
         endpoints: collections::BTreeMap::new(),
+        works: task::JoinSet::new(),
+        asked: tokio::time::Instant::now(),
+        waiters: Vec::new(),
     };
     tokio::spawn(task.run(mailbox));
     requests
@@ -75,6 +91,10 @@
     setting: Setting,
     groups: collections::BTreeMap<name::GroupName, group::Handle>,
     endpoints: collections::BTreeMap<name::MemberName, Pool>,
+    works: task::JoinSet<()>,
+    /// When another instance last asked for a lane after this one began to drain.
+    asked: tokio::time::Instant,
+    waiters: Vec<oneshot::Sender<()>>,
 }
 
 #[derive(Debug)]
@@ -88,9 +108,21 @@
         let mut config = self.setting.config.clone();
         let mut fleet = self.setting.fleet.clone();
         loop {
+            let quiet = self.quiet_at();
             tokio::select! {
+                () = quiet_until(quiet), if !self.waiters.is_empty() => self.tell_idle(),
+                Some(_) = self.works.join_next() => {}
                 request = mailbox.recv() => match request {
                     Some(Request::Open(ticket, end)) => self.open(*ticket, end),
+                    Some(Request::Forwarded(ticket, end)) => self.forwarded(*ticket, end),
+                    Some(Request::AwaitIdle(reply)) => {
+                        self.asked = tokio::time::Instant::now();
+                        self.waiters.push(reply);
+                    }
+                    Some(Request::Lanes(reply)) => {
+                        // Whoever asked may have stopped waiting.
+                        let _ = reply.send(self.works.len());
+                    }
                     Some(Request::Show(reply)) => {
                         // Whoever asked may have stopped waiting.
                         let _ = reply.send(self.show());
@@ -163,17 +195,37 @@
         pool.handle.clone()
     }
 
+    /// When nothing is in flight and other instances ask for nothing more; none while lanes are open.
+    fn quiet_at(&self) -> Option<tokio::time::Instant> {
+        if !self.works.is_empty() {
+            return None;
+        }
+        Some(self.asked + QUIET)
+    }
+
+    fn tell_idle(&mut self) {
+        for waiter in self.waiters.drain(..) {
+            // Whoever asked may have stopped waiting.
+            let _ = waiter.send(());
+        }
+    }
+
+    /// Serves a lane of another instance, which finds the next owner when it is refused here.
+    fn forwarded(&mut self, ticket: lane::Ticket, end: lane::LaneEnd) {
+        if self.setting.stop.is_at(stop::Phase::Draining) {
+            self.asked = tokio::time::Instant::now();
+            return refuse(&end, outcome::Refusal::Stopping);
+        }
+        self.open(ticket, end);
+    }
+
     fn open(&mut self, ticket: lane::Ticket, end: lane::LaneEnd) {
         let config = self.setting.config.borrow().clone();
         match self.context(&config, &ticket) {
             Ok(context) => {
-                tokio::spawn(work::run(context, ticket, end));
-            }
-            Err(refusal) => {
-                let failure = lane::Down::Failure(lane::Failure::NotRun(refusal));
-                // The lane is fresh, so there is room; a caller that has gone needs no answer.
-                let _ = end.down.try_send(failure);
+                self.works.spawn(work::run(context, ticket, end));
             }
+            Err(refusal) => refuse(&end, refusal),
         }
     }
 
@@ -209,6 +261,7 @@
             ),
             retention: spec.key_retention(),
             idle: time::Duration::from_millis(config.stop_rule().idle_ms),
+            stop: self.setting.stop.clone(),
         })
     }
 
@@ -228,6 +281,19 @@
     }
 }
 
+fn refuse(end: &lane::LaneEnd, refusal: outcome::Refusal) {
+    let failure = lane::Down::Failure(lane::Failure::NotRun(refusal));
+    // The lane is fresh, so there is room; a caller that has gone needs no answer.
+    let _ = end.down.try_send(failure);
+}
+
+async fn quiet_until(at: Option<tokio::time::Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn bounds_of(spec: &spec::GroupSpec, waiting: usize) -> endpoint::Bounds {
     let connections = (spec.connections as usize / POOL_DIVISOR).max(1);
     endpoint::Bounds {
--- a/crates/cardamomhold_daemon/src/peer.rs
+++ b/crates/cardamomhold_daemon/src/peer.rs
@@ -187,7 +187,7 @@
         let (lane, end) = lane::pair();
         let asked = self
             .owner
-            .send(owner::Request::Open(Box::new(ticket), end))
+            .send(owner::Request::Forwarded(Box::new(ticket), end))
             .await;
         asked.map_err(|_| tonic::Status::unavailable("stopping"))?;
         tokio::spawn(feed(ups, lane.up));
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -12,6 +12,7 @@
 use crate::group;
 use crate::lane;
 use crate::relay;
+use crate::stop;
 
 const READ_ONLY_SETTING: &str = "SET default_transaction_read_only = on";
 
@@ -33,6 +34,8 @@
     pub retention: time::Duration,
     /// Time that a transaction may stay idle.
     pub idle: time::Duration,
+    /// How far the instance's end has come.
+    pub stop: stop::Stop,
 }
 
 /// Serves a lane from its first batch to the end of its transaction.
@@ -56,6 +59,16 @@
     forwarded: bool,
 }
 
+/// What comes after a batch.
+enum Next {
+    /// Another batch.
+    Batch(lane::Batch),
+    /// The caller went away.
+    Gone,
+    /// The transaction is ended; nothing of it was committed.
+    Ended(outcome::Refusal),
+}
+
 /// What the guard of a request key found.
 enum Guard {
     /// The transaction may go on.
@@ -117,8 +130,10 @@
         let mut status = lane::Status::Idle;
         loop {
             let batch = match self.next_batch(end, status).await {
-                Some(batch) => batch,
-                None => return self.abandon(status).await,
+                Next::Batch(batch) => batch,
+                Next::Gone => return self.abandon(status).await,
+                // Dropping the lease closes the connection, which rolls back.
+                Next::Ended(refusal) => return Err(lane::Failure::NotRun(refusal)),
             };
             self.sent = true;
             self.lease
@@ -274,6 +289,7 @@
     async fn relay(&mut self, end: &mut lane::LaneEnd) -> Result<relay::Ended, lane::Failure> {
         let cancel = self.lease.connection().cancel_key();
         let deadline = self.deadline;
+        let mut stop = self.context.stop.clone();
         let result = {
             let relaying = relay::relay(self.lease.connection(), &end.down);
             tokio::pin!(relaying);
@@ -287,6 +303,9 @@
                         }
                         Some(lane::Up::Batch(_)) | None => break Err(relay::RelayError::CallerGone),
                     },
+                    () = stop.reached(stop::Phase::Ending) => {
+                        break Err(relay::RelayError::CallerGone);
+                    }
                     () = tokio::time::sleep_until(deadline) => {
                         let error = connection::ConnectionError::Timeout;
                         break Err(relay::RelayError::Connection(error));
@@ -351,26 +370,27 @@
         Ok(position)
     }
 
-    async fn next_batch(
-        &mut self,
-        end: &mut lane::LaneEnd,
-        status: lane::Status,
-    ) -> Option<lane::Batch> {
-        let idle = self.context.idle;
+    async fn next_batch(&mut self, end: &mut lane::LaneEnd, status: lane::Status) -> Next {
+        let patience = match status {
+            lane::Status::Idle => None,
+            lane::Status::Transaction | lane::Status::Failed => Some(self.context.idle),
+        };
+        let mut stop = self.context.stop.clone();
         loop {
-            let next = if status == lane::Status::Idle {
-                end.up.recv().await
-            } else {
-                tokio::time::timeout(idle, end.up.recv())
-                    .await
-                    .unwrap_or(None)
+            let up = tokio::select! {
+                up = end.up.recv() => up,
+                () = pause(patience) => return Next::Ended(outcome::Refusal::IdleTransaction),
+                () = stop.reached(stop::Phase::Ending) => {
+                    return Next::Ended(outcome::Refusal::Stopping);
+                }
             };
-            match next? {
-                lane::Up::Batch(batch) => {
+            match up {
+                Some(lane::Up::Batch(batch)) => {
                     self.renew_deadline(status);
-                    return Some(batch);
+                    return Next::Batch(batch);
                 }
-                lane::Up::Cancel => continue,
+                Some(lane::Up::Cancel) => continue,
+                None => return Next::Gone,
             }
         }
     }
@@ -396,3 +416,10 @@
         sent.map_err(|_| lane::Failure::Unknown(outcome::Doubt::ConnectionLost))
     }
 }
+
+async fn pause(patience: Option<time::Duration>) {
+    match patience {
+        Some(patience) => tokio::time::sleep(patience).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/cardamomhold_fleet/src/fleet.rs
+++ b/crates/cardamomhold_fleet/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The instances of the system, as one of them sees them.
 
+use std::borrow;
 use std::collections;
 
 use cardamomhold_core::name;
@@ -54,6 +55,20 @@
         self.instances.values()
     }
 
+    /// The fleet as it is once the instances at these addresses have left.
+    pub fn without(&self, addresses: &[String]) -> borrow::Cow<'_, Self> {
+        if addresses.is_empty() {
+            return borrow::Cow::Borrowed(self);
+        }
+        let mut rest = self.clone();
+        for instance in rest.instances.values_mut() {
+            if addresses.contains(&instance.address) {
+                instance.state = InstanceState::Leaving;
+            }
+        }
+        borrow::Cow::Owned(rest)
+    }
+
     /// The owner of an endpoint: an instance in the endpoint's zone, or one anywhere
     /// while its zone has none.
     pub fn owner(&self, endpoint: &name::MemberName, zone: &name::ZoneName) -> Option<&Instance> {
--- a/crates/cardamomhold_wire/src/sqlstate.rs
+++ b/crates/cardamomhold_wire/src/sqlstate.rs
@@ -119,6 +119,7 @@
         outcome::Refusal::UnknownGroup => "3D000",
         outcome::Refusal::DeadlineUnmet | outcome::Refusal::QueueFull => "53300",
         outcome::Refusal::Stopping => "57P01",
+        outcome::Refusal::IdleTransaction => "25P03",
         outcome::Refusal::NoPrimary
         | outcome::Refusal::StaleView
         | outcome::Refusal::ReplicaBehind
--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -1,5 +1,6 @@
 //! A platform, a group of three members and an instance in each of three zones.
 
+use std::net;
 use std::time;
 
 use cardamomhold_core::name;
@@ -61,10 +62,10 @@
         bed
     }
 
-    /// Starts one instance and puts it on the platform's list.
-    pub async fn start_instance(&self, name: &str, zone: &str) -> instance::Instance {
+    /// Settings of an instance that listens on any port.
+    pub fn settings(&self, name: &str, zone: &str) -> settings::Settings {
         let any = "127.0.0.1:0".parse().expect("address");
-        let settings = settings::Settings {
+        settings::Settings {
             instance: name::InstanceName::parse(name).expect("name"),
             zone: name::ZoneName::parse(zone).expect("name"),
             listen: any,
@@ -72,13 +73,55 @@
             metrics: any,
             platform: self.platform.address(),
             token_secret: "a secret for tests only".to_owned(),
-        };
+        }
+    }
+
+    /// Starts one instance and puts it on the platform's list.
+    pub async fn start_instance(&self, name: &str, zone: &str) -> instance::Instance {
+        let settings = self.settings(name, zone);
         let instance = instance::Instance::start(settings).await;
         self.platform
             .list_instance(name, zone, &instance.addresses.peer.to_string(), false);
         instance
     }
 
+    /// Takes an instance out of the bed that the platform's list shows as leaving.
+    pub fn leave(&mut self, at: usize) -> instance::Instance {
+        self.list_leaving(at);
+        self.take(at)
+    }
+
+    /// Marks an instance as leaving on the platform's list.
+    pub fn list_leaving(&self, at: usize) {
+        let instance = &self.instances[at];
+        let peer = instance.addresses.peer.to_string();
+        self.platform
+            .list_instance(&instance.name, &instance.zone, &peer, true);
+    }
+
+    /// Takes an instance out of the bed; the other instances keep their places.
+    pub fn take(&mut self, at: usize) -> instance::Instance {
+        let instance = &self.instances[at];
+        let addresses = instance.addresses;
+        let name = instance.name.clone();
+        let zone = instance.zone.clone();
+        let ended = instance::Instance::ended(&name, &zone, addresses);
+        std::mem::replace(&mut self.instances[at], ended)
+    }
+
+    /// Waits until an instance takes no callers any more.
+    pub async fn await_refusing(&self, at: usize) {
+        let address = self.instances[at].addresses.listen;
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        while tokio::net::TcpStream::connect(address).await.is_ok() {
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "instance {at} still takes callers"
+            );
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
     async fn await_owners(&self) {
         for at in 0..self.instances.len() {
             let deadline = tokio::time::Instant::now() + PATIENCE;
@@ -99,19 +142,14 @@
     }
 
     async fn try_connect(&self, at: usize, options: &str) -> Option<tokio_postgres::Client> {
-        let address = self.instances[at].addresses.listen;
-        let mut config = tokio_postgres::Config::new();
-        config
-            .host(address.ip().to_string())
-            .port(address.port())
-            .user("kalkbok")
-            .dbname(GROUP);
-        if !options.is_empty() {
-            config.options(options);
-        }
-        let (client, connection) = config.connect(NoTls).await.ok()?;
-        tokio::spawn(connection);
-        Some(client)
+        try_connect(self.instances[at].addresses.listen, options).await
+    }
+
+    /// A caller's connection to an address.
+    pub async fn connect_to(&self, address: net::SocketAddr) -> tokio_postgres::Client {
+        try_connect(address, "")
+            .await
+            .expect("address accepts callers")
     }
 
     /// A caller's connection to an instance.
@@ -127,6 +165,21 @@
     }
 }
 
+async fn try_connect(address: net::SocketAddr, options: &str) -> Option<tokio_postgres::Client> {
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user("kalkbok")
+        .dbname(GROUP);
+    if !options.is_empty() {
+        config.options(options);
+    }
+    let (client, connection) = config.connect(NoTls).await.ok()?;
+    tokio::spawn(connection);
+    Some(client)
+}
+
 async fn start_members(shape: Shape) -> Vec<endpoint::Endpoint> {
     let mut members: Vec<endpoint::Endpoint> = Vec::new();
     for zone in ZONES {
--- a/tests/src/instance.rs
+++ b/tests/src/instance.rs
@@ -70,6 +70,17 @@
         }
     }
 
+    /// What is left of an instance that has ended.
+    pub fn ended(name: &str, zone: &str, addresses: Addresses) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            addresses,
+            commands: None,
+            thread: None,
+        }
+    }
+
     /// Kills the instance: every connection breaks.
     pub fn kill(&mut self) {
         self.commands = None;
--- /dev/null
+++ b/tests/src/load.rs
@@ -0,0 +1,149 @@
+//! Callers that write without a pause and keep count of what they were told.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use tokio_postgres::NoTls;
+
+use crate::bed;
+
+/// Creates the table that the load writes to.
+pub async fn create_table(client: &tokio_postgres::Client) {
+    client
+        .batch_execute("CREATE TABLE booking (farm TEXT)")
+        .await
+        .expect("create");
+}
+
+/// What the callers were told.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// Writes that were acknowledged.
+    pub acknowledged: Vec<String>,
+    /// Writes that failed, each with its error.
+    pub errors: Vec<String>,
+    /// Connections that the instance closed between two requests.
+    pub farewells: usize,
+}
+
+impl Tally {
+    /// Checks that the table holds each acknowledged write once, and nothing else.
+    pub async fn check(mut self, client: &tokio_postgres::Client) {
+        let rows = client.query("SELECT farm FROM booking", &[]).await;
+        let mut stored: Vec<String> = rows.expect("rows").iter().map(|r| r.get(0)).collect();
+        stored.sort();
+        self.acknowledged.sort();
+        assert_eq!(stored, self.acknowledged);
+    }
+}
+
+/// Callers at work.
+pub struct Load {
+    callers: Vec<tokio::task::JoinHandle<Tally>>,
+    acknowledged: sync::Arc<atomic::AtomicUsize>,
+    over: tokio::sync::watch::Sender<bool>,
+}
+
+impl Load {
+    /// Starts callers, spread over the instances `at`; a caller whose connection is
+    /// closed moves on to the next of them.
+    pub fn start(bed: &bed::Bed, at: &[usize], callers: usize) -> Self {
+        let targets: Vec<_> = at
+            .iter()
+            .map(|i| bed.instances[*i].addresses.listen)
+            .collect();
+        let acknowledged = sync::Arc::new(atomic::AtomicUsize::new(0));
+        let over = tokio::sync::watch::Sender::new(false);
+        let mut tasks = Vec::new();
+        for number in 0..callers {
+            let caller = Caller {
+                number,
+                targets: targets.clone(),
+                acknowledged: acknowledged.clone(),
+                over: over.subscribe(),
+            };
+            tasks.push(tokio::spawn(caller.run()));
+        }
+        Self {
+            callers: tasks,
+            acknowledged,
+            over,
+        }
+    }
+
+    /// Waits until `count` more writes have been acknowledged.
+    pub async fn await_more(&self, count: usize) {
+        let wanted = self.acknowledged.load(atomic::Ordering::SeqCst) + count;
+        let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+        while self.acknowledged.load(atomic::Ordering::SeqCst) < wanted {
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "the load stands still"
+            );
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Ends the load after the request of each caller that is under way.
+    pub async fn end(self) -> Tally {
+        self.over.send_replace(true);
+        let mut all = Tally::default();
+        for caller in self.callers {
+            let tally = caller.await.expect("caller ends");
+            all.acknowledged.extend(tally.acknowledged);
+            all.errors.extend(tally.errors);
+            all.farewells += tally.farewells;
+        }
+        all
+    }
+}
+
+struct Caller {
+    number: usize,
+    targets: Vec<std::net::SocketAddr>,
+    acknowledged: sync::Arc<atomic::AtomicUsize>,
+    over: tokio::sync::watch::Receiver<bool>,
+}
+
+impl Caller {
+    async fn run(self) -> Tally {
+        let mut tally = Tally::default();
+        let mut target = self.number;
+        let mut count = 0;
+        while !*self.over.borrow() {
+            let address = self.targets[target % self.targets.len()];
+            let mut config = tokio_postgres::Config::new();
+            config.host(address.ip().to_string()).port(address.port());
+            config.user("kalkbok").dbname(bed::GROUP);
+            let Ok((client, connection)) = config.connect(NoTls).await else {
+                target += 1;
+                continue;
+            };
+            tokio::spawn(connection);
+            self.write(&client, &mut count, &mut tally).await;
+            target += 1;
+        }
+        tally
+    }
+
+    /// Writes until the connection ends or the load is over.
+    async fn write(&self, client: &tokio_postgres::Client, count: &mut usize, tally: &mut Tally) {
+        while !*self.over.borrow() {
+            *count += 1;
+            let farm = format!("{}/{count}", self.number);
+            let insert = format!("INSERT INTO booking VALUES ('{farm}')");
+            match client.batch_execute(&insert).await {
+                Ok(()) => {
+                    self.acknowledged.fetch_add(1, atomic::Ordering::SeqCst);
+                    tally.acknowledged.push(farm);
+                }
+                Err(error) if error.is_closed() || bed::code_of(&error) == "57P01" => {
+                    tally.farewells += 1;
+                    return;
+                }
+                Err(error) => tally.errors.push(format!("{farm}: {error:?}")),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/tests/endless_transaction.rs
@@ -0,0 +1,76 @@
+//! Transactions that never end are ended, and their callers are told that nothing ran.
+
+use std::time;
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::load;
+
+/// Grace that a transaction in these tests outlasts.
+const GRACE: time::Duration = time::Duration::from_millis(200);
+
+/// Rules with a short time for idle transactions.
+const SHORT_IDLE: &str = r#"{"author":"test","change":"1","spec":{"stop_rule":
+    {"notice_ms":0,"grace_ms":1000,"idle_ms":150}}}"#;
+
+async fn open(client: &tokio_postgres::Client) {
+    client.batch_execute("BEGIN").await.expect("begin");
+    client
+        .batch_execute("INSERT INTO booking VALUES ('never')")
+        .await
+        .expect("insert");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn grace_ends_here() {
+    let mut bed = bed::Bed::start().await;
+    let other = bed.connect(2).await;
+    load::create_table(&other).await;
+    let endless = bed.connect(1).await;
+    open(&endless).await;
+    let mut entry = bed.leave(1);
+    assert_eq!(entry.stop(GRACE).await, 1, "one transaction was ended");
+    let error = endless.batch_execute("COMMIT").await.expect_err("ended");
+    assert!(
+        error.is_closed() || bed::code_of(&error) == "57P01",
+        "{error:?}"
+    );
+    assert_eq!(bed::count(&other, "booking").await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn grace_ends_elsewhere() {
+    let mut bed = bed::Bed::start().await;
+    let other = bed.connect(2).await;
+    load::create_table(&other).await;
+    let endless = bed.connect(1).await;
+    open(&endless).await;
+    let mut owner = bed.leave(0);
+    assert_eq!(owner.stop(GRACE).await, 1, "one transaction was ended");
+    let error = endless.batch_execute("COMMIT").await.expect_err("ended");
+    assert_eq!(bed::code_of(&error), "57P01", "{error:?}");
+    assert_eq!(bed::count(&other, "booking").await, 0);
+    endless.batch_execute("SELECT 1").await.expect("goes on");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_is_ended() {
+    let bed = bed::Bed::start().await;
+    let other = bed.connect(2).await;
+    load::create_table(&other).await;
+    bed.platform
+        .store("config/stop_rule/default", SHORT_IDLE.as_bytes());
+    for at in 0..3 {
+        // The rule is in force once an idle transaction is ended.
+        let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+        loop {
+            let endless = bed.connect(at).await;
+            endless.batch_execute("BEGIN").await.expect("begin");
+            tokio::time::sleep(time::Duration::from_millis(400)).await;
+            if let Err(error) = endless.batch_execute("SELECT 1").await {
+                assert_eq!(bed::code_of(&error), "25P03", "{error:?}");
+                break;
+            }
+            assert!(tokio::time::Instant::now() < deadline, "not in force");
+        }
+    }
+}
--- /dev/null
+++ b/tests/tests/planned_stop.rs
@@ -0,0 +1,86 @@
+//! A planned stop: whatever is in flight ends as its caller wants it to.
+
+use std::time;
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::load;
+
+/// Grace of the stops below, longer than everything that waits for it.
+const GRACE: time::Duration = time::Duration::from_secs(20);
+
+/// Callers of the load.
+const CALLERS: usize = 6;
+
+/// Acknowledged writes that the load must reach before and after the stop begins.
+const WRITES: usize = 30;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_keeps_lanes() {
+    let mut bed = bed::Bed::start().await;
+    let mut caller = bed.connect(1).await;
+    load::create_table(&caller).await;
+    let transaction = caller.transaction().await.expect("begin");
+    transaction
+        .execute("INSERT INTO booking VALUES ('before')", &[])
+        .await
+        .expect("insert");
+    let mut owner = bed.leave(0);
+    let stopping = tokio::spawn(async move { owner.stop(GRACE).await });
+    bed.await_refusing(0).await;
+    transaction
+        .execute("INSERT INTO booking VALUES ('during')", &[])
+        .await
+        .expect("insert while the owner stops");
+    transaction.commit().await.expect("commit");
+    assert_eq!(stopping.await.expect("stops"), 0, "nothing was cut");
+    assert_eq!(bed::count(&caller, "booking").await, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_stops_unnoticed() {
+    let mut bed = bed::Bed::start().await;
+    load::create_table(&bed.connect(1).await).await;
+    let load = load::Load::start(&bed, &[1, 2], CALLERS);
+    load.await_more(WRITES).await;
+    let mut owner = bed.take(0);
+    let stopping = tokio::spawn(async move { owner.stop(GRACE).await });
+    bed.await_refusing(0).await;
+    // The list still shows the owner as alive.
+    load.await_more(WRITES).await;
+    bed.list_leaving(0);
+    assert_eq!(stopping.await.expect("stops"), 0, "nothing was cut");
+    load.await_more(WRITES).await;
+    let tally = load.end().await;
+    assert_eq!(tally.errors, Vec::<String>::new());
+    assert_eq!(tally.farewells, 0, "nobody had to connect again");
+    tally.check(&bed.connect(1).await).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_stops_cleanly() {
+    let mut bed = bed::Bed::start().await;
+    load::create_table(&bed.connect(1).await).await;
+    let load = load::Load::start(&bed, &[1, 2], CALLERS);
+    load.await_more(WRITES).await;
+    let mut entry = bed.leave(1);
+    assert_eq!(entry.stop(GRACE).await, 0, "nothing was cut");
+    load.await_more(WRITES).await;
+    let tally = load.end().await;
+    assert_eq!(tally.errors, Vec::<String>::new());
+    assert!(tally.farewells <= CALLERS, "each caller moves once at most");
+    tally.check(&bed.connect(2).await).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_caller_hears() {
+    let mut bed = bed::Bed::start().await;
+    let idle = bed.connect(1).await;
+    idle.batch_execute("SELECT 1").await.expect("select");
+    let mut entry = bed.leave(1);
+    assert_eq!(entry.stop(GRACE).await, 0, "nothing was cut");
+    let error = idle.batch_execute("SELECT 1").await.expect_err("closed");
+    assert!(
+        error.is_closed() || bed::code_of(&error) == "57P01",
+        "{error:?}"
+    );
+}
