Peer connections without Nagle's delay; a pairwise measurement of overhead

Cause: a read that an instance forwards to another one took 47,811 us at p99. The server builder's tcp_nodelay holds only for listeners it opens itself; the peer service takes a listener of ours, so its accepted sockets kept Nagle's algorithm and met the delayed acknowledgement of 40 ms.

Ruled out: the freshness wait at the replica (20 ms at most, and the group was idle), the endpoint (975 us at p99 when asked directly in the same run).

Change: the peer service's listener sets TCP_NODELAY on what it accepts.

The replica read's setting for read-only transactions still costs a round trip of its own.

--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -14,7 +14,7 @@
 use tokio::sync::broadcast;
 use tokio::sync::watch;
 use tokio::task;
-use tokio_stream::wrappers;
+use tonic::transport::server;
 
 use crate::caller;
 use crate::clock;
@@ -207,9 +207,8 @@
     peers: peer::Service,
     operators: operator::Service<client::GrpcPlatform>,
 ) {
-    let incoming = wrappers::TcpListenerStream::new(listener);
+    let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
     let served = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(peer_schema::peer_server::PeerServer::new(peers))
         .add_service(operator_schema::operator_server::OperatorServer::new(
             operators,
--- /dev/null
+++ b/tests/examples/overhead.rs
@@ -0,0 +1,124 @@
+//! Compares a statement through an instance with the direct connection, pairwise in one run.
+//!
+//! ```text
+//! cargo run --release -p cardamomhold_tests --example overhead
+//! ```
+
+use std::time;
+
+use cardamomhold_tests::bed;
+use tokio_postgres::NoTls;
+
+/// Pairs of statements that are timed.
+const PAIRS: usize = 4_000;
+
+/// Pairs before the timing starts.
+const WARM_UP: usize = 400;
+
+/// Connections that load one instance.
+const CONNECTIONS: usize = 32;
+
+/// Statements of each connection under load.
+const STATEMENTS: usize = 1_000;
+
+#[derive(Debug, Clone, Copy)]
+enum Work {
+    Read,
+    Write,
+}
+
+impl Work {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Read => "SELECT n FROM overhead WHERE n = 1",
+            Self::Write => "UPDATE overhead SET n = 1",
+        }
+    }
+}
+
+async fn direct(bed: &bed::Bed) -> tokio_postgres::Client {
+    let address = bed.members[0].address();
+    let target = format!(
+        "host={} port={} user=x dbname={}",
+        address.ip(),
+        address.port(),
+        bed::GROUP
+    );
+    let (client, connection) = tokio_postgres::connect(&target, NoTls)
+        .await
+        .expect("member");
+    tokio::spawn(connection);
+    client
+}
+
+async fn took(client: &tokio_postgres::Client, work: Work) -> time::Duration {
+    let start = time::Instant::now();
+    client.simple_query(work.text()).await.expect("statement");
+    start.elapsed()
+}
+
+fn percentile(sorted: &[time::Duration], percent: usize) -> u128 {
+    sorted[(sorted.len() - 1) * percent / 100].as_micros()
+}
+
+async fn compare(bed: &bed::Bed, name: &str, work: Work, options: &str) {
+    let near = direct(bed).await;
+    let through = bed.connect_with(0, options).await;
+    let mut plain = Vec::new();
+    let mut proxied = Vec::new();
+    for i in 0..WARM_UP + PAIRS {
+        let (a, b) = (took(&near, work).await, took(&through, work).await);
+        if i >= WARM_UP {
+            plain.push(a);
+            proxied.push(b);
+        }
+    }
+    plain.sort();
+    proxied.sort();
+    for percent in [50, 99] {
+        let (a, b) = (percentile(&plain, percent), percentile(&proxied, percent));
+        println!(
+            "{name:<14} p{percent}: direct {a} us, through {b} us, overhead {} us, ratio {:.2}",
+            b.saturating_sub(a),
+            b as f64 / a as f64
+        );
+    }
+}
+
+async fn load(bed: &bed::Bed, name: &str, work: Work, options: &str) {
+    let mut tasks = Vec::new();
+    let start = time::Instant::now();
+    for _ in 0..CONNECTIONS {
+        let client = bed.connect_with(0, options).await;
+        tasks.push(tokio::spawn(async move {
+            for _ in 0..STATEMENTS {
+                took(&client, work).await;
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.expect("load");
+    }
+    let rate = (CONNECTIONS * STATEMENTS) as f64 / start.elapsed().as_secs_f64();
+    println!("{name:<14} {rate:.0} statements/s through one instance on one thread");
+}
+
+#[tokio::main]
+async fn main() {
+    let bed = bed::Bed::start().await;
+    let setup = bed.connect(0).await;
+    setup
+        .batch_execute("CREATE TABLE overhead (n BIGINT)")
+        .await
+        .expect("create");
+    setup
+        .batch_execute("INSERT INTO overhead VALUES (1)")
+        .await
+        .expect("insert");
+    let report = "-c cardamomhold.read_kind=report";
+    compare(&bed, "primary read", Work::Read, "").await;
+    compare(&bed, "replica read", Work::Read, report).await;
+    compare(&bed, "write", Work::Write, "").await;
+    load(&bed, "primary read", Work::Read, "").await;
+    load(&bed, "write", Work::Write, "").await;
+}
