The platform stand-in's state belongs to one task

Cause: the stand-in kept its objects behind a shared cell that every call changed in place, which the shape rules out.

Change: store.rs is the task that owns the state and takes commands; platform.rs only speaks the protocol. The handle's functions stay the same.

Measured: cargo test -p cardamomhold_tests, 4 passed before and after. The endpoint stand-in's switches are still shared cells.

--- a/crates/cardamomhold_standin/src/lib.rs
+++ b/crates/cardamomhold_standin/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod platform;
 pub mod replication;
 pub mod session;
+pub mod store;
--- a/crates/cardamomhold_standin/src/platform.rs
+++ b/crates/cardamomhold_standin/src/platform.rs
@@ -1,41 +1,25 @@
 //! A stand-in of the platform: its object API and its list of instances.
 
-use std::collections;
 use std::io;
 use std::pin;
-use std::sync;
 use std::time;
 
 use cardamomhold_proto::platform as schema;
 use tokio::net;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers;
+use tonic::transport::server;
 
-#[derive(Debug, Clone, Default)]
-struct State {
-    objects: collections::BTreeMap<String, schema::Object>,
-    version: u64,
-    instances: Vec<schema::Instance>,
-    calls: Calls,
-    is_down: bool,
-    delay: time::Duration,
-    lost_answers: u32,
-}
-
-/// How often the platform was called.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Calls {
-    /// Reads, lists, watches and lists of instances.
-    pub reads: u64,
-    /// Conditional updates.
-    pub writes: u64,
-}
+use crate::store;
 
 /// Handle of a running stand-in.
 #[derive(Debug, Clone)]
 pub struct Platform {
-    state: sync::Arc<watch::Sender<State>>,
+    commands: mpsc::UnboundedSender<store::Command>,
+    state: watch::Receiver<store::State>,
     address: std::net::SocketAddr,
 }
 
@@ -47,18 +31,24 @@
     pub async fn start(address: &str) -> io::Result<Self> {
         let listener = net::TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let state = sync::Arc::new(watch::Sender::new(State::default()));
-        let service = schema::platform_server::PlatformServer::new(Service {
+        let (commands, state) = store::start();
+        let service = Service {
+            commands: commands.clone(),
             state: state.clone(),
-        });
-        let incoming = wrappers::TcpListenerStream::new(listener);
+        };
+        let service = schema::platform_server::PlatformServer::new(service);
+        let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
         tokio::spawn(async move {
             let served = tonic::transport::Server::builder().add_service(service);
             if let Err(error) = served.serve_with_incoming(incoming).await {
                 ::log::error!("event=platform_end error=\"{error}\"");
             }
         });
-        Ok(Self { state, address })
+        Ok(Self {
+            commands,
+            state,
+            address,
+        })
     }
 
     /// Where the stand-in listens.
@@ -66,34 +56,37 @@
         self.address
     }
 
+    fn tell(&self, command: store::Command) {
+        if self.commands.send(command).is_err() {
+            ::log::error!("event=platform_task_ended");
+        }
+    }
+
     /// Puts an instance on the list, or changes it there.
     pub fn list_instance(&self, name: &str, zone: &str, address: &str, leaving: bool) {
-        let listed = schema::Instance {
+        self.tell(store::Command::List(schema::Instance {
             name: name.to_owned(),
             zone: zone.to_owned(),
             address: address.to_owned(),
             leaving,
-        };
-        self.state.send_modify(|s| {
-            s.instances.retain(|i| i.name != name);
-            s.instances.push(listed);
-        });
+        }));
     }
 
     /// Takes an instance off the list.
     pub fn unlist_instance(&self, name: &str) {
-        self.state
-            .send_modify(|s| s.instances.retain(|i| i.name != name));
+        self.tell(store::Command::Unlist(name.to_owned()));
     }
 
     /// Writes an object without a condition, as a set-up step.
     pub fn store(&self, name: &str, value: &[u8]) {
-        self.state.send_modify(|s| {
-            s.write(name, value.to_vec().into(), false);
+        let value = bytes::Bytes::copy_from_slice(value);
+        self.tell(store::Command::Store {
+            name: name.to_owned(),
+            value,
         });
     }
 
-    /// The content of an object.
+    /// The content of an object, as last published.
     pub fn read(&self, name: &str) -> Option<Vec<u8>> {
         let state = self.state.borrow();
         state
@@ -105,66 +98,50 @@
 
     /// Takes the platform down, or brings it back.
     pub fn set_down(&self, down: bool) {
-        self.state.send_modify(|s| s.is_down = down);
+        self.tell(store::Command::SetDown(down));
     }
 
     /// Makes every call take this much longer.
     pub fn set_delay(&self, delay: time::Duration) {
-        self.state.send_modify(|s| s.delay = delay);
+        self.tell(store::Command::SetDelay(delay));
     }
 
     /// Loses the answers of the next updates after they took effect.
     pub fn lose_answers(&self, count: u32) {
-        self.state.send_modify(|s| s.lost_answers = count);
+        self.tell(store::Command::LoseAnswers(count));
     }
 
     /// How often the platform was called so far.
-    pub fn calls(&self) -> Calls {
+    pub fn calls(&self) -> store::Calls {
         self.state.borrow().calls
     }
 }
 
-impl State {
-    fn write(&mut self, name: &str, value: bytes::Bytes, removed: bool) -> schema::Object {
-        self.version += 1;
-        let object = schema::Object {
-            name: name.to_owned(),
-            value,
-            version: self.version,
-            removed,
-        };
-        self.objects.insert(name.to_owned(), object.clone());
-        object
-    }
-
-    fn newer(&self, prefix: &str, since: u64) -> Vec<schema::Object> {
-        let objects = self.objects.values();
-        let wanted = objects.filter(|o| o.version > since && o.name.starts_with(prefix));
-        let mut newer: Vec<schema::Object> = wanted.cloned().collect();
-        newer.sort_by_key(|o| o.version);
-        newer
-    }
-}
-
 #[derive(Debug)]
 struct Service {
-    state: sync::Arc<watch::Sender<State>>,
+    commands: mpsc::UnboundedSender<store::Command>,
+    state: watch::Receiver<store::State>,
 }
 
 impl Service {
+    async fn ask<T>(
+        &self,
+        command: impl FnOnce(oneshot::Sender<T>) -> store::Command,
+    ) -> Result<T, tonic::Status> {
+        let ended = || tonic::Status::unavailable("the platform has ended");
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(command(reply)).map_err(|_| ended())?;
+        answer.await.map_err(|_| ended())
+    }
+
     async fn enter(&self, is_write: bool) -> Result<(), tonic::Status> {
-        self.state.send_modify(|s| {
-            if is_write {
-                s.calls.writes += 1;
-            } else {
-                s.calls.reads += 1;
-            }
-        });
-        let delay = self.state.borrow().delay;
-        if !delay.is_zero() {
-            tokio::time::sleep(delay).await;
+        let health = self
+            .ask(|reply| store::Command::Count { is_write, reply })
+            .await?;
+        if !health.delay.is_zero() {
+            tokio::time::sleep(health.delay).await;
         }
-        if self.state.borrow().is_down {
+        if health.is_down {
             return Err(tonic::Status::unavailable("the platform is down"));
         }
         Ok(())
@@ -180,10 +157,7 @@
         self.enter(false).await?;
         let name = request.into_inner().name;
         let known = self.state.borrow().objects.get(&name).cloned();
-        let object = known.unwrap_or(schema::Object {
-            name,
-            ..Default::default()
-        });
+        let object = known.unwrap_or_else(|| store::unwritten(&name));
         Ok(tonic::Response::new(schema::GetReply {
             object: Some(object),
         }))
@@ -209,29 +183,11 @@
     ) -> Result<tonic::Response<schema::PutReply>, tonic::Status> {
         self.enter(true).await?;
         let request = request.into_inner();
-        let mut reply = schema::PutReply::default();
-        let mut is_lost = false;
-        self.state.send_modify(|s| {
-            let known = s.objects.get(&request.name).cloned();
-            let version = known.as_ref().map_or(0, |o| o.version);
-            if version != request.expected {
-                let name = request.name.clone();
-                reply.conflict = true;
-                reply.object = Some(known.unwrap_or(schema::Object {
-                    name,
-                    ..Default::default()
-                }));
-                return;
-            }
-            reply.object = Some(s.write(&request.name, request.value.clone(), request.remove));
-            if s.lost_answers > 0 {
-                s.lost_answers -= 1;
-                is_lost = true;
-            }
-        });
-        if is_lost {
-            return Err(tonic::Status::unavailable("answer lost"));
-        }
+        let answer = self
+            .ask(|reply| store::Command::Put { request, reply })
+            .await?;
+        let reply =
+            answer.map_err(|store::AnswerLost| tonic::Status::unavailable("answer lost"))?;
         Ok(tonic::Response::new(reply))
     }
 
@@ -245,7 +201,7 @@
     ) -> Result<tonic::Response<Self::WatchStream>, tonic::Status> {
         self.enter(false).await?;
         let request = request.into_inner();
-        let states = wrappers::WatchStream::new(self.state.subscribe());
+        let states = wrappers::WatchStream::new(self.state.clone());
         let mut since = request.since;
         let prefix = request.prefix;
         let changes = states.map(move |state| {
