A soak: random faults under real instances, judged by an oracle

Cause: failures that come together or twice are not covered by a test for each.

Change: tests/examples/soak.rs draws faults alone and in pairs by seed (members killed, frozen, cut, silent, answers lost; platform down, slow, answers lost; instances killed, frozen); twelve callers book, half read back on other instances. The oracle: acknowledged means one row, "not run" means none, unknown means at most one, and an own write is always seen.

--- /dev/null
+++ b/tests/examples/soak.rs
@@ -0,0 +1,162 @@
+//! Random faults, alone and in pairs, under real instances; an oracle counts violations.
+//!
+//! ```text
+//! cargo run --release -p cardamomhold_tests --example soak -- <seconds> <seed>
+//! ```
+//!
+//! The schedule of faults follows the seed; the interleaving is the machine's own.
+
+use std::collections;
+use std::env;
+use std::process;
+use std::sync::Arc;
+use std::time;
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::soak;
+use rand::RngExt;
+use rand::SeedableRng;
+
+/// Pause between two rounds of faults, in milliseconds.
+const CALM_MS: std::ops::Range<u64> = 300..1_500;
+
+/// Length of a round of faults, in milliseconds.
+const FAULT_MS: std::ops::Range<u64> = 200..2_500;
+
+/// Writers with request keys.
+const KEYED: usize = 8;
+
+/// Writers without request keys.
+const PLAIN: usize = 4;
+
+/// One fault, with the number of whom it hits.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    KillMember(usize),
+    FreezeMember(usize),
+    CutMember(usize),
+    LoseAnswers(usize),
+    SilenceMember(usize),
+    PlatformDown,
+    PlatformSlow,
+    PlatformLosesAnswers,
+    KillInstance(usize),
+    FreezeInstance(usize),
+}
+
+fn draw(rng: &mut rand_pcg::Pcg64) -> Fault {
+    let at = rng.random_range(0..bed::ZONES.len());
+    match rng.random_range(0..10) {
+        0 => Fault::KillMember(at),
+        1 => Fault::FreezeMember(at),
+        2 => Fault::CutMember(at),
+        3 => Fault::LoseAnswers(at),
+        4 => Fault::SilenceMember(at),
+        5 => Fault::PlatformDown,
+        6 => Fault::PlatformSlow,
+        7 => Fault::PlatformLosesAnswers,
+        8 => Fault::KillInstance(at),
+        _ => Fault::FreezeInstance(at),
+    }
+}
+
+/// What ends a fault by being dropped.
+type Held = Option<cardamomhold_tests::instance::Frozen>;
+
+async fn start(bed: &mut bed::Bed, fault: Fault) -> Held {
+    match fault {
+        Fault::KillMember(at) => bed.members[at].kill().await,
+        Fault::FreezeMember(at) => bed.members[at].faults().freeze(true),
+        Fault::CutMember(at) => bed.members[at].faults().cut(["member/", "cardamomhold/"]),
+        Fault::LoseAnswers(at) => bed.members[at].faults().lose_answers(3),
+        Fault::SilenceMember(at) => bed.members[at].silence_open(),
+        Fault::PlatformDown => bed.platform.set_down(true),
+        Fault::PlatformSlow => bed.platform.set_delay(time::Duration::from_millis(400)),
+        Fault::PlatformLosesAnswers => bed.platform.lose_answers(2),
+        Fault::KillInstance(at) => bed.instances[at].kill(),
+        Fault::FreezeInstance(at) if bed.instances[at].is_running() => {
+            return Some(bed.instances[at].freeze().await);
+        }
+        Fault::FreezeInstance(_) => {}
+    }
+    None
+}
+
+async fn end(bed: &mut bed::Bed, fault: Fault) {
+    match fault {
+        Fault::KillMember(at) => {
+            // A second fault may have been the same kill.
+            let _ = bed.members[at].restart().await;
+        }
+        Fault::FreezeMember(at) => bed.members[at].faults().freeze(false),
+        Fault::CutMember(at) => bed.members[at].faults().cut([]),
+        Fault::LoseAnswers(at) => bed.members[at].faults().lose_answers(0),
+        Fault::PlatformDown => bed.platform.set_down(false),
+        Fault::PlatformSlow => bed.platform.set_delay(time::Duration::ZERO),
+        Fault::PlatformLosesAnswers => bed.platform.lose_answers(0),
+        Fault::KillInstance(at) => {
+            if !bed.instances[at].is_running() {
+                let zone = bed::ZONES[at];
+                bed.instances[at] = bed.start_instance(&format!("entry-{zone}"), zone).await;
+            }
+        }
+        Fault::SilenceMember(_) | Fault::FreezeInstance(_) => {}
+    }
+}
+
+#[tokio::main]
+async fn main() -> process::ExitCode {
+    let mut numbers = env::args().skip(1).filter_map(|a| a.parse::<u64>().ok());
+    let seconds = numbers.next().unwrap_or(30);
+    let seed = numbers.next().unwrap_or(1);
+    let mut rng = rand_pcg::Pcg64::seed_from_u64(seed);
+    let mut bed = bed::Bed::start().await;
+    bed.connect(0)
+        .await
+        .batch_execute("CREATE TABLE booking (id TEXT)")
+        .await
+        .expect("create");
+    let entries = Arc::new(tokio::sync::watch::Sender::new(bed.listen()));
+    let stop = tokio::sync::watch::Sender::new(false);
+    let mut writers = tokio::task::JoinSet::new();
+    for i in 0..KEYED + PLAIN {
+        let writer = soak::Writer::new(i, i < KEYED, seed, entries.subscribe(), stop.subscribe());
+        writers.spawn(writer.run());
+    }
+    let over = time::Instant::now() + time::Duration::from_secs(seconds);
+    let mut rounds = collections::BTreeMap::<String, u32>::new();
+    while time::Instant::now() < over {
+        tokio::time::sleep(time::Duration::from_millis(rng.random_range(CALM_MS))).await;
+        let mut faults = vec![draw(&mut rng)];
+        if rng.random_bool(0.5) {
+            faults.push(draw(&mut rng));
+        }
+        *rounds.entry(format!("{faults:?}")).or_default() += 1;
+        let mut held = Vec::new();
+        for fault in &faults {
+            held.push(start(&mut bed, *fault).await);
+        }
+        tokio::time::sleep(time::Duration::from_millis(rng.random_range(FAULT_MS))).await;
+        drop(held);
+        for fault in &faults {
+            end(&mut bed, *fault).await;
+        }
+        entries.send_replace(bed.listen());
+    }
+    stop.send_replace(true);
+    let mut record = soak::Record::default();
+    while let Some(written) = writers.join_next().await {
+        record.merge(written.expect("writer"));
+    }
+    let rows = soak::settled_rows(&bed).await;
+    let verdict = record.check(&rows);
+    println!(
+        "seed {seed}, {seconds} s, {} rounds of faults",
+        rounds.values().sum::<u32>()
+    );
+    println!("{verdict}");
+    if verdict.violations.is_empty() {
+        return process::ExitCode::SUCCESS;
+    }
+    process::ExitCode::FAILURE
+}
--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -79,6 +79,11 @@
         instance
     }
 
+    /// Where callers connect to the instances.
+    pub fn listen(&self) -> Vec<std::net::SocketAddr> {
+        self.instances.iter().map(|i| i.addresses.listen).collect()
+    }
+
     async fn await_owners(&self) {
         for at in 0..self.instances.len() {
             let deadline = tokio::time::Instant::now() + PATIENCE;
@@ -162,11 +167,16 @@
 
 /// The session token that a connection shows.
 pub async fn token_of(client: &tokio_postgres::Client) -> String {
+    try_token(client).await.expect("token")
+}
+
+/// The session token, unless the connection has failed.
+pub async fn try_token(client: &tokio_postgres::Client) -> Option<String> {
     let row = client
         .query_one("SHOW cardamomhold.session_token", &[])
         .await
-        .expect("token");
-    row.get(0)
+        .ok()?;
+    Some(row.get(0))
 }
 
 /// The SQLSTATE of a failed statement; empty when there was none.
--- a/tests/src/instance.rs
+++ b/tests/src/instance.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Whether it was neither killed nor stopped.
+    pub fn is_running(&self) -> bool {
+        self.thread.is_some()
+    }
+
     /// Kills the instance: every connection breaks.
     pub fn kill(&mut self) {
         self.commands = None;
