--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task;
-use tokio_stream::wrappers;
+use tonic::transport::server;
 
 use crate::caller;
 use crate::clock;
@@ -272,9 +272,8 @@
     operators: operator::Service<client::GrpcPlatform>,
     mut stop: stop::Stop,
 ) {
-    let incoming = wrappers::TcpListenerStream::new(listener);
+    let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
     let served = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(peer_schema::peer_server::PeerServer::new(peers))
         .add_service(operator_schema::operator_server::OperatorServer::new(
             operators,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod bed;
 pub mod instance;
 pub mod load;
+pub mod soak;
