--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod owner;
 pub mod peer;
 pub mod relay;
+pub mod seats;
 pub mod settings;
 pub mod shutdown;
 pub mod stop;
