--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -174,11 +174,9 @@
             sync: batch.sync,
             answers: batch.answers(),
         });
-        let ended = if open.lane.up.send(up).await.is_err() {
-            lost()
-        } else {
-            self.await_end(&mut open.lane, batch, deadline).await?
-        };
+        // A lane that has ended still reports why.
+        let _ = open.lane.up.send(up).await;
+        let ended = self.await_end(&mut open.lane, batch, deadline).await?;
         if let Ended::Ready(ready) = &ended {
             if batch.sync {
                 open.status = ready.status;
@@ -206,14 +204,17 @@
         let last = clock.now().after(allowance.saturating_sub(RETRY));
         let guard = self.guard_of(batch);
         let mut retry = retry::Retry::resume(guard, last, self.session.doubt());
+        let mut stopping = Vec::new();
         loop {
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
             let mut replica = None;
-            let (failure, forwarded) = match self.plan(batch, left, &retry) {
+            let mut address = None;
+            let (failure, forwarded) = match self.plan(batch, left, &retry, &stopping) {
                 Ok(plan) => {
                     if let lane::Access::ReadReplica(_) = plan.ticket.access {
                         replica = Some(plan.ticket.member.clone());
                     }
+                    address.clone_from(&plan.address);
                     match self.try_once(plan, batch, allowance, deadline).await? {
                         Ended::Ready(ready) => return Ok(Ended::Ready(ready)),
                         Ended::Failure { failure, forwarded } => (failure, forwarded),
@@ -224,6 +225,13 @@
             if matches!(failure, lane::Failure::Ran { .. }) && !forwarded {
                 return Ok(Ended::Failure { failure, forwarded });
             }
+            if !forwarded
+                && is_stopping(&failure)
+                && address.as_ref().is_some_and(|a| !stopping.contains(a))
+            {
+                stopping.extend(address);
+                continue;
+            }
             let attempt = retry::Attempt {
                 outcome: failure.outcome(),
                 replica: replica.as_ref(),
@@ -255,6 +263,7 @@
         batch: &batch::Batch,
         deadline: time::Duration,
         retry: &retry::Retry,
+        stopping: &[String],
     ) -> Result<Plan, outcome::Refusal> {
         let config = self.context.config.borrow().clone();
         let spec = config
@@ -296,7 +305,7 @@
             seen,
             setup: self.session.setup().map(str::to_owned).collect(),
         };
-        let address = self.owner_address(spec, member)?;
+        let address = self.owner_address(spec, member, stopping)?;
         Ok(Plan { ticket, address })
     }
 
@@ -336,12 +345,17 @@
     }
 
     /// Address of the instance that owns a member; none when it is this one.
+    ///
+    /// Owners that have said that they are stopping are passed over, even while the
+    /// list of instances does not know it yet.
     fn owner_address(
         &self,
         spec: &spec::GroupSpec,
         member: &name::MemberName,
+        stopping: &[String],
     ) -> Result<Option<String>, outcome::Refusal> {
         let fleet = self.context.fleet.borrow().clone();
+        let fleet = fleet.without(stopping);
         let zone = &spec.member(member).ok_or(outcome::Refusal::NoPrimary)?.zone;
         let owner = fleet
             .owner(member, zone)
@@ -447,14 +461,6 @@
     }
 }
 
-fn lost() -> Ended {
-    let failure = lane::Failure::Unknown(outcome::Doubt::OwnerLost);
-    Ended::Failure {
-        failure,
-        forwarded: false,
-    }
-}
-
 /// The failure as the caller is to be told of it.
 fn with_outcome(failure: lane::Failure, outcome: outcome::Outcome) -> lane::Failure {
     match outcome {
@@ -464,6 +470,10 @@
     }
 }
 
+fn is_stopping(failure: &lane::Failure) -> bool {
+    matches!(failure, lane::Failure::NotRun(outcome::Refusal::Stopping))
+}
+
 /// Drops the answers to messages that the caller did not send.
 struct Filter<'a> {
     steps: std::slice::Iter<'a, batch::Step>,
--- a/crates/cardamomhold_daemon/src/caller.rs
+++ b/crates/cardamomhold_daemon/src/caller.rs
@@ -35,6 +35,7 @@
 use crate::owner;
 use crate::peer;
 use crate::seats;
+use crate::stop;
 
 /// Version that drivers are told of.
 const SERVER_VERSION: &str = "16.0 (cardamomhold)";
@@ -62,8 +63,8 @@
     pub seats: seats::Handle,
     /// The metrics.
     pub metrics: metrics::Metrics,
-    /// True once the instance is stopping.
-    pub stopping: watch::Receiver<bool>,
+    /// How far the instance's end has come.
+    pub stop: stop::Stop,
 }
 
 /// Whose statement is to be cancelled.
@@ -351,12 +352,19 @@
 
     async fn serve(mut self) -> Result<(), End> {
         self.welcome().await?;
-        let mut stopping = self.context.stopping.clone();
+        let mut stop = self.context.stop.clone();
         loop {
-            let is_idle = self.lane.is_none();
+            let is_idle = self.lane.is_none() && self.gatherer.is_empty();
+            let last = if is_idle {
+                stop::Phase::Draining
+            } else {
+                stop::Phase::Ending
+            };
             let message = tokio::select! {
+                // A request that has arrived is served before the farewell.
+                biased;
                 message = self.reader.next_frontend() => message,
-                () = is_stopping(&mut stopping), if is_idle => return self.say_stopping().await,
+                () = stop.reached(last) => return self.say_stopping().await,
             };
             let message = match message {
                 Ok(Some(message)) => message,
@@ -408,7 +416,13 @@
     async fn say_stopping(&mut self) -> Result<(), End> {
         let report = sqlstate::report(outcome::Outcome::NotRun(outcome::Refusal::Stopping));
         answer::put_error(&mut self.out, answer::Severity::Fatal, &report);
-        self.flush().await
+        self.flush().await?;
+        self.writer.shutdown().await.map_err(|_| End::Gone)?;
+        // Closing a socket with unread bytes would reset it, and the farewell could be lost.
+        let rest = async { while let Ok(Some(_)) = self.reader.next_frontend().await {} };
+        // A caller that does not hang up is cut off.
+        let _ = tokio::time::timeout(stop::END_MARGIN, rest).await;
+        Ok(())
     }
 
     pub(crate) async fn flush(&mut self) -> Result<(), End> {
@@ -584,11 +598,5 @@
     !name.is_empty() && name.chars().all(is_part)
 }
 
-async fn is_stopping(stopping: &mut watch::Receiver<bool>) {
-    if stopping.wait_for(|s| *s).await.is_err() {
-        std::future::pending().await
-    }
-}
-
 /// Longest wait of a caller's task for the end of a statement beyond its deadline.
 pub const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(500);
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -29,4 +29,6 @@
 pub mod relay;
 pub mod seats;
 pub mod settings;
+pub mod shutdown;
+pub mod stop;
 pub mod work;
