--- a/crates/cardamomhold_core/src/key.rs
+++ b/crates/cardamomhold_core/src/key.rs
@@ -11,6 +11,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestKey(uuid::Uuid);
 
+/// Time that a key is kept beyond the retention, so that no key is deleted which an
+/// instance could still accept: the longest deadline, and the clocks' differences.
+pub const SWEEP_MARGIN: time::Duration = time::Duration::from_secs(2 * 3600);
+
+/// The text below which keys may be deleted at Unix time `now`.
+pub fn oldest_kept(now: time::Duration, retention: time::Duration) -> String {
+    let limit = now.saturating_sub(retention).saturating_sub(SWEEP_MARGIN);
+    uuid::Uuid::from_u128(limit.as_millis() << CREATED_SHIFT).to_string()
+}
+
+/// Bits below the time of making.
+const CREATED_SHIFT: u32 = 80;
+
 /// Why a text is not a request key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeyError {
@@ -45,7 +58,7 @@
 
     /// Time of making since the Unix epoch, by the caller's clock.
     pub fn created(&self) -> time::Duration {
-        let millis = self.0.as_u128() >> 80;
+        let millis = self.0.as_u128() >> CREATED_SHIFT;
         time::Duration::from_millis(millis as u64)
     }
 
--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -312,14 +312,16 @@
     /// The accepted staleness of a declared read; none for everything else.
     fn kind_of(&self, class: &statement::Class, config: &config::Config) -> Option<time::Duration> {
         let default = name::KindName::parse(DEFAULT_KIND).ok();
+        let default = default.filter(|kind| config.read_rule(kind).is_some());
         let kind = match class {
             statement::Class::Begin { read_only: true } => {
                 self.session.read_kind.as_ref().or(default.as_ref())
             }
             _ => self.session.read_kind.as_ref(),
         };
-        let rule = config.read_rule(kind?)?;
-        Some(time::Duration::from_millis(rule.staleness_ms))
+        // A kind that is no more stays a read, at the primary.
+        let staleness = config.read_rule(kind?).map_or(0, |rule| rule.staleness_ms);
+        Some(time::Duration::from_millis(staleness))
     }
 
     fn replicas<'a>(
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::seats;
 use crate::settings;
 use crate::stop;
+use crate::sweep;
 
 /// Cancel requests that wait for slow tasks.
 const CANCELS: usize = 256;
@@ -136,6 +137,12 @@
             config: config.config.clone(),
             cancels,
         };
+        let sweep = sweep::Setting {
+            instance: own.name.clone(),
+            config: config.config.clone(),
+            fleet: fleet.clone(),
+            owner: owner.clone(),
+        };
         let operators = operator::Service {
             platform,
             config: config.clone(),
@@ -147,6 +154,7 @@
         let ended = stop::Stop::new(phase.subscribe());
         let peers = tokio::spawn(serve_peers(peer_listener, peers, operators, ended));
         services.spawn(http::run(metrics_listener, metrics, ready_seen));
+        services.spawn(sweep::run(sweep));
         services.spawn(become_ready(config.config.clone(), ready.clone()));
         let callers = tokio::spawn(accept(callers_listener, context));
         log::info!(
--- a/crates/cardamomhold_daemon/src/group.rs
+++ b/crates/cardamomhold_daemon/src/group.rs
@@ -13,10 +13,12 @@
 use cardamomhold_group::reign;
 use cardamomhold_group::spec;
 use cardamomhold_group::status;
+use cardamomhold_session::wait;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::clock;
 use crate::endpoint;
 use crate::monitor;
 use crate::work;
@@ -99,6 +101,8 @@
         monitors: collections::BTreeMap::new(),
         commits: Vec::new(),
         reads: Vec::new(),
+        paces: collections::BTreeMap::new(),
+        clock: clock::Clock::start(),
         key_table: None,
     };
     tokio::spawn(task.run(mailbox));
@@ -115,6 +119,8 @@
     monitors: collections::BTreeMap<name::MemberName, Monitor>,
     commits: Vec<(position::Position, oneshot::Sender<()>)>,
     reads: Vec<(Freshness, oneshot::Sender<()>)>,
+    paces: collections::BTreeMap<name::MemberName, wait::Pace>,
+    clock: clock::Clock,
     key_table: Option<position::Term>,
 }
 
@@ -207,7 +213,7 @@
                 self.confirmations.note(&member, position);
                 self.commits.push((position, reply));
             }
-            Request::AwaitFresh { fresh, reply } => self.reads.push((fresh, reply)),
+            Request::AwaitFresh { fresh, reply } => self.take_read(fresh, reply),
             Request::Members(reply) => {
                 // Whoever asked may have stopped waiting.
                 let _ = reply.send(self.view());
@@ -223,6 +229,8 @@
         self.seen
             .insert(observed.member.clone(), Some(tokio::time::Instant::now()));
         self.confirmations.observe(&observed.member, status);
+        let pace = self.paces.entry(observed.member.clone()).or_default();
+        pace.observe(self.clock.now(), status.received, status.applied);
         self.prepare_keys(&observed.member, status);
     }
 
@@ -268,19 +276,41 @@
         self.reads = reads;
     }
 
+    /// Lets a read wait only where the replica is likely to be in time.
+    fn take_read(&mut self, fresh: Freshness, reply: oneshot::Sender<()>) {
+        match self.wait_for(&fresh) {
+            // A dropped reply sends the read to the primary.
+            wait::Wait::Primary => {}
+            wait::Wait::Ready | wait::Wait::AtMost(_) => self.reads.push((fresh, reply)),
+        }
+    }
+
     fn is_fresh(&self, fresh: &Freshness) -> bool {
+        self.wait_for(fresh) == wait::Wait::Ready
+    }
+
+    fn delay(&self, member: &name::MemberName) -> time::Duration {
+        let pace = self.paces.get(member).copied().unwrap_or_default();
+        pace.delay(self.clock.now())
+    }
+
+    fn wait_for(&self, fresh: &Freshness) -> wait::Wait {
         let Some(Some(at)) = self.seen.get(&fresh.member) else {
-            return false;
+            return wait::Wait::Primary;
         };
         let Some(status) = self.confirmations.report(fresh.member.as_str()) else {
-            return false;
+            return wait::Wait::Primary;
         };
-        if status.lag + at.elapsed() > fresh.staleness {
-            return false;
-        }
-        fresh
-            .seen
-            .is_none_or(|seen| seen.is_held(status.term, status.applied))
+        let distance = wait::Distance {
+            is_missing: fresh
+                .seen
+                .is_some_and(|seen| !seen.is_held(status.term, status.applied)),
+            delay: self.delay(&fresh.member),
+            silence: status.silence + at.elapsed(),
+            lag: status.lag + at.elapsed(),
+            staleness: fresh.staleness,
+        };
+        wait::decide(distance, wait::MAX_WAIT * 2)
     }
 
     fn view(&self) -> Vec<MemberView> {
@@ -371,4 +401,4 @@
 }
 
 /// Longest wait for a replica before a read goes to the primary.
-pub const FRESH_PATIENCE: time::Duration = time::Duration::from_millis(20);
+pub const FRESH_PATIENCE: time::Duration = wait::MAX_WAIT;
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod settings;
 pub mod shutdown;
 pub mod stop;
+pub mod sweep;
 pub mod work;
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/sweep.rs
@@ -0,0 +1,136 @@
+//! The task that deletes request keys which are older than their group keeps them.
+//!
+//! The owner of a group's primary does it, through a lane of its own like any other
+//! bulk write. Two owners with different views only delete the same keys twice.
+
+use std::sync;
+use std::time;
+
+use bytes::BytesMut;
+use cardamomhold_config::config;
+use cardamomhold_core::key;
+use cardamomhold_core::name;
+use cardamomhold_core::rank;
+use cardamomhold_fleet::fleet;
+use cardamomhold_wire::answer;
+use pgwire::messages::simplequery;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::lane;
+use crate::owner;
+
+/// Time between two sweeps.
+pub const INTERVAL: time::Duration = time::Duration::from_secs(600);
+
+/// Time from the start to the first sweep.
+pub const FIRST: time::Duration = time::Duration::from_secs(2);
+
+/// Deadline of one deletion.
+const DEADLINE: time::Duration = time::Duration::from_secs(10);
+
+/// The caller that the queue sees.
+const CALLER: &str = "cardamomhold";
+
+/// Where the task finds itself.
+#[derive(Debug, Clone)]
+pub struct Setting {
+    /// This instance.
+    pub instance: name::InstanceName,
+    /// The configuration as it changes.
+    pub config: watch::Receiver<sync::Arc<config::Config>>,
+    /// The fleet as it changes.
+    pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
+    /// Serves lanes here.
+    pub owner: mpsc::Sender<owner::Request>,
+}
+
+/// The deletion of one group's old keys.
+#[derive(Debug)]
+struct Sweep {
+    ticket: lane::Ticket,
+    oldest: String,
+}
+
+impl Sweep {
+    /// Deletes; returns the failure when it did not end well.
+    async fn run(self, owner: &mpsc::Sender<owner::Request>) -> Option<lane::Failure> {
+        let (mut lane, end) = lane::pair();
+        let open = owner::Request::Open(Box::new(self.ticket), end);
+        owner.send(open).await.ok()?;
+        let text = format!(
+            "DELETE FROM cardamomhold_request_key WHERE request_key < '{}'",
+            self.oldest
+        );
+        let mut frames = BytesMut::new();
+        answer::put(&mut frames, &simplequery::Query::new(text));
+        let batch = lane::Up::Batch(lane::Batch {
+            frames: frames.freeze(),
+            sync: true,
+            answers: 0,
+        });
+        // A lane that was refused at once still reports why.
+        let _ = lane.up.send(batch).await;
+        while let Some(down) = lane.down.recv().await {
+            match down {
+                lane::Down::Frames(_) => continue,
+                lane::Down::Ready(_) => return None,
+                lane::Down::Failure(failure) => return Some(failure),
+            }
+        }
+        None
+    }
+}
+
+/// Sweeps until the instance ends.
+pub async fn run(setting: Setting) {
+    tokio::time::sleep(FIRST).await;
+    while !setting.owner.is_closed() {
+        for sweep in sweeps(&setting) {
+            let group = sweep.ticket.group.clone();
+            if let Some(failure) = sweep.run(&setting.owner).await {
+                log::info!("event=sweep_failed group={group} failure=\"{failure:?}\"");
+            }
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// The sweeps of the groups whose primary's endpoint is owned here.
+fn sweeps(setting: &Setting) -> Vec<Sweep> {
+    let config = setting.config.borrow().clone();
+    let fleet = setting.fleet.borrow().clone();
+    let Ok(caller) = name::CallerName::parse(CALLER) else {
+        return Vec::new();
+    };
+    let mut sweeps = Vec::new();
+    for (group, spec) in config.groups() {
+        let Some(reign) = config.reign(group) else {
+            continue;
+        };
+        let Some(member) = reign.primary.as_ref().and_then(|p| spec.member(p)) else {
+            continue;
+        };
+        let owner = fleet.owner(&member.name, &member.zone);
+        if owner.is_none_or(|o| o.name != setting.instance) {
+            continue;
+        }
+        let ticket = lane::Ticket {
+            group: group.clone(),
+            member: member.name.clone(),
+            term: reign.term,
+            rank: rank::Rank::Bulk,
+            caller: caller.clone(),
+            deadline: DEADLINE,
+            access: lane::Access::Write,
+            request_key: None,
+            begins: false,
+            seen: None,
+            setup: Vec::new(),
+        };
+        let oldest = key::oldest_kept(clock::unix_now(), spec.key_retention());
+        sweeps.push(Sweep { ticket, oldest });
+    }
+    sweeps
+}
--- a/crates/cardamomhold_session/tests/own_writes.rs
+++ b/crates/cardamomhold_session/tests/own_writes.rs
@@ -1,6 +1,8 @@
 //! Sessions roam over instances with old views while replicas lag and primaries change:
 //! a read never misses the session's own acknowledged write.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time;
 
 use cardamomhold_core::name;
@@ -262,15 +264,10 @@
         status: &status::MemberStatus,
         seen: Option<position::Position>,
     ) -> wait::Wait {
-        let missing = match seen {
-            Some(seen) if !seen.is_held(status.term, status.applied) => {
-                (seen.log.0.saturating_sub(status.applied.0)).max(1)
-            }
-            _ => 0,
-        };
         let distance = wait::Distance {
-            missing,
-            rate: 0,
+            is_missing: seen.is_some_and(|s| !s.is_held(status.term, status.applied)),
+            delay: time::Duration::ZERO,
+            silence: status.silence,
             lag: status.lag,
             staleness: time::Duration::from_secs(1),
         };
@@ -393,31 +390,3 @@
         }
     }
 }
-
-#[test]
-fn most_stay_at_replicas() {
-    let healthy = wait::Distance {
-        missing: 2,
-        rate: 1_000,
-        lag: time::Duration::from_millis(3),
-        staleness: time::Duration::from_secs(5),
-    };
-    let left = time::Duration::from_secs(1);
-    assert_eq!(
-        wait::decide(healthy, left),
-        wait::Wait::AtMost(wait::MAX_WAIT)
-    );
-    let far = wait::Distance {
-        missing: 500,
-        ..healthy
-    };
-    assert_eq!(wait::decide(far, left), wait::Wait::Primary);
-    let stale = wait::Distance {
-        missing: 0,
-        lag: time::Duration::from_secs(9),
-        ..healthy
-    };
-    assert_eq!(wait::decide(stale, left), wait::Wait::Primary);
-    let hasty = time::Duration::from_millis(2);
-    assert_eq!(wait::decide(healthy, hasty), wait::Wait::Primary);
-}
--- /dev/null
+++ b/crates/cardamomhold_session/tests/replica_waits.rs
@@ -0,0 +1,70 @@
+//! Reads wait for a replica only where it is likely to be in time.
+
+use std::time;
+
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_session::wait;
+
+const HEALTHY: wait::Distance = wait::Distance {
+    is_missing: true,
+    delay: time::Duration::from_millis(3),
+    silence: time::Duration::from_millis(90),
+    lag: time::Duration::from_millis(90),
+    staleness: time::Duration::from_secs(5),
+};
+
+const LEFT: time::Duration = time::Duration::from_secs(1);
+
+#[test]
+fn healthy_is_awaited() {
+    let wait = wait::decide(HEALTHY, LEFT);
+    assert_eq!(wait, wait::Wait::AtMost(wait::MAX_WAIT));
+    let there = wait::Distance {
+        is_missing: false,
+        ..HEALTHY
+    };
+    assert_eq!(wait::decide(there, LEFT), wait::Wait::Ready);
+}
+
+#[test]
+fn hopeless_is_not() {
+    let slow = wait::Distance {
+        delay: time::Duration::from_millis(50),
+        ..HEALTHY
+    };
+    let cut_off = wait::Distance {
+        silence: time::Duration::from_secs(2),
+        ..HEALTHY
+    };
+    let stale = wait::Distance {
+        is_missing: false,
+        lag: time::Duration::from_secs(9),
+        ..HEALTHY
+    };
+    for distance in [slow, cut_off, stale] {
+        assert_eq!(wait::decide(distance, LEFT), wait::Wait::Primary);
+    }
+    let hasty = time::Duration::from_millis(2);
+    assert_eq!(wait::decide(HEALTHY, hasty), wait::Wait::Primary);
+}
+
+#[test]
+fn pace_follows_reports() {
+    let mut pace = wait::Pace::default();
+    let log = position::LogPosition;
+    for n in 1..=40 {
+        pace.observe(Timestamp::from_millis(n * 100), log(n), log(n - 1));
+        pace.observe(Timestamp::from_millis(n * 100 + 8), log(n), log(n));
+    }
+    let later = Timestamp::from_millis(4_050);
+    let delay = pace.delay(later);
+    assert!(delay > time::Duration::from_millis(7) && delay <= time::Duration::from_millis(8));
+    pace.observe(later, log(60), log(40));
+    let waiting = pace.delay(Timestamp::from_millis(5_050));
+    assert_eq!(
+        waiting,
+        time::Duration::from_secs(1),
+        "what still waits counts"
+    );
+}
--- a/crates/cardamomhold_standin/src/follow.rs
+++ b/crates/cardamomhold_standin/src/follow.rs
@@ -23,6 +23,9 @@
 /// Prefix of the application name under which members connect to each other.
 pub const MEMBER_PREFIX: &str = "member/";
 
+/// Time without news after which a follower connects anew; heartbeats come more often.
+const RECEIVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// Whom to follow.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -69,7 +72,8 @@
     write.write_all(&out).await.ok()?;
     let mut reader = frame::Reader::for_endpoint(read);
     loop {
-        match reader.next_backend().await.ok()?? {
+        let next = tokio::time::timeout(RECEIVE_TIMEOUT, reader.next_backend());
+        match next.await.ok()?.ok()?? {
             messages::PgWireBackendMessage::DataRow(row) => {
                 let request = request_of(target.term, &row.data)?;
                 member.upgrade()?.send(request).await.ok()?;
--- /dev/null
+++ b/tests/tests/connection_limits.rs
@@ -0,0 +1,41 @@
+//! A caller's connections to one instance stay within its rule.
+
+use std::time;
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::raw;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn third_is_refused() {
+    let bed = bed::Bed::start().await;
+    let rule = r#"{"author":"test","change":"1","spec":{"caller":{"weight":1,"connections":2}}}"#;
+    bed.platform.store("config/caller/small", rule.as_bytes());
+    let address = bed.instances[0].addresses.listen;
+    let small = [("user", "small")];
+    let mut seats = Vec::new();
+    let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+    // The rule is in force once an instance has heard of it.
+    loop {
+        let (caller, answer) = raw::Raw::connect(address, &small).await;
+        if answer.code == "53300" {
+            break;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "never refused");
+        seats.push(caller);
+        if seats.len() > 2 {
+            seats.clear();
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    }
+    let (other, answer) = raw::Raw::connect(address, &[]).await;
+    assert!(answer.is_ready, "another caller is not held up");
+    drop((seats, other));
+    loop {
+        let (_, answer) = raw::Raw::connect(address, &small).await;
+        if answer.is_ready {
+            break;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "no seat comes free");
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/tests/silent_connections.rs
@@ -0,0 +1,75 @@
+//! Open connections go silent for good while new ones work.
+
+use std::time;
+
+use cardamomhold_daemon::endpoint;
+use cardamomhold_tests::bed;
+use cardamomhold_tests::raw;
+
+/// Connections that are idle when they go silent; the proxy's own work may use some.
+const IDLE: usize = 4;
+
+async fn caller(bed: &bed::Bed, deadline: &str) -> raw::Raw {
+    let address = bed.instances[0].addresses.listen;
+    let (raw, answer) = raw::Raw::connect(address, &[("cardamomhold.deadline_ms", deadline)]).await;
+    assert!(answer.is_ready);
+    raw
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn quiet_is_checked() {
+    let bed = bed::Bed::start().await;
+    let mut callers = Vec::new();
+    for _ in 0..IDLE {
+        let mut caller = caller(&bed, "10000").await;
+        assert_eq!(caller.query("BEGIN").await.code, "");
+        callers.push(caller);
+    }
+    for caller in &mut callers {
+        assert_eq!(caller.query("COMMIT").await.code, "");
+    }
+    bed.members[0].silence_open();
+    tokio::time::sleep(endpoint::QUIET + time::Duration::from_millis(200)).await;
+    for caller in &mut callers {
+        assert_eq!(
+            caller.query("BEGIN").await.code,
+            "",
+            "a quiet connection is used"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_in_use() {
+    let bed = bed::Bed::start().await;
+    let mut slow = caller(&bed, "3000").await;
+    slow.query("CREATE TABLE booking (n BIGINT)").await;
+    assert_eq!(slow.query("BEGIN").await.code, "");
+    bed.members[0].silence_open();
+    slow.ask("INSERT INTO booking VALUES (1)").await;
+    // Fresh connections of others are not held up by it, whatever became of idle ones.
+    let mut other = caller(&bed, "500").await;
+    let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+    loop {
+        let answer = other.query("SELECT n FROM booking").await;
+        if answer.code.is_empty() {
+            break;
+        }
+        println!("{answer:?}");
+        assert!(tokio::time::Instant::now() < deadline, "{answer:?}");
+    }
+    let answer = slow.read_answer().await;
+    assert_eq!(answer.code, "08007");
+    assert!(answer.is_ready);
+    loop {
+        let answer = slow.query("INSERT INTO booking VALUES (2)").await;
+        if answer.code.is_empty() {
+            break;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "{answer:?}");
+    }
+    assert_eq!(
+        other.query("SELECT n FROM booking WHERE n = 1").await.rows,
+        0
+    );
+}
