A leaving endpoint gets no new reads; a gone owner's refusal is "not run"

Cause: a member's own `leaving` status reached nobody but the group's task, so reads went on for ever (`leaving_gets_none` printed "gets work for ever" after 20 s). And a lane to an owner that had stopped, but that the list still showed, was reported as unknown although its connection had been refused (`gone_owner_refuses` printed "08007 transaction resolution unknown: owner_lost").

Change: the owner's group task refuses reads at a replica that its operators declare as draining or that says itself that it is leaving, with a refusal of its own (`endpoint_leaving`), and the entry goes to another replica at once. A call whose connection was refused has sent nothing and is "not run". What further attempts leave out is a small aggregate (`avoid`). The stand-in member can be told to leave, and counts what it serves.

Ruled out: to hide leaving replicas from the entry by a status message to every instance; one refused hop per read is cheaper than news to all.

A primary that is leaving keeps its work until its group changes primary.

--- a/crates/cardamomhold_core/src/outcome.rs
+++ b/crates/cardamomhold_core/src/outcome.rs
@@ -40,11 +40,13 @@
     Rejoining,
     /// The transaction was idle for too long and was rolled back.
     IdleTransaction,
+    /// The endpoint is leaving and takes no new work.
+    EndpointLeaving,
 }
 
 impl Refusal {
     /// Every value; the place of each is its code between instances and never changes.
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 13] = [
         Self::UnknownGroup,
         Self::NoPrimary,
         Self::StaleView,
@@ -57,6 +59,7 @@
         Self::ConnectFailed,
         Self::Rejoining,
         Self::IdleTransaction,
+        Self::EndpointLeaving,
     ];
 
     /// The value's code between instances.
@@ -84,6 +87,7 @@
             Self::ConnectFailed => "connect_failed",
             Self::Rejoining => "rejoining",
             Self::IdleTransaction => "idle_transaction",
+            Self::EndpointLeaving => "endpoint_leaving",
         }
     }
 
@@ -94,6 +98,7 @@
             | Self::StaleView
             | Self::ReplicaBehind
             | Self::EndpointDown
+            | Self::EndpointLeaving
             | Self::OwnerUnreachable
             | Self::ConnectFailed
             | Self::Rejoining
--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -14,6 +14,7 @@
 use cardamomhold_wire::statement;
 use pgwire::messages;
 
+use crate::avoid;
 use crate::batch;
 use crate::caller;
 use crate::lane;
@@ -51,6 +52,15 @@
     address: Option<String>,
 }
 
+impl Plan {
+    fn way(&self) -> avoid::Way {
+        avoid::Way {
+            member: self.ticket.member.clone(),
+            owner: self.address.clone(),
+        }
+    }
+}
+
 impl caller::Caller {
     /// Runs a batch in the open transaction, or in a new one.
     pub(crate) async fn transact(&mut self, batch: &batch::Batch) -> Result<(), caller::End> {
@@ -169,11 +179,11 @@
         let deadline = start + allowance;
         let mut doubt = None;
         let mut skips_replica = false;
-        let mut stopping = Vec::new();
+        let mut avoided = avoid::Avoided::default();
         loop {
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
-            let plan = self.plan(batch, left, skips_replica, &stopping);
-            let address = plan.as_ref().ok().and_then(|p| p.address.clone());
+            let plan = self.plan(batch, left, skips_replica, &avoided);
+            let way = plan.as_ref().ok().map(Plan::way);
             let (failure, forwarded) = match plan {
                 Ok(plan) => match self.try_once(plan, batch, allowance, deadline).await? {
                     Ended::Ready(ready) => return Ok(Ended::Ready(ready)),
@@ -187,12 +197,7 @@
                     skips_replica = true;
                     continue;
                 }
-                lane::Failure::NotRun(outcome::Refusal::Stopping)
-                    if address.as_ref().is_some_and(|a| !stopping.contains(a)) =>
-                {
-                    stopping.extend(address);
-                    continue;
-                }
+                lane::Failure::NotRun(refusal) if avoided.note(refusal, way) => continue,
                 lane::Failure::NotRun(refusal) if refusal.is_transient() && !is_over => {}
                 lane::Failure::Unknown(why) if self.may_repeat(batch) && !forwarded && !is_over => {
                     doubt = Some(why);
@@ -217,7 +222,7 @@
         batch: &batch::Batch,
         deadline: time::Duration,
         skips_replica: bool,
-        stopping: &[String],
+        avoided: &avoid::Avoided,
     ) -> Result<Plan, outcome::Refusal> {
         let config = self.context.config.borrow().clone();
         let spec = config
@@ -228,7 +233,7 @@
             .ok_or(outcome::Refusal::UnknownGroup)?;
         let kind = self.kind_of(&batch.class, &config);
         let seen = self.session.token.position(self.group.as_str());
-        let replicas = self.replicas(spec, reign.primary.as_ref());
+        let replicas = self.replicas(spec, reign.primary.as_ref(), &avoided.members);
         let view = route::View {
             term: reign.term,
             primary: reign.primary.as_ref(),
@@ -259,7 +264,7 @@
             seen,
             setup: self.session.setup().map(str::to_owned).collect(),
         };
-        let address = self.owner_address(spec, member, stopping)?;
+        let address = self.owner_address(spec, member, &avoided.owners)?;
         Ok(Plan { ticket, address })
     }
 
@@ -280,10 +285,11 @@
         &self,
         spec: &'a spec::GroupSpec,
         primary: Option<&name::MemberName>,
+        leaving: &[name::MemberName],
     ) -> Vec<route::Candidate<'a>> {
         let mut replicas = Vec::new();
         for member in &spec.members {
-            if Some(&member.name) == primary || member.draining {
+            if Some(&member.name) == primary || member.draining || leaving.contains(&member.name) {
                 continue;
             }
             replicas.push(route::Candidate {
--- a/crates/cardamomhold_daemon/src/group.rs
+++ b/crates/cardamomhold_daemon/src/group.rs
@@ -42,8 +42,8 @@
     AwaitFresh {
         /// What is asked of the replica.
         fresh: Freshness,
-        /// Told when it is so.
-        reply: oneshot::Sender<()>,
+        /// Told when it is so, or that the replica takes no new work.
+        reply: oneshot::Sender<Result<(), outcome::Refusal>>,
     },
     /// Shows the members.
     Members(oneshot::Sender<Vec<MemberView>>),
@@ -114,7 +114,7 @@
     seen: collections::BTreeMap<name::MemberName, Option<tokio::time::Instant>>,
     monitors: collections::BTreeMap<name::MemberName, Monitor>,
     commits: Vec<(position::Position, oneshot::Sender<()>)>,
-    reads: Vec<(Freshness, oneshot::Sender<()>)>,
+    reads: Vec<(Freshness, oneshot::Sender<Result<(), outcome::Refusal>>)>,
     key_table: Option<position::Term>,
 }
 
@@ -207,7 +207,14 @@
                 self.confirmations.note(&member, position);
                 self.commits.push((position, reply));
             }
-            Request::AwaitFresh { fresh, reply } => self.reads.push((fresh, reply)),
+            Request::AwaitFresh { fresh, reply } => {
+                if self.is_leaving(&fresh.member) {
+                    // Whoever asked may have stopped waiting.
+                    let _ = reply.send(Err(outcome::Refusal::EndpointLeaving));
+                    return;
+                }
+                self.reads.push((fresh, reply));
+            }
             Request::Members(reply) => {
                 // Whoever asked may have stopped waiting.
                 let _ = reply.send(self.view());
@@ -260,7 +267,7 @@
                 continue;
             }
             if self.is_fresh(&fresh) {
-                let _ = reply.send(());
+                let _ = reply.send(Ok(()));
             } else {
                 reads.push((fresh, reply));
             }
@@ -268,6 +275,13 @@
         self.reads = reads;
     }
 
+    /// Whether a member is to get no new work: its operators or the member itself say so.
+    fn is_leaving(&self, member: &name::MemberName) -> bool {
+        let declared = self.spec.as_ref().and_then(|s| s.member(member));
+        let report = self.confirmations.report(member.as_str());
+        declared.is_some_and(|m| m.draining) || report.is_some_and(|r| r.leaving)
+    }
+
     fn is_fresh(&self, fresh: &Freshness) -> bool {
         let Some(Some(at)) = self.seen.get(&fresh.member) else {
             return false;
@@ -341,7 +355,8 @@
     /// Waits until a replica is fresh enough.
     ///
     /// # Errors
-    /// [`outcome::Refusal::ReplicaBehind`] when it takes longer than is worth waiting.
+    /// [`outcome::Refusal::ReplicaBehind`] when it takes longer than is worth waiting, and
+    /// [`outcome::Refusal::EndpointLeaving`] when the replica takes no new work.
     pub async fn await_fresh(
         &self,
         fresh: Freshness,
@@ -355,7 +370,7 @@
             .map_err(|_| outcome::Refusal::Stopping)?;
         let patience = tokio::time::Instant::now() + FRESH_PATIENCE;
         match tokio::time::timeout_at(deadline.min(patience), answer).await {
-            Ok(Ok(())) => Ok(()),
+            Ok(Ok(answer)) => answer,
             Ok(Err(_)) | Err(_) => Err(outcome::Refusal::ReplicaBehind),
         }
     }
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod attempt;
+pub mod avoid;
 pub mod batch;
 pub mod caller;
 pub mod clock;
--- a/crates/cardamomhold_daemon/src/peer.rs
+++ b/crates/cardamomhold_daemon/src/peer.rs
@@ -1,7 +1,9 @@
 //! The border between instances: the peer service and its client.
 
 use std::collections;
+use std::error;
 use std::fmt;
+use std::io;
 use std::pin;
 use std::sync;
 use std::time;
@@ -132,8 +134,13 @@
     let lost = lane::Failure::Unknown(outcome::Doubt::OwnerLost);
     let mut downs = match client.open(ups).await {
         Ok(response) => response.into_inner(),
-        Err(_) => {
-            let _ = end.down.send(lane::Down::Failure(lost)).await;
+        Err(status) => {
+            let failure = if is_unsent(&status) {
+                lane::Failure::NotRun(outcome::Refusal::OwnerUnreachable)
+            } else {
+                lost
+            };
+            let _ = end.down.send(lane::Down::Failure(failure)).await;
             return false;
         }
     };
@@ -156,6 +163,20 @@
     }
 }
 
+/// Whether a call failed because its connection was refused, so that nothing was sent.
+fn is_unsent(status: &tonic::Status) -> bool {
+    let mut source = error::Error::source(status);
+    while let Some(cause) = source {
+        if let Some(cause) = cause.downcast_ref::<io::Error>()
+            && cause.kind() == io::ErrorKind::ConnectionRefused
+        {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 /// The peer service of an instance.
 #[derive(Debug)]
 pub struct Service {
--- a/crates/cardamomhold_standin/src/endpoint.rs
+++ b/crates/cardamomhold_standin/src/endpoint.rs
@@ -28,11 +28,13 @@
     pub cancels: broadcast::Sender<i32>,
     slots: sync::Arc<tokio::sync::Semaphore>,
     open: sync::Arc<atomic::AtomicUsize>,
+    served: sync::Arc<atomic::AtomicUsize>,
 }
 
 impl Shared {
     /// Waits for a slot and the statement's time in it.
     pub async fn occupy(&self) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        self.served.fetch_add(1, atomic::Ordering::SeqCst);
         let permit = self.slots.clone().acquire_owned().await.ok();
         if !self.options.service.is_zero() {
             tokio::time::sleep(self.options.service).await;
@@ -55,6 +57,7 @@
     numbers: sync::Arc<atomic::AtomicU64>,
     open: sync::Arc<atomic::AtomicUsize>,
     peak: sync::Arc<atomic::AtomicUsize>,
+    served: sync::Arc<atomic::AtomicUsize>,
     state: State,
 }
 
@@ -139,6 +142,7 @@
             numbers: sync::Arc::default(),
             open: sync::Arc::default(),
             peak: sync::Arc::default(),
+            served: sync::Arc::default(),
             state: State::Killed(None),
         };
         endpoint.launch(listener, kept)?;
@@ -160,6 +164,7 @@
             cancels: broadcast::Sender::new(64),
             slots: sync::Arc::new(tokio::sync::Semaphore::new(self.options.slots)),
             open: self.open.clone(),
+            served: self.served.clone(),
         };
         let accepting = accept(listener, shared, self.numbers.clone(), self.peak.clone());
         let listener = tokio::spawn(accepting);
@@ -229,6 +234,19 @@
         self.peak.load(atomic::Ordering::SeqCst)
     }
 
+    /// Statements that have asked for a slot so far.
+    pub fn served(&self) -> usize {
+        self.served.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Makes the member ask for no new work, or for work again.
+    pub async fn set_leaving(&self, leaving: bool) {
+        if let Some(member) = self.member() {
+            let leave = |reply| member::Request::Leave(leaving, reply);
+            crate::replication::ask(member, leave).await;
+        }
+    }
+
     /// Lets every connection that is open now go silent for good.
     pub fn silence_open(&self) {
         let next = self.numbers.load(atomic::Ordering::SeqCst);
--- a/crates/cardamomhold_standin/src/member.rs
+++ b/crates/cardamomhold_standin/src/member.rs
@@ -87,6 +87,8 @@
     Promote(position::Term, oneshot::Sender<bool>),
     /// Makes the member follow a primary.
     Follow(position::Term, String, oneshot::Sender<bool>),
+    /// Makes the member ask for no new work, or for work again.
+    Leave(bool, oneshot::Sender<()>),
     /// From the follower task: the stream of a term starts after a position.
     Joined(position::Term, position::LogPosition),
     /// From the follower task: entries of a term, which may be none.
@@ -256,6 +258,10 @@
             Request::Follow(term, address, reply) => {
                 let _ = reply.send(self.follow(term, address));
             }
+            Request::Leave(leaving, reply) => {
+                self.publisher.send_modify(|p| p.status.leaving = leaving);
+                let _ = reply.send(());
+            }
             Request::Joined(term, at) => self.joined(term, at),
             Request::Received(term, entries) => self.received(term, entries),
         }
--- a/crates/cardamomhold_wire/src/sqlstate.rs
+++ b/crates/cardamomhold_wire/src/sqlstate.rs
@@ -124,6 +124,7 @@
         | outcome::Refusal::StaleView
         | outcome::Refusal::ReplicaBehind
         | outcome::Refusal::EndpointDown
+        | outcome::Refusal::EndpointLeaving
         | outcome::Refusal::OwnerUnreachable
         | outcome::Refusal::ConnectFailed
         | outcome::Refusal::Rejoining => "57P03",
--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -46,7 +46,10 @@
             .await
             .expect("platform");
         let members = start_members(shape).await;
-        platform.store("config/group/bookings", group_object(&members).as_bytes());
+        platform.store(
+            "config/group/bookings",
+            group_object(&members, None).as_bytes(),
+        );
         let report = r#"{"author":"test","change":"1","spec":{"read_kind":{"staleness_ms":5000}}}"#;
         platform.store("config/read_kind/report", report.as_bytes());
         let mut bed = Self {
@@ -109,6 +112,13 @@
         std::mem::replace(&mut self.instances[at], ended)
     }
 
+    /// Declares a member as draining.
+    pub fn drain(&self, at: usize) {
+        let object = group_object(&self.members, Some(at));
+        self.platform
+            .store("config/group/bookings", object.as_bytes());
+    }
+
     /// Waits until an instance takes no callers any more.
     pub async fn await_refusing(&self, at: usize) {
         let address = self.instances[at].addresses.listen;
@@ -203,13 +213,14 @@
     members
 }
 
-fn group_object(members: &[endpoint::Endpoint]) -> String {
+fn group_object(members: &[endpoint::Endpoint], draining: Option<usize>) -> String {
     let mut specs = Vec::new();
-    for (member, zone) in members.iter().zip(ZONES) {
+    for (at, (member, zone)) in members.iter().zip(ZONES).enumerate() {
         specs.push(serde_json::json!({
             "name": format!("bookings-{zone}"),
             "zone": zone,
             "address": member.address().to_string(),
+            "draining": draining == Some(at),
         }));
     }
     let group = serde_json::json!({
--- a/tests/tests/planned_stop.rs
+++ b/tests/tests/planned_stop.rs
@@ -71,6 +71,30 @@
     tally.check(&bed.connect(2).await).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn gone_owner_refuses() {
+    let mut bed = bed::Bed::start().await;
+    // A short deadline, so that a refusal comes before the list is read again.
+    let caller = bed.connect_with(1, "-c cardamomhold.deadline_ms=300").await;
+    load::create_table(&caller).await;
+    let mut owner = bed.take(0);
+    assert_eq!(owner.stop(GRACE).await, 0, "nothing was cut");
+    // The list still shows the owner as alive.
+    let mut written = 0;
+    for _ in 0..5 {
+        match caller
+            .batch_execute("INSERT INTO booking VALUES ('x')")
+            .await
+        {
+            Ok(()) => written += 1,
+            Err(error) => assert_eq!(bed::code_of(&error), "57P03", "{error:?}"),
+        }
+    }
+    bed.list_leaving(0);
+    let caller = bed.connect(1).await;
+    assert_eq!(bed::count(&caller, "booking").await, written);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_caller_hears() {
     let mut bed = bed::Bed::start().await;
