Merge leaving endpoints; one machine decides what further attempts leave out

Both sides had a rule of their own for what the next attempt passes over: the retry machine for replicas, a list in the daemon for stopping owners and leaving replicas. The retry machine now takes the owner's address with each attempt and passes over owners that said they are stopping; a leaving replica is passed over as any replica that refused. The second list is gone.

--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -200,12 +200,11 @@
         let clock = clock::Clock::start();
         let last = clock.now().after(allowance.saturating_sub(RETRY));
         let mut retry = retry::Retry::new(self.guard_of(batch), last);
-        let mut stopping = Vec::new();
         loop {
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
             let mut replica = None;
             let mut address = None;
-            let (failure, forwarded) = match self.plan(batch, left, &retry, &stopping) {
+            let (failure, forwarded) = match self.plan(batch, left, &retry) {
                 Ok(plan) => {
                     if let lane::Access::ReadReplica(_) = plan.ticket.access {
                         replica = Some(plan.ticket.member.clone());
@@ -221,16 +220,10 @@
             if matches!(failure, lane::Failure::Ran { .. }) && !forwarded {
                 return Ok(Ended::Failure { failure, forwarded });
             }
-            if !forwarded
-                && is_stopping(&failure)
-                && address.as_ref().is_some_and(|a| !stopping.contains(a))
-            {
-                stopping.extend(address);
-                continue;
-            }
             let attempt = retry::Attempt {
                 outcome: failure.outcome(),
                 replica: replica.as_ref(),
+                owner: address.as_deref(),
                 forwarded,
             };
             match retry.fail(clock.now(), attempt) {
@@ -259,7 +252,6 @@
         batch: &batch::Batch,
         deadline: time::Duration,
         retry: &retry::Retry,
-        stopping: &[String],
     ) -> Result<Plan, outcome::Refusal> {
         let config = self.context.config.borrow().clone();
         let spec = config
@@ -301,7 +293,7 @@
             seen,
             setup: self.session.setup().map(str::to_owned).collect(),
         };
-        let address = self.owner_address(spec, member, stopping)?;
+        let address = self.owner_address(spec, member, retry)?;
         Ok(Plan { ticket, address })
     }
 
@@ -348,10 +340,10 @@
         &self,
         spec: &spec::GroupSpec,
         member: &name::MemberName,
-        stopping: &[String],
+        retry: &retry::Retry,
     ) -> Result<Option<String>, outcome::Refusal> {
         let fleet = self.context.fleet.borrow().clone();
-        let fleet = fleet.without(stopping);
+        let fleet = fleet.without(retry.stopping());
         let zone = &spec.member(member).ok_or(outcome::Refusal::NoPrimary)?.zone;
         let owner = fleet
             .owner(member, zone)
@@ -466,10 +458,6 @@
     }
 }
 
-fn is_stopping(failure: &lane::Failure) -> bool {
-    matches!(failure, lane::Failure::NotRun(outcome::Refusal::Stopping))
-}
-
 /// Drops the answers to messages that the caller did not send.
 struct Filter<'a> {
     steps: std::slice::Iter<'a, batch::Step>,
