A queue with guaranteed shares, fair callers, early refusal and a found limit

Cause: the queue served ranks strictly, so a flood of urgent work starved the others; one caller could fill a rank's line; work that could not be answered in time waited until it was late; as many transactions ran as there were connections (16), although the endpoint has 2 or 3 slots; the pool opened a connection for each grant, so it exceeded its bound while connections were on their way back.

Ruled out: counting jobs in place of service time for the shares (a rank with long jobs gets more than its share); deadline order (a caller could jump the line by naming a short deadline); a limit from latency alone, which settles above the slots by its own tolerance, so that urgent work waits inside the endpoint, where nobody orders it.

Change: the rank that is owed its guaranteed share of time goes next, else the most urgent one (share); start-time fair queueing between the callers of a rank (fair); a full line gives up the youngest job of its largest caller; a job is refused at once when the measured pace says that its deadline can't be met (pace); the limit starts at the group's slots and tries its neighbours by throughput (limit); breaker and retry budget as state machines of their own. The endpoint task takes shares, weights and bounds from the configuration while it runs, keeps one spare connection open, never opens more than its bound, and a lease whose asker has gone gives its place back. Metrics: time in the queue by rank, load of each endpoint.

--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -105,6 +105,7 @@
             config: config.config.clone(),
             fleet: fleet.clone(),
             clock: clock::Clock::start(),
+            metrics: metrics.clone(),
         });
         let (ready, ready_seen) = watch::channel(false);
         let (stopping, stopping_seen) = watch::channel(false);
--- a/crates/cardamomhold_daemon/src/endpoint.rs
+++ b/crates/cardamomhold_daemon/src/endpoint.rs
@@ -1,47 +1,58 @@
 //! The task that owns an endpoint's queue and its idle connections.
 
 use std::collections;
-use std::time;
 
 use cardamomhold_core::name;
 use cardamomhold_core::outcome;
 use cardamomhold_core::rank;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_endpoint::connection;
+use cardamomhold_queue::job;
 use cardamomhold_queue::queue;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::clock;
 use crate::lane;
+use crate::lease;
+use crate::metrics;
 
-/// Idle time after which a connection is checked before it is used.
-pub const QUIET: time::Duration = time::Duration::from_secs(5);
-
-/// Time within which a check must be answered.
-pub const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// Connections that are kept open and idle while the endpoint is in use.
+const SPARES: usize = 1;
 
 /// Messages that wait for the task.
 const MAILBOX: usize = 1024;
 
 /// What the task is asked.
 #[derive(Debug)]
-enum Request {
+pub(crate) enum Request {
+    /// Waits for a place and a connection.
     Admit {
+        /// Who asks for what.
         asked: Asked,
-        reply: oneshot::Sender<Result<Grant, outcome::Refusal>>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Result<lease::Lease, outcome::Refusal>>,
     },
-    Finish(queue::JobId),
+    /// Gives a place back.
+    Finish(job::JobId, job::Ended),
+    /// Gives a connection back.
     Return(connection::Connection),
+    /// A lent connection, or one that was to be opened, is no more.
     Closed,
+    /// A spare connection is open, or could not be opened.
+    Opened(Option<connection::Connection>),
+    /// Takes new bounds.
+    Resize(Bounds),
+    /// Shows the load.
     Counts(oneshot::Sender<Counts>),
 }
 
 /// A transaction that asks for a place.
 #[derive(Debug)]
-struct Asked {
+pub(crate) struct Asked {
     rank: rank::Rank,
     caller: name::CallerName,
+    weight: u32,
     deadline: Timestamp,
 }
 
@@ -52,16 +63,12 @@
     pub waiting: usize,
     /// Transactions that run.
     pub running: usize,
+    /// Transactions that may run at once.
+    pub limit: usize,
     /// Connections that are open.
     pub connections: usize,
 }
 
-#[derive(Debug)]
-struct Grant {
-    id: queue::JobId,
-    idle: Option<Idle>,
-}
-
 #[derive(Debug)]
 struct Idle {
     connection: connection::Connection,
@@ -85,127 +92,237 @@
     clock: clock::Clock,
 }
 
+/// What the task needs to know.
+#[derive(Debug)]
+pub struct Setting {
+    /// The group.
+    pub group: name::GroupName,
+    /// The member whose endpoint this is.
+    pub member: name::MemberName,
+    /// How to log in.
+    pub login: connection::Login,
+    /// Bounds of the pool.
+    pub bounds: Bounds,
+    /// The clock.
+    pub clock: clock::Clock,
+    /// Where the load is shown.
+    pub metrics: metrics::Metrics,
+}
+
 /// Starts the task; it ends when its last handle is dropped.
-pub fn start(login: connection::Login, bounds: Bounds, clock: clock::Clock) -> Handle {
+pub fn start(setting: Setting) -> Handle {
     let (requests, mailbox) = mpsc::channel(MAILBOX);
+    let handle = Handle {
+        requests: requests.clone(),
+        login: setting.login.clone(),
+        clock: setting.clock,
+    };
     let task = Task {
-        queue: queue::Queue::new(bounds.limits),
-        clock,
+        queue: queue::Queue::new(setting.bounds.limits),
+        own: requests.downgrade(),
+        setting,
         idle: Vec::new(),
         open: 0,
+        opening: 0,
+        answers: false,
         next_id: 0,
         waiting: collections::HashMap::new(),
+        granted: collections::VecDeque::new(),
     };
     tokio::spawn(task.run(mailbox));
-    Handle {
-        requests,
-        login,
-        clock,
-    }
+    handle
+}
+
+/// Someone who waits for a place.
+#[derive(Debug)]
+struct Waiter {
+    rank: rank::Rank,
+    since: Timestamp,
+    reply: oneshot::Sender<Result<lease::Lease, outcome::Refusal>>,
 }
 
 struct Task {
+    setting: Setting,
     queue: queue::Queue,
-    clock: clock::Clock,
+    own: mpsc::WeakSender<Request>,
     idle: Vec<Idle>,
+    /// Connections that are idle, lent or being opened.
     open: usize,
+    /// Spare connections that are being opened.
+    opening: usize,
+    /// Whether the endpoint answered last.
+    answers: bool,
     next_id: u64,
-    waiting: collections::HashMap<queue::JobId, oneshot::Sender<Result<Grant, outcome::Refusal>>>,
+    waiting: collections::HashMap<job::JobId, Waiter>,
+    /// Jobs with a place that wait for a connection, the oldest first.
+    granted: collections::VecDeque<job::JobId>,
 }
 
 impl Task {
     async fn run(mut self, mut mailbox: mpsc::Receiver<Request>) {
         loop {
-            let wake = self.queue.wake().map(|at| self.clock.instant(at));
+            let wake = self.queue.wake().map(|at| self.setting.clock.instant(at));
             tokio::select! {
                 request = mailbox.recv() => match request {
                     Some(request) => self.handle(request),
-                    None => return,
+                    None => break,
                 },
                 () = sleep_until(wake) => {}
             }
             self.decide();
+            self.prepare();
+            self.setting
+                .metrics
+                .load(&self.setting.member, &self.counts());
         }
+        self.setting.metrics.forget(&self.setting.member);
     }
 
     fn handle(&mut self, request: Request) {
-        // Whoever asked may have stopped waiting.
         match request {
             Request::Admit { asked, reply } => self.offer(asked, reply),
-            Request::Finish(id) => self.queue.finish(id),
-            Request::Return(connection) => {
-                self.idle.push(Idle {
-                    connection,
-                    since: tokio::time::Instant::now(),
-                });
+            Request::Finish(id, ended) => {
+                self.answers = matches!(ended, job::Ended::Answered(_));
+                self.queue.finish(self.setting.clock.now(), id, ended);
             }
+            Request::Return(connection) => self.keep(connection),
             Request::Closed => self.open = self.open.saturating_sub(1),
+            Request::Opened(opened) => {
+                self.opening = self.opening.saturating_sub(1);
+                match opened {
+                    Some(connection) => self.keep(connection),
+                    None => {
+                        self.answers = false;
+                        self.open = self.open.saturating_sub(1);
+                    }
+                }
+            }
+            Request::Resize(bounds) => {
+                self.setting.bounds = bounds;
+                self.queue.resize(bounds.limits);
+            }
             Request::Counts(reply) => {
-                let _ = reply.send(Counts {
-                    waiting: self.queue.waiting(),
-                    running: self.queue.running(),
-                    connections: self.open,
-                });
+                // Whoever asked may have stopped waiting.
+                let _ = reply.send(self.counts());
             }
         }
     }
 
-    fn offer(&mut self, asked: Asked, reply: oneshot::Sender<Result<Grant, outcome::Refusal>>) {
-        let id = queue::JobId(self.next_id);
+    fn counts(&self) -> Counts {
+        Counts {
+            waiting: self.queue.waiting(),
+            running: self.queue.running(),
+            limit: self.queue.limit(),
+            connections: self.open,
+        }
+    }
+
+    /// Keeps a connection for the next transaction, or closes it when there are too many.
+    fn keep(&mut self, connection: connection::Connection) {
+        if self.open > self.setting.bounds.connections {
+            self.open -= 1;
+            return;
+        }
+        self.idle.push(Idle {
+            connection,
+            since: tokio::time::Instant::now(),
+        });
+    }
+
+    fn offer(
+        &mut self,
+        asked: Asked,
+        reply: oneshot::Sender<Result<lease::Lease, outcome::Refusal>>,
+    ) {
+        let id = job::JobId(self.next_id);
         self.next_id += 1;
-        let Asked {
-            rank,
-            caller,
-            deadline,
-        } = asked;
-        let job = queue::Job {
+        let now = self.setting.clock.now();
+        let rank = asked.rank;
+        let job = job::Job {
             id,
             rank,
-            caller,
-            deadline,
+            caller: asked.caller,
+            weight: asked.weight,
+            deadline: asked.deadline,
         };
-        match self.queue.offer(self.clock.now(), job) {
+        match self.queue.offer(now, job) {
             Ok(()) => {
-                self.waiting.insert(id, reply);
+                let since = now;
+                self.waiting.insert(id, Waiter { rank, since, reply });
             }
             Err(refusal) => {
+                // Whoever asked may have stopped waiting.
                 let _ = reply.send(Err(refusal));
             }
         }
     }
 
     fn decide(&mut self) {
-        for decision in self.queue.poll(self.clock.now()) {
+        for decision in self.queue.poll(self.setting.clock.now()) {
             match decision {
-                queue::Decision::Start(id) => self.grant(id),
+                queue::Decision::Start(id) => self.granted.push_back(id),
                 queue::Decision::Refuse(id, refusal) => {
-                    if let Some(reply) = self.waiting.remove(&id) {
-                        let _ = reply.send(Err(refusal));
+                    if let Some(waiter) = self.waiting.remove(&id) {
+                        let _ = waiter.reply.send(Err(refusal));
                     }
                 }
             }
         }
+        while let Some(id) = self.granted.pop_front() {
+            if self.idle.is_empty() && self.open >= self.setting.bounds.connections {
+                // A connection that is on its way back comes first.
+                self.granted.push_front(id);
+                return;
+            }
+            self.grant(id);
+        }
     }
 
-    fn grant(&mut self, id: queue::JobId) {
-        let Some(reply) = self.waiting.remove(&id) else {
-            self.queue.finish(id);
+    fn grant(&mut self, id: job::JobId) {
+        let now = self.setting.clock.now();
+        let Some(waiter) = self.waiting.remove(&id) else {
+            self.queue.finish(now, id, job::Ended::Unused);
             return;
         };
-        let idle = self.idle.pop();
-        if idle.is_none() {
-            self.open += 1;
+        let waited = now.since(waiter.since);
+        self.setting
+            .metrics
+            .waited(&self.setting.group, waiter.rank, waited);
+        let Some(own) = self.own.upgrade() else {
+            return;
+        };
+        let mut lease = lease::Lease::new(id, own);
+        match self.idle.pop() {
+            Some(idle) => lease.hold(idle.connection, idle.since),
+            None => self.open += 1,
         }
-        if let Err(Ok(Grant { id, idle })) = reply.send(Ok(Grant { id, idle })) {
-            self.queue.finish(id);
-            match idle {
-                Some(idle) => self.idle.push(idle),
-                None => self.open -= 1,
-            }
+        // Whoever asked may have stopped waiting; the lease gives its place back itself.
+        let _ = waiter.reply.send(Ok(lease));
+    }
+
+    /// Opens spare connections while the endpoint is in use and answers.
+    fn prepare(&mut self) {
+        let is_used = self.answers && self.queue.running() > 0;
+        let most = self.setting.bounds.connections;
+        while is_used && self.idle.len() + self.opening < SPARES && self.open < most {
+            let Some(own) = self.own.upgrade() else {
+                return;
+            };
+            self.open += 1;
+            self.opening += 1;
+            tokio::spawn(open_spare(self.setting.login.clone(), own));
         }
     }
 }
 
+async fn open_spare(login: connection::Login, owner: mpsc::Sender<Request>) {
+    let opening = connection::Connection::open(&login);
+    let opened = tokio::time::timeout(connection::OPEN_TIMEOUT, opening).await;
+    let opened = opened.ok().and_then(Result::ok);
+    // A task that has ended needs no connection.
+    let _ = owner.send(Request::Opened(opened)).await;
+}
+
 async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
@@ -221,49 +338,31 @@
     pub async fn admit(
         &self,
         ticket: &lane::Ticket,
+        weight: u32,
         deadline: tokio::time::Instant,
-    ) -> Result<Lease, outcome::Refusal> {
+    ) -> Result<lease::Lease, outcome::Refusal> {
         let asked = Asked {
             rank: ticket.rank,
             caller: ticket.caller.clone(),
+            weight,
             deadline: self.clock.now().after(ticket.deadline),
         };
         let (reply, answer) = oneshot::channel();
         let sent = self.requests.send(Request::Admit { asked, reply }).await;
         sent.map_err(|_| outcome::Refusal::Stopping)?;
-        let grant = answer.await.unwrap_or(Err(outcome::Refusal::Stopping))?;
-        let lease = Lease {
-            connection: None,
-            place: Some(grant.id),
-            requests: self.requests.clone(),
-            allowance: ticket.deadline,
+        let mut lease = match tokio::time::timeout_at(deadline, answer).await {
+            Ok(answer) => answer.unwrap_or(Err(outcome::Refusal::Stopping))?,
+            Err(_) => return Err(outcome::Refusal::DeadlineUnmet),
         };
-        self.connect(lease, grant, deadline).await
+        lease
+            .connect(&self.login, ticket.deadline, deadline)
+            .await?;
+        Ok(lease)
     }
 
-    async fn connect(
-        &self,
-        mut lease: Lease,
-        grant: Grant,
-        deadline: tokio::time::Instant,
-    ) -> Result<Lease, outcome::Refusal> {
-        if let Some(idle) = grant.idle
-            && let Some(connection) = check(idle).await
-        {
-            lease.connection = Some(connection);
-            return Ok(lease);
-        }
-        let opening = connection::Connection::open(&self.login);
-        match tokio::time::timeout_at(deadline, opening).await {
-            Ok(Ok(connection)) => {
-                lease.connection = Some(connection);
-                Ok(lease)
-            }
-            Ok(Err(_)) | Err(_) => {
-                lease.tell(Request::Closed);
-                Err(outcome::Refusal::ConnectFailed)
-            }
-        }
+    /// Takes new bounds.
+    pub fn resize(&self, bounds: Bounds) {
+        lease::tell(&self.requests, Request::Resize(bounds));
     }
 
     /// How much the endpoint has to do.
@@ -276,80 +375,6 @@
     }
 }
 
-/// A connection that was quiet for long must answer before it is used.
-async fn check(idle: Idle) -> Option<connection::Connection> {
-    let mut connection = idle.connection;
-    if idle.since.elapsed() < QUIET {
-        return Some(connection);
-    }
-    match tokio::time::timeout(CHECK_TIMEOUT, connection.query(connection::RESET_QUERY)).await {
-        Ok(Ok(_)) => Some(connection),
-        Ok(Err(_)) | Err(_) => None,
-    }
-}
-
-/// A connection lent to one transaction; dropping it closes the connection.
-#[derive(Debug)]
-pub struct Lease {
-    connection: Option<connection::Connection>,
-    place: Option<queue::JobId>,
-    requests: mpsc::Sender<Request>,
-    allowance: time::Duration,
-}
-
-impl Lease {
-    /// The connection.
-    ///
-    /// # Panics
-    /// Never: a lease holds its connection until it is given back.
-    pub fn connection(&mut self) -> &mut connection::Connection {
-        match &mut self.connection {
-            Some(connection) => connection,
-            None => unreachable!("a lease holds its connection until it is given back"),
-        }
-    }
-
-    /// Time that each statement may take.
-    pub fn allowance(&self) -> time::Duration {
-        self.allowance
-    }
-
-    /// Ends the transaction and hands the connection back, without its session state.
-    pub async fn give_back(mut self) {
-        self.finish();
-        let reset = self.connection().query(connection::RESET_QUERY);
-        let is_clean = matches!(
-            tokio::time::timeout(connection::OPEN_TIMEOUT, reset).await,
-            Ok(Ok(_))
-        );
-        if is_clean && let Some(connection) = self.connection.take() {
-            self.tell(Request::Return(connection));
-        }
-    }
-
-    fn finish(&mut self) {
-        if let Some(id) = self.place.take() {
-            self.tell(Request::Finish(id));
-        }
-    }
-
-    fn tell(&self, request: Request) {
-        if let Err(mpsc::error::TrySendError::Full(request)) = self.requests.try_send(request) {
-            let requests = self.requests.clone();
-            tokio::spawn(async move { requests.send(request).await });
-        }
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        self.finish();
-        if self.connection.take().is_some() {
-            self.tell(Request::Closed);
-        }
-    }
-}
-
 /// The login of a member for this instance.
 pub fn login(
     address: &str,
--- a/crates/cardamomhold_daemon/src/metrics.rs
+++ b/crates/cardamomhold_daemon/src/metrics.rs
@@ -6,6 +6,8 @@
 use cardamomhold_core::rank;
 use prometheus::core::Collector;
 
+use crate::endpoint;
+
 /// Upper bounds of the latency histograms, in seconds.
 const BUCKETS: [f64; 14] = [
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
@@ -19,6 +21,8 @@
     refusals: prometheus::IntCounterVec,
     reads: prometheus::IntCounterVec,
     callers: prometheus::IntGauge,
+    waits: prometheus::HistogramVec,
+    loads: prometheus::IntGaugeVec,
 }
 
 impl Metrics {
@@ -46,7 +50,20 @@
         )?;
         let callers =
             prometheus::IntGauge::new("cardamomhold_callers", "Open connections of callers")?;
-        let collectors: [Box<dyn Collector>; 4] = [
+        let options = prometheus::HistogramOpts::new(
+            "cardamomhold_queue_seconds",
+            "Time that transactions waited for a place at an endpoint",
+        );
+        let waits =
+            prometheus::HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["group", "rank"])?;
+        let options = prometheus::Opts::new(
+            "cardamomhold_endpoint_load",
+            "Waiting and running transactions, their limit, and open connections",
+        );
+        let loads = prometheus::IntGaugeVec::new(options, &["member", "of"])?;
+        let collectors: [Box<dyn Collector>; 6] = [
+            Box::new(waits.clone()),
+            Box::new(loads.clone()),
             Box::new(statements.clone()),
             Box::new(refusals.clone()),
             Box::new(reads.clone()),
@@ -61,6 +78,8 @@
             refusals,
             reads,
             callers,
+            waits,
+            loads,
         })
     }
 
@@ -94,6 +113,29 @@
         self.callers.dec();
     }
 
+    /// Takes note of a transaction's time in an endpoint's queue.
+    pub fn waited(&self, group: &name::GroupName, rank: rank::Rank, took: time::Duration) {
+        self.waits
+            .with_label_values(&[group.as_str(), rank.as_str()])
+            .observe(took.as_secs_f64());
+    }
+
+    /// Shows an endpoint's load.
+    pub fn load(&self, member: &name::MemberName, counts: &endpoint::Counts) {
+        for (of, value) in loads(counts) {
+            let gauge = self.loads.with_label_values(&[member.as_str(), of]);
+            gauge.set(value as i64);
+        }
+    }
+
+    /// Shows an endpoint's load no longer.
+    pub fn forget(&self, member: &name::MemberName) {
+        for (of, _) in loads(&endpoint::Counts::default()) {
+            // An endpoint that never had anything to do was never shown.
+            let _ = self.loads.remove_label_values(&[member.as_str(), of]);
+        }
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
@@ -103,6 +145,15 @@
     }
 }
 
+fn loads(counts: &endpoint::Counts) -> [(&'static str, usize); 4] {
+    [
+        ("waiting", counts.waiting),
+        ("running", counts.running),
+        ("limit", counts.limit),
+        ("connections", counts.connections),
+    ]
+}
+
 fn counter(
     name: &str,
     help: &str,
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -10,6 +10,7 @@
 use cardamomhold_core::rank;
 use cardamomhold_fleet::fleet;
 use cardamomhold_group::spec;
+use cardamomhold_queue::breaker;
 use cardamomhold_queue::queue;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -19,6 +20,7 @@
 use crate::endpoint;
 use crate::group;
 use crate::lane;
+use crate::metrics;
 use crate::work;
 
 /// Messages that wait for the task.
@@ -28,6 +30,13 @@
 /// different views stay within the endpoint's limit.
 const POOL_DIVISOR: usize = 3;
 
+/// When an endpoint counts as down.
+const TRIP: breaker::Trip = breaker::Trip::Ratio {
+    window: time::Duration::from_secs(10),
+    percent: 50,
+    least: 10,
+};
+
 /// What the task is asked.
 #[derive(Debug)]
 pub enum Request {
@@ -57,6 +66,8 @@
     pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
     /// The clock.
     pub clock: clock::Clock,
+    /// Where the endpoints' load is shown.
+    pub metrics: metrics::Metrics,
 }
 
 /// Starts the task; it ends when its last handle is dropped.
@@ -117,6 +128,9 @@
         for (group, spec) in config.groups() {
             for member in &spec.members {
                 members.insert(&member.name, &member.address);
+                if let Some(pool) = self.endpoints.get(&member.name) {
+                    pool.handle.resize(bounds_of(spec, &config));
+                }
                 let owner = fleet.owner(&member.name, &member.zone);
                 if owner.is_some_and(|o| o.name == self.setting.instance) {
                     self.ensure_group(group);
@@ -145,7 +159,7 @@
         group: &name::GroupName,
         spec: &spec::GroupSpec,
         member: &spec::MemberSpec,
-        waiting: usize,
+        config: &config::Config,
     ) -> endpoint::Handle {
         let setting = &self.setting;
         let pool = self
@@ -153,8 +167,14 @@
             .entry(member.name.clone())
             .or_insert_with(|| {
                 let login = endpoint::login(&member.address, group, &setting.instance);
-                let bounds = bounds_of(spec, waiting);
-                let handle = endpoint::start(login, bounds, setting.clock);
+                let handle = endpoint::start(endpoint::Setting {
+                    group: group.clone(),
+                    member: member.name.clone(),
+                    login,
+                    bounds: bounds_of(spec, config),
+                    clock: setting.clock,
+                    metrics: setting.metrics.clone(),
+                });
                 Pool {
                     address: member.address.clone(),
                     handle,
@@ -195,18 +215,10 @@
         if !ticket.access.is_read() && ticket.term < term {
             return Err(outcome::Refusal::StaleView);
         }
-        let waiting = rank::Rank::ALL
-            .iter()
-            .map(|r| config.rank_rule(*r).queue as usize)
-            .max();
         Ok(work::Context {
             group: self.ensure_group(&ticket.group),
-            endpoint: self.ensure_endpoint(
-                &ticket.group,
-                spec,
-                member,
-                waiting.unwrap_or_default(),
-            ),
+            endpoint: self.ensure_endpoint(&ticket.group, spec, member, config),
+            weight: config.caller_rule(&ticket.caller).weight,
             retention: spec.key_retention(),
             idle: time::Duration::from_millis(config.stop_rule().idle_ms),
         })
@@ -228,12 +240,21 @@
     }
 }
 
-fn bounds_of(spec: &spec::GroupSpec, waiting: usize) -> endpoint::Bounds {
+fn bounds_of(spec: &spec::GroupSpec, config: &config::Config) -> endpoint::Bounds {
     let connections = (spec.connections as usize / POOL_DIVISOR).max(1);
+    let ranks = rank::Rank::ALL.map(|rank| {
+        let rule = config.rank_rule(rank);
+        queue::RankLimits {
+            share_percent: rule.share_percent,
+            waiting: rule.queue as usize,
+        }
+    });
     endpoint::Bounds {
         limits: queue::Limits {
             running: connections,
-            waiting,
+            slots: spec.slots as usize,
+            ranks,
+            trip: TRIP,
         },
         connections,
     }
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -11,6 +11,7 @@
 use crate::endpoint;
 use crate::group;
 use crate::lane;
+use crate::lease;
 use crate::relay;
 
 const READ_ONLY_SETTING: &str = "SET default_transaction_read_only = on";
@@ -29,6 +30,8 @@
     pub group: group::Handle,
     /// The endpoint's task.
     pub endpoint: endpoint::Handle,
+    /// Weight of the caller's fair share.
+    pub weight: u32,
     /// Time that the group keeps request keys.
     pub retention: time::Duration,
     /// Time that a transaction may stay idle.
@@ -49,7 +52,7 @@
 
 struct Work {
     context: Context,
-    lease: endpoint::Lease,
+    lease: lease::Lease,
     deadline: tokio::time::Instant,
     is_read: bool,
     sent: bool,
@@ -75,7 +78,10 @@
             };
             context.group.await_fresh(fresh, deadline).await?;
         }
-        let lease = context.endpoint.admit(ticket, deadline).await?;
+        let lease = context
+            .endpoint
+            .admit(ticket, context.weight, deadline)
+            .await?;
         let is_read = ticket.access.is_read();
         Ok(Self {
             context,
@@ -121,6 +127,7 @@
                 None => return self.abandon(status).await,
             };
             self.sent = true;
+            self.lease.ask();
             self.lease
                 .connection()
                 .send(&batch.frames)
@@ -131,6 +138,7 @@
                 continue;
             }
             let ended = self.relay(end).await?;
+            self.lease.answered();
             status = ended.status;
             if status == lane::Status::Transaction && key.is_some() {
                 self.pass(ticket, key.take()).await?;
--- a/crates/cardamomhold_queue/src/lib.rs
+++ b/crates/cardamomhold_queue/src/lib.rs
@@ -2,22 +2,39 @@
 //!
 //! ```
 //! use cardamomhold_core::prelude::*;
-//! use cardamomhold_queue::queue;
+//! use cardamomhold_queue::prelude::*;
 //!
-//! let mut queue = queue::Queue::new(queue::Limits { running: 1, waiting: 8 });
-//! let job = queue::Job {
-//!     id: queue::JobId(1),
+//! let rank = RankLimits { share_percent: 30, waiting: 8 };
+//! let mut queue = Queue::new(Limits {
+//!     running: 4,
+//!     slots: 1,
+//!     ranks: [rank; 3],
+//!     trip: Trip::Never,
+//! });
+//! let job = Job {
+//!     id: JobId(1),
 //!     rank: Rank::Urgent,
 //!     caller: CallerName::parse("kalkbok").unwrap(),
+//!     weight: 1,
 //!     deadline: Timestamp::from_millis(100),
 //! };
 //! queue.offer(Timestamp(0), job).unwrap();
-//! assert_eq!(queue.poll(Timestamp(0)), vec![queue::Decision::Start(queue::JobId(1))]);
+//! assert_eq!(queue.poll(Timestamp(0)), vec![Decision::Start(JobId(1))]);
 //! ```
 
+pub mod breaker;
+pub mod budget;
+pub mod fair;
+pub mod job;
+pub mod limit;
+pub mod pace;
 pub mod queue;
+pub mod share;
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
-    pub use crate::queue::{Decision, Job, JobId, Limits, Queue};
+    pub use crate::breaker::Trip;
+    pub use crate::budget::Budget;
+    pub use crate::job::{Ended, Job, JobId};
+    pub use crate::queue::{Decision, Limits, Queue, RankLimits};
 }
--- /dev/null
+++ b/crates/cardamomhold_queue/tests/fair_callers.rs
@@ -0,0 +1,117 @@
+//! The smallest caller is served while a big one floods.
+
+use std::time;
+
+use cardamomhold_core::prelude::*;
+use cardamomhold_queue::prelude::*;
+
+const WAITING: usize = 100;
+
+fn queue() -> Queue {
+    let rank = RankLimits {
+        share_percent: 30,
+        waiting: WAITING,
+    };
+    Queue::new(Limits {
+        running: 1,
+        slots: 1,
+        ranks: [rank; 3],
+        trip: Trip::Never,
+    })
+}
+
+fn job(id: u64, caller: &str, weight: u32) -> Job {
+    Job {
+        id: JobId(id),
+        rank: Rank::Normal,
+        caller: CallerName::parse(caller).expect("name"),
+        weight,
+        deadline: Timestamp::from_millis(3_600_000),
+    }
+}
+
+/// Runs one job of 10 ms after the other and returns their identities.
+fn serve(queue: &mut Queue, now: &mut Timestamp, count: usize) -> Vec<u64> {
+    let mut served = Vec::new();
+    while served.len() < count {
+        for decision in queue.poll(*now) {
+            let Decision::Start(id) = decision else {
+                continue;
+            };
+            served.push(id.0);
+            let took = time::Duration::from_millis(10);
+            *now = now.after(took);
+            queue.finish(*now, id, Ended::Answered(took));
+        }
+    }
+    served
+}
+
+#[test]
+fn small_goes_soon() {
+    let mut queue = queue();
+    let mut now = Timestamp(0);
+    for id in 0..WAITING as u64 {
+        queue.offer(now, job(id, "big", 1)).expect("room");
+    }
+    serve(&mut queue, &mut now, 10);
+    queue.offer(now, job(1_000, "small", 1)).expect("room");
+    let served = serve(&mut queue, &mut now, 2);
+    assert!(served.contains(&1_000), "served {served:?}");
+}
+
+#[test]
+fn largest_makes_room() {
+    let mut queue = queue();
+    let now = Timestamp(0);
+    for id in 0..WAITING as u64 {
+        queue.offer(now, job(id, "big", 1)).expect("room");
+    }
+    let refused = queue.offer(now, job(500, "big", 1));
+    assert_eq!(refused, Err(Refusal::QueueFull));
+    queue
+        .offer(now, job(1_000, "small", 1))
+        .expect("room is made");
+    let decisions = queue.poll(now);
+    let evicted = Decision::Refuse(JobId(WAITING as u64 - 1), Refusal::QueueFull);
+    assert!(decisions.contains(&evicted), "decided {decisions:?}");
+    assert!(queue.waiting() <= WAITING);
+}
+
+#[test]
+fn weights_count() {
+    let mut queue = queue();
+    let mut now = Timestamp(0);
+    for id in 0..25 {
+        queue.offer(now, job(id, "one", 1)).expect("room");
+        queue.offer(now, job(100 + id, "three", 3)).expect("room");
+    }
+    let served = serve(&mut queue, &mut now, 20);
+    let heavy = served.iter().filter(|id| **id >= 100).count();
+    assert!((14..=16).contains(&heavy), "{heavy} of 20");
+}
+
+#[test]
+fn long_jobs_count() {
+    let mut queue = queue();
+    let mut now = Timestamp(0);
+    for id in 0..40 {
+        queue.offer(now, job(id, "long", 1)).expect("room");
+        queue.offer(now, job(100 + id, "short", 1)).expect("room");
+    }
+    let mut got_ms = [0; 2];
+    while got_ms[0] + got_ms[1] < 600 {
+        for decision in queue.poll(now) {
+            let Decision::Start(id) = decision else {
+                continue;
+            };
+            let is_short = usize::from(id.0 >= 100);
+            let ms = [40, 10][is_short];
+            got_ms[is_short] += ms;
+            let took = time::Duration::from_millis(ms);
+            now = now.after(took);
+            queue.finish(now, id, Ended::Answered(took));
+        }
+    }
+    assert!(got_ms[0].abs_diff(got_ms[1]) <= 60, "got {got_ms:?} ms");
+}
--- /dev/null
+++ b/crates/cardamomhold_queue/tests/limit_trial.rs
@@ -0,0 +1,68 @@
+//! The limit of jobs in flight finds the endpoint's slots.
+
+use std::time;
+
+use cardamomhold_queue::limit;
+
+/// Answers that a limit gets before it is looked at.
+const ANSWERS: usize = 100_000;
+
+/// Service time, in microseconds, of an endpoint that shares `slots` among `running` jobs.
+fn service_us(slots: usize, running: usize, step: usize) -> u64 {
+    // Exponential by its quantiles, in an order that repeats.
+    let quantile = (step * 617 % 1_000) as f64 / 1_000.0;
+    let own = -10_000.0 * (1.0 - quantile - 0.000_5).ln();
+    let slowdown = (running as f64 / slots as f64).max(1.0);
+    (own * slowdown) as u64 + 1
+}
+
+fn settle(limit: &mut limit::Limit, slots: usize) -> f64 {
+    let mut sum = 0;
+    for step in 0..ANSWERS {
+        let took = service_us(slots, limit.get(), step);
+        limit.sample(step % 3, time::Duration::from_micros(took));
+        if step >= ANSWERS / 2 {
+            sum += limit.get();
+        }
+    }
+    sum as f64 / (ANSWERS / 2) as f64
+}
+
+#[test]
+fn finds_slots() {
+    for slots in [2, 3, 6, 20] {
+        for first in [1, 3, 50] {
+            let mut limit = limit::Limit::new(first, 50);
+            let settled = settle(&mut limit, slots);
+            let (least, most) = (slots as f64 * 0.8, slots as f64 * 1.6);
+            assert!(
+                (least..=most).contains(&settled),
+                "slots {slots} first {first} settled {settled}"
+            );
+        }
+    }
+}
+
+#[test]
+fn follows_the_endpoint() {
+    let mut limit = limit::Limit::new(8, 50);
+    settle(&mut limit, 8);
+    let degraded = settle(&mut limit, 2);
+    assert!(degraded <= 3.2, "degraded {degraded}");
+    let mended = settle(&mut limit, 8);
+    assert!(mended >= 6.4, "mended {mended}");
+}
+
+#[test]
+fn keeps_its_bound() {
+    let mut limit = limit::Limit::new(50, 4);
+    let mut greatest = 0;
+    for step in 0..ANSWERS {
+        let took = service_us(100, limit.get(), step);
+        limit.sample(0, time::Duration::from_micros(took));
+        greatest = greatest.max(limit.get());
+    }
+    assert_eq!(greatest, 4);
+    limit.bound(2);
+    assert_eq!(limit.get(), 2);
+}
--- /dev/null
+++ b/crates/cardamomhold_queue/tests/rank_shares.rs
@@ -0,0 +1,185 @@
+//! Urgent work goes first, and every rank keeps its guaranteed share in a flood.
+
+use std::collections;
+use std::time;
+
+use cardamomhold_core::prelude::*;
+use cardamomhold_queue::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner;
+
+const SEED: u64 = 0x51ac;
+const SLOTS: usize = 3;
+const WINDOW_US: u64 = 60_000_000;
+/// Service that may be owed at the end of a window: the memory of the shares and the
+/// jobs that run.
+const SLACK_US: u64 = 1_500_000;
+
+struct Bench {
+    queue: Queue,
+    next: u64,
+    ends: collections::BTreeSet<(Timestamp, JobId)>,
+    jobs: collections::BTreeMap<JobId, Rank>,
+    service_us: [u64; 3],
+    got_us: [u64; 3],
+    waiting: [usize; 3],
+    now: Timestamp,
+}
+
+impl Bench {
+    fn new(percent: [u32; 3], service_us: [u64; 3]) -> Self {
+        let ranks = percent.map(|share_percent| RankLimits {
+            share_percent,
+            waiting: 100,
+        });
+        let limits = Limits {
+            running: SLOTS,
+            slots: SLOTS,
+            ranks,
+            trip: Trip::Never,
+        };
+        Self {
+            queue: Queue::new(limits),
+            next: 0,
+            ends: Default::default(),
+            jobs: Default::default(),
+            service_us,
+            got_us: [0; 3],
+            waiting: [0; 3],
+            now: Timestamp(0),
+        }
+    }
+
+    fn offer(&mut self, rank: Rank) {
+        let id = JobId(self.next);
+        self.next += 1;
+        let job = Job {
+            id,
+            rank,
+            caller: CallerName::parse("a").expect("name"),
+            weight: 1,
+            deadline: self.now.after(time::Duration::from_secs(3_600)),
+        };
+        self.queue.offer(self.now, job).expect("room");
+        self.jobs.insert(id, rank);
+        self.waiting[rank.index()] += 1;
+    }
+
+    fn poll(&mut self) -> Vec<Rank> {
+        let mut started = Vec::new();
+        for decision in self.queue.poll(self.now) {
+            let Decision::Start(id) = decision else {
+                panic!("refused: {decision:?}");
+            };
+            let rank = self.jobs[&id];
+            self.waiting[rank.index()] -= 1;
+            self.got_us[rank.index()] += self.service_us[rank.index()];
+            let took = time::Duration::from_micros(self.service_us[rank.index()]);
+            self.ends.insert((self.now.after(took), id));
+            started.push(rank);
+        }
+        started
+    }
+
+    /// Ends the job that ends next.
+    fn step(&mut self) -> Vec<Rank> {
+        let (at, id) = self.ends.pop_first().expect("a job runs");
+        self.now = at;
+        let rank = self.jobs.remove(&id).expect("known");
+        let took = time::Duration::from_micros(self.service_us[rank.index()]);
+        self.queue.finish(at, id, Ended::Answered(took));
+        self.poll()
+    }
+
+    /// Keeps all the given ranks waiting for a window.
+    fn flood(&mut self, ranks: &[Rank], until: Timestamp) {
+        while self.now < until {
+            for rank in ranks {
+                while self.waiting[rank.index()] < 20 {
+                    self.offer(*rank);
+                }
+            }
+            self.poll();
+            self.step();
+        }
+    }
+}
+
+fn floods() -> impl Strategy<Value = ([u32; 3], [u64; 3], usize)> {
+    let percent = (1..40u32, 1..30u32).prop_map(|(n, b)| [100 - n - b, n, b]);
+    let service = [2_000..30_000u64, 2_000..30_000u64, 2_000..30_000u64];
+    (percent, service, 3..7usize)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 32,
+        rng_seed: test_runner::RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn shares_are_kept((percent, service_us, mask) in floods()) {
+        // All ranks flood, or two of them.
+        let ranks: Vec<Rank> = Rank::ALL
+            .into_iter()
+            .filter(|r| mask == 7 || mask & (1 << r.index()) != 0)
+            .collect();
+        let mut bench = Bench::new(percent, service_us);
+        bench.flood(&ranks, Timestamp(WINDOW_US));
+        let all: u64 = bench.got_us.iter().sum();
+        for rank in &ranks {
+            let at = rank.index();
+            let due = all * u64::from(percent[at]) / 100;
+            let got = bench.got_us[at] + SLACK_US;
+            prop_assert!(got >= due, "{rank} got {} of {due} us", bench.got_us[at]);
+        }
+        // What no guarantee holds back belongs to the most urgent rank.
+        let first = ranks[0].index();
+        let lower: u32 = ranks[1..].iter().map(|r| percent[r.index()]).sum();
+        let due = all * u64::from(100 - lower) / 100;
+        prop_assert!(
+            bench.got_us[first] + SLACK_US >= due,
+            "{} got {} of {due} us", ranks[0], bench.got_us[first]
+        );
+    }
+}
+
+#[test]
+fn urgent_goes_first() {
+    let mut bench = Bench::new([60, 30, 10], [5_000; 3]);
+    // Bulk work alone gets more than its share, so nothing of it is owed.
+    bench.flood(&[Rank::Bulk], Timestamp::from_millis(2_000));
+    for _ in 0..10 {
+        bench.offer(Rank::Urgent);
+    }
+    let mut started = Vec::new();
+    while started.len() < 10 {
+        started.extend(bench.step());
+    }
+    assert_eq!(started, vec![Rank::Urgent; 10]);
+}
+
+#[test]
+fn shares_change() {
+    let mut bench = Bench::new([60, 30, 10], [5_000; 3]);
+    bench.flood(&Rank::ALL, Timestamp(WINDOW_US));
+    let before = bench.got_us;
+    let ranks = [30, 30, 40].map(|share_percent| RankLimits {
+        share_percent,
+        waiting: 100,
+    });
+    let limits = Limits {
+        running: SLOTS,
+        slots: SLOTS,
+        ranks,
+        trip: Trip::Never,
+    };
+    bench.queue.resize(limits);
+    bench.flood(&Rank::ALL, Timestamp(2 * WINDOW_US));
+    let got = bench.got_us[2] - before[2];
+    let all = bench.got_us.iter().sum::<u64>() - before.iter().sum::<u64>();
+    let due = all * 40 / 100;
+    assert!(got + SLACK_US >= due, "bulk got {got} of {due} us");
+}
--- /dev/null
+++ b/crates/cardamomhold_queue/tests/retry_budget.rs
@@ -0,0 +1,25 @@
+//! Retries are a bounded part of the successes.
+
+use cardamomhold_queue::prelude::*;
+
+#[test]
+fn storm_is_bounded() {
+    let mut budget = Budget::default();
+    let granted = (0..10_000).filter(|_| budget.spend()).count();
+    assert!(granted <= 100, "{granted} retries without a success");
+    for _ in 0..1_000 {
+        budget.earn();
+    }
+    let granted = (0..10_000).filter(|_| budget.spend()).count();
+    assert_eq!(granted, 100, "a tenth of the successes");
+}
+
+#[test]
+fn store_is_bounded() {
+    let mut budget = Budget::default();
+    for _ in 0..1_000_000 {
+        budget.earn();
+    }
+    let granted = (0..10_000).filter(|_| budget.spend()).count();
+    assert_eq!(granted, 100);
+}
