--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,3 +7,5 @@
 
 pub mod bed;
 pub mod instance;
+pub mod load;
+pub mod soak;
