--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -10,6 +10,7 @@
 use cardamomhold_core::rank;
 use cardamomhold_fleet::fleet;
 use cardamomhold_group::spec;
+use cardamomhold_queue::breaker;
 use cardamomhold_queue::queue;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -20,6 +21,7 @@
 use crate::endpoint;
 use crate::group;
 use crate::lane;
+use crate::metrics;
 use crate::stop;
 use crate::work;
 
@@ -30,6 +32,13 @@
 /// different views stay within the endpoint's limit.
 const POOL_DIVISOR: usize = 3;
 
+/// When an endpoint counts as down.
+const TRIP: breaker::Trip = breaker::Trip::Ratio {
+    window: time::Duration::from_secs(10),
+    percent: 50,
+    least: 10,
+};
+
 /// Time without requests of other instances after which they are taken to have noticed a stop.
 const QUIET: time::Duration = time::Duration::from_millis(250);
 
@@ -68,6 +77,8 @@
     pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
     /// The clock.
     pub clock: clock::Clock,
+    /// Where the endpoints' load is shown.
+    pub metrics: metrics::Metrics,
     /// How far the instance's end has come.
     pub stop: stop::Stop,
 }
@@ -149,6 +160,9 @@
         for (group, spec) in config.groups() {
             for member in &spec.members {
                 members.insert(&member.name, &member.address);
+                if let Some(pool) = self.endpoints.get(&member.name) {
+                    pool.handle.resize(bounds_of(spec, &config));
+                }
                 let owner = fleet.owner(&member.name, &member.zone);
                 if owner.is_some_and(|o| o.name == self.setting.instance) {
                     self.ensure_group(group);
@@ -177,7 +191,7 @@
         group: &name::GroupName,
         spec: &spec::GroupSpec,
         member: &spec::MemberSpec,
-        waiting: usize,
+        config: &config::Config,
     ) -> endpoint::Handle {
         let setting = &self.setting;
         let pool = self
@@ -185,8 +199,14 @@
             .entry(member.name.clone())
             .or_insert_with(|| {
                 let login = endpoint::login(&member.address, group, &setting.instance);
-                let bounds = bounds_of(spec, waiting);
-                let handle = endpoint::start(login, bounds, setting.clock);
+                let handle = endpoint::start(endpoint::Setting {
+                    group: group.clone(),
+                    member: member.name.clone(),
+                    login,
+                    bounds: bounds_of(spec, config),
+                    clock: setting.clock,
+                    metrics: setting.metrics.clone(),
+                });
                 Pool {
                     address: member.address.clone(),
                     handle,
@@ -247,18 +267,10 @@
         if !ticket.access.is_read() && ticket.term < term {
             return Err(outcome::Refusal::StaleView);
         }
-        let waiting = rank::Rank::ALL
-            .iter()
-            .map(|r| config.rank_rule(*r).queue as usize)
-            .max();
         Ok(work::Context {
             group: self.ensure_group(&ticket.group),
-            endpoint: self.ensure_endpoint(
-                &ticket.group,
-                spec,
-                member,
-                waiting.unwrap_or_default(),
-            ),
+            endpoint: self.ensure_endpoint(&ticket.group, spec, member, config),
+            weight: config.caller_rule(&ticket.caller).weight,
             retention: spec.key_retention(),
             idle: time::Duration::from_millis(config.stop_rule().idle_ms),
             stop: self.setting.stop.clone(),
@@ -294,12 +306,21 @@
     }
 }
 
-fn bounds_of(spec: &spec::GroupSpec, waiting: usize) -> endpoint::Bounds {
+fn bounds_of(spec: &spec::GroupSpec, config: &config::Config) -> endpoint::Bounds {
     let connections = (spec.connections as usize / POOL_DIVISOR).max(1);
+    let ranks = rank::Rank::ALL.map(|rank| {
+        let rule = config.rank_rule(rank);
+        queue::RankLimits {
+            share_percent: rule.share_percent,
+            waiting: rule.queue as usize,
+        }
+    });
     endpoint::Bounds {
         limits: queue::Limits {
             running: connections,
-            waiting,
+            slots: spec.slots as usize,
+            ranks,
+            trip: TRIP,
         },
         connections,
     }
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -11,6 +11,7 @@
 use crate::endpoint;
 use crate::group;
 use crate::lane;
+use crate::lease;
 use crate::relay;
 use crate::stop;
 
@@ -43,6 +44,8 @@
     pub group: group::Handle,
     /// The endpoint's task.
     pub endpoint: endpoint::Handle,
+    /// Weight of the caller's fair share.
+    pub weight: u32,
     /// Time that the group keeps request keys.
     pub retention: time::Duration,
     /// Time that a transaction may stay idle.
@@ -65,7 +68,7 @@
 
 struct Work {
     context: Context,
-    lease: endpoint::Lease,
+    lease: lease::Lease,
     deadline: tokio::time::Instant,
     is_read: bool,
     may_have_run: bool,
@@ -102,7 +105,10 @@
             };
             context.group.await_fresh(fresh, deadline).await?;
         }
-        let lease = context.endpoint.admit(ticket, deadline).await?;
+        let lease = context
+            .endpoint
+            .admit(ticket, context.weight, deadline)
+            .await?;
         let is_read = ticket.access.is_read();
         Ok(Self {
             context,
@@ -156,6 +162,7 @@
             let is_begin = ticket.begins && status == lane::Status::Idle;
             self.may_have_run |= !wraps && !is_begin;
             self.is_synced = batch.sync;
+            self.lease.ask();
             self.lease
                 .connection()
                 .send(&batch.frames)
@@ -171,6 +178,7 @@
                 self.answer_flush(ticket, end, ended).await?;
                 continue;
             }
+            self.lease.answered();
             if status == lane::Status::Transaction && key.is_some() {
                 self.pass(ticket, key.take()).await?;
             }
@@ -442,6 +450,9 @@
             lane::Status::Idle => None,
             lane::Status::Transaction | lane::Status::Failed => Some(self.context.idle),
         };
+        if patience.is_some() {
+            self.lease.pause();
+        }
         let mut stop = self.context.stop.clone();
         loop {
             let up = tokio::select! {
