--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -11,7 +11,6 @@
 //! ```
 
 pub mod attempt;
-pub mod avoid;
 pub mod batch;
 pub mod caller;
 pub mod clock;
@@ -28,6 +27,7 @@
 pub mod owner;
 pub mod peer;
 pub mod relay;
+pub mod seats;
 pub mod settings;
 pub mod shutdown;
 pub mod stop;
--- a/crates/cardamomhold_standin/src/endpoint.rs
+++ b/crates/cardamomhold_standin/src/endpoint.rs
@@ -26,6 +26,8 @@
     pub faults: fault::Faults,
     /// Process numbers whose statement is to be cancelled.
     pub cancels: broadcast::Sender<i32>,
+    /// Rows of `STREAM` that were handed to a socket.
+    pub streamed: sync::Arc<atomic::AtomicU64>,
     slots: sync::Arc<tokio::sync::Semaphore>,
     open: sync::Arc<atomic::AtomicUsize>,
     served: sync::Arc<atomic::AtomicUsize>,
@@ -58,6 +60,7 @@
     open: sync::Arc<atomic::AtomicUsize>,
     peak: sync::Arc<atomic::AtomicUsize>,
     served: sync::Arc<atomic::AtomicUsize>,
+    streamed: sync::Arc<atomic::AtomicU64>,
     state: State,
 }
 
@@ -143,6 +146,7 @@
             open: sync::Arc::default(),
             peak: sync::Arc::default(),
             served: sync::Arc::default(),
+            streamed: sync::Arc::default(),
             state: State::Killed(None),
         };
         endpoint.launch(listener, kept)?;
@@ -162,6 +166,7 @@
             options: sync::Arc::new(self.options.clone()),
             faults: self.faults.clone(),
             cancels: broadcast::Sender::new(64),
+            streamed: self.streamed.clone(),
             slots: sync::Arc::new(tokio::sync::Semaphore::new(self.options.slots)),
             open: self.open.clone(),
             served: self.served.clone(),
@@ -247,6 +252,11 @@
         }
     }
 
+    /// Rows of `STREAM` that were handed to a socket.
+    pub fn streamed(&self) -> u64 {
+        self.streamed.load(atomic::Ordering::SeqCst)
+    }
+
     /// Lets every connection that is open now go silent for good.
     pub fn silence_open(&self) {
         let next = self.numbers.load(atomic::Ordering::SeqCst);
