Settings say what they accept, and logs have one fixed form

Change: addresses are read with an example in the refusal; the file must end after the settings; logs are `time= level= event=` and the event's pairs, with texts of libraries quoted and no line breaks; `--help` lists every setting and exit code.

--- a/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
+++ b/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
@@ -5,6 +5,7 @@
 use std::process;
 
 use cardamomhold_daemon::daemon;
+use cardamomhold_daemon::logs;
 use cardamomhold_daemon::settings;
 use cardamomhold_daemon::shutdown;
 use tokio::signal::unix;
@@ -22,6 +23,20 @@
 
     xflags::xflags! {
         /// Runs one instance of cardamomhold, a database proxy with session consistency.
+        ///
+        /// The settings file is JSON; every field is needed and no other is taken:
+        ///   instance      name of the instance, unique in the fleet, such as "entry-a"
+        ///   zone          its availability zone, such as "a"
+        ///   listen        where callers connect, such as "127.0.0.1:5401"
+        ///   peer          where other instances and operators connect
+        ///   metrics       where /metrics and /ready are served
+        ///   platform      address of the platform's object API
+        ///   token_secret  signs session tokens, 16 bytes or more, the same everywhere
+        ///
+        /// Logs go to standard error; RUST_LOG=debug shows more of them.
+        /// SIGTERM stops gracefully, a second one at once. Exit codes: 0 stopped,
+        /// 2 settings refused, 3 can't start, 4 connections cut after the grace,
+        /// 5 ended by a second signal.
         cmd cardamomholdd {
             /// Runs the instance until SIGTERM or SIGINT.
             cmd run {
@@ -38,7 +53,7 @@
 }
 
 fn main() -> process::ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    logs::init();
     let parsed = flags::Cardamomholdd::from_env_or_exit();
     let (path, is_run) = match &parsed.subcommand {
         flags::CardamomholddCmd::Run(run) => (&run.settings, true),
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod group;
 pub mod http;
 pub mod lane;
+pub mod logs;
 pub mod metrics;
 pub mod monitor;
 pub mod operator;
--- a/crates/cardamomhold_daemon/src/settings.rs
+++ b/crates/cardamomhold_daemon/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net;
 
 use cardamomhold_core::name;
+use serde::de;
 
 /// Shortest accepted token secret, in bytes.
 pub const MIN_SECRET_LEN: usize = 16;
@@ -17,12 +18,16 @@
     /// Its availability zone.
     pub zone: name::ZoneName,
     /// Where callers connect, `ip:port`.
+    #[serde(deserialize_with = "address")]
     pub listen: net::SocketAddr,
     /// Where other instances and operators connect, `ip:port`.
+    #[serde(deserialize_with = "address")]
     pub peer: net::SocketAddr,
     /// Where metrics and the readiness probe are served, `ip:port`.
+    #[serde(deserialize_with = "address")]
     pub metrics: net::SocketAddr,
     /// Address of the platform's object API, `ip:port`.
+    #[serde(deserialize_with = "address")]
     pub platform: net::SocketAddr,
     /// Secret that signs session tokens; the same on every instance.
     pub token_secret: String,
@@ -38,6 +43,8 @@
         /// What is wrong and what would be accepted.
         problem: String,
     },
+    /// Something follows the settings.
+    Rest(String),
     /// The token secret is too short.
     ShortSecret(usize),
     /// Two services would listen on the same address.
@@ -48,6 +55,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Field { path, problem } => write!(f, "{path}: {problem}"),
+            Self::Rest(problem) => write!(f, "after the settings: {problem}; end the file there"),
             Self::ShortSecret(len) => {
                 write!(
                     f,
@@ -74,10 +82,32 @@
             problem: error.into_inner().to_string(),
         }
     })?;
+    json.end()
+        .map_err(|error| SettingsError::Rest(error.to_string()))?;
     check(&settings)?;
     Ok(settings)
 }
 
+fn address<'de, D: de::Deserializer<'de>>(input: D) -> Result<net::SocketAddr, D::Error> {
+    input.deserialize_str(Address)
+}
+
+/// Reads an address, and says what one looks like when it can't.
+struct Address;
+
+impl de::Visitor<'_> for Address {
+    type Value = net::SocketAddr;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an address such as \"127.0.0.1:5401\"")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Self::Value, E> {
+        let parsed = text.parse();
+        parsed.map_err(|_| E::invalid_value(de::Unexpected::Str(text), &self))
+    }
+}
+
 fn check(settings: &Settings) -> Result<(), SettingsError> {
     let len = settings.token_secret.len();
     if len < MIN_SECRET_LEN {
--- /dev/null
+++ b/crates/cardamomhold_daemon/tests/log_lines.rs
@@ -0,0 +1,33 @@
+//! The form of log lines.
+
+use std::time;
+
+use cardamomhold_daemon::logs;
+
+fn line(target: &str, text: &str) -> String {
+    logs::line(&logs::Entry {
+        time: time::Duration::from_millis(1_700_000_000_042),
+        level: log::Level::Warn,
+        target,
+        text,
+    })
+}
+
+#[test]
+fn pairs_in_order() {
+    assert_eq!(
+        line("cardamomhold_daemon::config", "event=platform_lost error=x"),
+        "time=1700000000.042 level=warn event=platform_lost error=x"
+    );
+}
+
+#[test]
+fn no_text_breaks_line() {
+    let own = line("cardamomhold_daemon", "event=a error=\"x\ny\r\nz\"");
+    assert_eq!(own.lines().count(), 1, "{own}");
+    let foreign = line("h2::codec", "a \"quoted\"\nmessage");
+    assert!(
+        foreign.ends_with(r#"event=library target=h2::codec text="a \"quoted\"\nmessage""#),
+        "{foreign}"
+    );
+}
--- a/crates/cardamomhold_daemon/tests/settings_check.rs
+++ b/crates/cardamomhold_daemon/tests/settings_check.rs
@@ -46,3 +46,39 @@
     let error = settings::parse(&with("colour", "1")).expect_err("refused");
     assert!(error.to_string().contains("expected one of"), "{error}");
 }
+
+#[test]
+fn says_what_is_accepted() {
+    for (field, value, says) in [
+        ("listen", r#""localhost:5401""#, "127.0.0.1:5401"),
+        ("platform", "7000", "127.0.0.1:5401"),
+        ("token_secret", r#""short""#, "at least 16"),
+        ("metrics", r#""127.0.0.1:7101""#, "another port"),
+        ("zone", r#""""#, "zone"),
+    ] {
+        let error = settings::parse(&with(field, value)).expect_err(field);
+        assert!(error.to_string().contains(says), "{field}: {error}");
+    }
+}
+
+#[test]
+fn missing_field_is_named() {
+    for field in ["instance", "listen", "platform", "token_secret"] {
+        let whole = with("zone", r#""a""#);
+        let renamed = whole.replace(&format!("\"{field}\":"), "\"other\":");
+        let error = settings::parse(&renamed).expect_err(field);
+        assert!(error.to_string().contains("expected one of"), "{error}");
+        let mut fields: serde_json::Map<String, serde_json::Value> =
+            serde_json::from_str(&whole).expect("json");
+        fields.remove(field);
+        let text = serde_json::Value::from(fields).to_string();
+        let error = settings::parse(&text).expect_err(field);
+        assert!(error.to_string().contains(field), "{field}: {error}");
+    }
+}
+
+#[test]
+fn text_after_end_is_refused() {
+    let text = with("zone", r#""a""#) + " {}";
+    assert!(settings::parse(&text).is_err());
+}
