--- a/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
+++ b/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
@@ -25,9 +25,9 @@
         /// Runs one instance of cardamomhold, a database proxy with session consistency.
         ///
         /// The settings file is JSON; every field is needed and no other is taken:
-        ///   instance      name of the instance, unique in the fleet, such as "entry-a"
-        ///   zone          its availability zone, such as "a"
-        ///   listen        where callers connect, such as "127.0.0.1:5401"
+        ///   instance      name of the instance, unique in the fleet, such as entry-a
+        ///   zone          its availability zone, such as a
+        ///   listen        where callers connect, such as 127.0.0.1:5401
         ///   peer          where other instances and operators connect
         ///   metrics       where /metrics and /ready are served
         ///   platform      address of the platform's object API
--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -385,7 +385,7 @@
         received: status.map(|s| s.received.0).unwrap_or_default(),
         applied: status.map(|s| s.applied.0).unwrap_or_default(),
         reachable: status.is_some(),
-        draining: member.draining,
+        draining: member.draining || status.is_some_and(|s| s.leaving),
         ..Default::default()
     }
 }
