--- a/crates/cardamomhold_daemon/src/peer.rs
+++ b/crates/cardamomhold_daemon/src/peer.rs
@@ -165,6 +165,19 @@
     }
 }
 
+/// Passes a cancel request on to the instance that serves the connection.
+pub async fn cancel(address: &str, target: caller::CancelTarget) {
+    let Some(mut client) = connect(address).await else {
+        return;
+    };
+    let request = schema::CancelRequest {
+        number: target.number,
+        secret: target.secret,
+    };
+    // A cancel request has no answer, whether it arrives or not.
+    let _ = tokio::time::timeout(CONNECT_TIMEOUT, client.cancel(request)).await;
+}
+
 /// Whether a call failed because its connection was refused, so that nothing was sent.
 fn is_unsent(status: &tonic::Status) -> bool {
     let mut source = error::Error::source(status);
@@ -179,19 +192,6 @@
     false
 }
 
-/// Passes a cancel request on to the instance that serves the connection.
-pub async fn cancel(address: &str, target: caller::CancelTarget) {
-    let Some(mut client) = connect(address).await else {
-        return;
-    };
-    let request = schema::CancelRequest {
-        number: target.number,
-        secret: target.secret,
-    };
-    // A cancel request has no answer, whether it arrives or not.
-    let _ = tokio::time::timeout(CONNECT_TIMEOUT, client.cancel(request)).await;
-}
-
 /// The peer service of an instance.
 #[derive(Debug)]
 pub struct Service {
--- a/crates/cardamomhold_session/src/retry.rs
+++ b/crates/cardamomhold_session/src/retry.rs
@@ -25,6 +25,8 @@
     pub outcome: outcome::Outcome,
     /// The replica that was asked; none when it was the primary, or nobody.
     pub replica: Option<&'a name::MemberName>,
+    /// Address of the other instance that owns the endpoint; none when it is this one.
+    pub owner: Option<&'a str>,
     /// Whether the caller has received a part of the answer.
     pub forwarded: bool,
 }
@@ -48,6 +50,7 @@
     doubt: Option<outcome::Doubt>,
     skips_replicas: bool,
     avoided: Vec<name::MemberName>,
+    stopping: Vec<String>,
 }
 
 impl Retry {
@@ -59,6 +62,7 @@
             doubt: None,
             skips_replicas: false,
             avoided: Vec::new(),
+            stopping: Vec::new(),
         }
     }
 
@@ -78,6 +82,11 @@
                 self.skips_replicas = true;
                 Step::Now
             }
+            outcome::Outcome::NotRun(outcome::Refusal::Stopping)
+                if self.pass_over(attempt.owner) =>
+            {
+                Step::Now
+            }
             outcome::Outcome::NotRun(refusal) if refusal.is_transient() && !is_over => {
                 self.avoid(attempt.replica)
             }
@@ -91,6 +100,23 @@
         }
     }
 
+    /// Owners that have said that they are stopping.
+    pub fn stopping(&self) -> &[String] {
+        &self.stopping
+    }
+
+    /// Leaves a stopping owner out from now on; false when there is no other to try.
+    fn pass_over(&mut self, owner: Option<&str>) -> bool {
+        let Some(owner) = owner else {
+            return false;
+        };
+        if self.stopping.iter().any(|s| s == owner) {
+            return false;
+        }
+        self.stopping.push(owner.to_owned());
+        true
+    }
+
     /// A replica that failed is not asked again; another one may answer at once.
     fn avoid(&mut self, replica: Option<&name::MemberName>) -> Step {
         match replica {
--- a/crates/cardamomhold_standin/src/endpoint.rs
+++ b/crates/cardamomhold_standin/src/endpoint.rs
@@ -59,8 +59,8 @@
     numbers: sync::Arc<atomic::AtomicU64>,
     open: sync::Arc<atomic::AtomicUsize>,
     peak: sync::Arc<atomic::AtomicUsize>,
-    served: sync::Arc<atomic::AtomicUsize>,
     streamed: sync::Arc<atomic::AtomicU64>,
+    served: sync::Arc<atomic::AtomicUsize>,
     state: State,
 }
 
@@ -145,8 +145,8 @@
             numbers: sync::Arc::default(),
             open: sync::Arc::default(),
             peak: sync::Arc::default(),
-            served: sync::Arc::default(),
             streamed: sync::Arc::default(),
+            served: sync::Arc::default(),
             state: State::Killed(None),
         };
         endpoint.launch(listener, kept)?;
@@ -239,6 +239,11 @@
         self.peak.load(atomic::Ordering::SeqCst)
     }
 
+    /// Rows of `STREAM` that were handed to a socket.
+    pub fn streamed(&self) -> u64 {
+        self.streamed.load(atomic::Ordering::SeqCst)
+    }
+
     /// Statements that have asked for a slot so far.
     pub fn served(&self) -> usize {
         self.served.load(atomic::Ordering::SeqCst)
@@ -252,11 +257,6 @@
         }
     }
 
-    /// Rows of `STREAM` that were handed to a socket.
-    pub fn streamed(&self) -> u64 {
-        self.streamed.load(atomic::Ordering::SeqCst)
-    }
-
     /// Lets every connection that is open now go silent for good.
     pub fn silence_open(&self) {
         let next = self.numbers.load(atomic::Ordering::SeqCst);
