--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod http;
 pub mod lane;
 pub mod lease;
+pub mod logs;
 pub mod metrics;
 pub mod monitor;
 pub mod operator;
