--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -115,6 +115,7 @@
             config: config.config.clone(),
             fleet: fleet.clone(),
             clock: clock::Clock::start(),
+            metrics: metrics.clone(),
             stop: stop.clone(),
         });
         let (ready, ready_seen) = watch::channel(false);
--- a/crates/cardamomhold_daemon/src/group.rs
+++ b/crates/cardamomhold_daemon/src/group.rs
@@ -44,8 +44,8 @@
     AwaitFresh {
         /// What is asked of the replica.
         fresh: Freshness,
-        /// Told when it is so.
-        reply: oneshot::Sender<()>,
+        /// Told when it is so, or that the replica takes no new work.
+        reply: oneshot::Sender<Result<(), outcome::Refusal>>,
     },
     /// Shows the members.
     Members(oneshot::Sender<Vec<MemberView>>),
@@ -118,7 +118,7 @@
     seen: collections::BTreeMap<name::MemberName, Option<tokio::time::Instant>>,
     monitors: collections::BTreeMap<name::MemberName, Monitor>,
     commits: Vec<(position::Position, oneshot::Sender<()>)>,
-    reads: Vec<(Freshness, oneshot::Sender<()>)>,
+    reads: Vec<(Freshness, oneshot::Sender<Result<(), outcome::Refusal>>)>,
     paces: collections::BTreeMap<name::MemberName, wait::Pace>,
     clock: clock::Clock,
     key_table: Option<position::Term>,
@@ -268,7 +268,7 @@
                 continue;
             }
             if self.is_fresh(&fresh) {
-                let _ = reply.send(());
+                let _ = reply.send(Ok(()));
             } else {
                 reads.push((fresh, reply));
             }
@@ -276,15 +276,32 @@
         self.reads = reads;
     }
 
-    /// Lets a read wait only where the replica is likely to be in time.
-    fn take_read(&mut self, fresh: Freshness, reply: oneshot::Sender<()>) {
+    /// Lets a read wait only where the replica takes work and is likely to be in time.
+    fn take_read(
+        &mut self,
+        fresh: Freshness,
+        reply: oneshot::Sender<Result<(), outcome::Refusal>>,
+    ) {
+        // Whoever asked may have stopped waiting.
+        if self.is_leaving(&fresh.member) {
+            let _ = reply.send(Err(outcome::Refusal::EndpointLeaving));
+            return;
+        }
         match self.wait_for(&fresh) {
-            // A dropped reply sends the read to the primary.
-            wait::Wait::Primary => {}
+            wait::Wait::Primary => {
+                let _ = reply.send(Err(outcome::Refusal::ReplicaBehind));
+            }
             wait::Wait::Ready | wait::Wait::AtMost(_) => self.reads.push((fresh, reply)),
         }
     }
 
+    /// Whether a member is to get no new work: its operators or the member itself say so.
+    fn is_leaving(&self, member: &name::MemberName) -> bool {
+        let declared = self.spec.as_ref().and_then(|s| s.member(member));
+        let report = self.confirmations.report(member.as_str());
+        declared.is_some_and(|m| m.draining) || report.is_some_and(|r| r.leaving)
+    }
+
     fn is_fresh(&self, fresh: &Freshness) -> bool {
         self.wait_for(fresh) == wait::Wait::Ready
     }
@@ -371,7 +388,8 @@
     /// Waits until a replica is fresh enough.
     ///
     /// # Errors
-    /// [`outcome::Refusal::ReplicaBehind`] when it takes longer than is worth waiting.
+    /// [`outcome::Refusal::ReplicaBehind`] when it takes longer than is worth waiting, and
+    /// [`outcome::Refusal::EndpointLeaving`] when the replica takes no new work.
     pub async fn await_fresh(
         &self,
         fresh: Freshness,
@@ -385,7 +403,7 @@
             .map_err(|_| outcome::Refusal::Stopping)?;
         let patience = tokio::time::Instant::now() + FRESH_PATIENCE;
         match tokio::time::timeout_at(deadline.min(patience), answer).await {
-            Ok(Ok(())) => Ok(()),
+            Ok(Ok(answer)) => answer,
             Ok(Err(_)) | Err(_) => Err(outcome::Refusal::ReplicaBehind),
         }
     }
--- a/crates/cardamomhold_session/tests/own_writes.rs
+++ b/crates/cardamomhold_session/tests/own_writes.rs
@@ -116,9 +116,9 @@
         Self {
             members,
             names: ["a", "b", "c"]
-                .map(|n| name::MemberName::parse(n).unwrap())
+                .map(|n| name::MemberName::parse(n).expect("name"))
                 .into(),
-            group: name::GroupName::parse("bookings").unwrap(),
+            group: name::GroupName::parse("bookings").expect("name"),
             secret,
             views: [view; INSTANCES],
             reign: view,
@@ -130,7 +130,7 @@
     }
 
     fn token(&self, session: usize) -> token::SessionToken {
-        token::SessionToken::decode(&self.sessions[session].text, &self.secret).unwrap()
+        token::SessionToken::decode(&self.sessions[session].text, &self.secret).expect("known")
     }
 
     fn take(&mut self, event: &Event) -> Result<(), TestCaseError> {
@@ -213,7 +213,7 @@
                 continue;
             }
             let mut token = self.token(pending.session);
-            token.observe(&self.group, pending.position).unwrap();
+            token.observe(&self.group, pending.position).expect("known");
             let session = &mut self.sessions[pending.session];
             session.text = token.encode(&self.secret);
             session.acked.push(pending.write);
@@ -275,7 +275,7 @@
     }
 
     fn index(&self, name: &name::MemberName) -> usize {
-        self.names.iter().position(|n| n == name).unwrap()
+        self.names.iter().position(|n| n == name).expect("known")
     }
 
     fn leader(&self, term: u64) -> Option<usize> {
@@ -313,7 +313,7 @@
             self.members[at].leads = false;
         }
         let newest = |at: &usize| (self.members[*at].term, self.members[*at].log.len());
-        let primary = fenced.into_iter().max_by_key(newest).unwrap();
+        let primary = fenced.into_iter().max_by_key(newest).expect("known");
         let member = &mut self.members[primary];
         member.term = term;
         member.follows = term;
--- a/crates/cardamomhold_session/tests/request_keys.rs
+++ b/crates/cardamomhold_session/tests/request_keys.rs
@@ -136,6 +136,7 @@
                     outcome,
                     replica: None,
                     forwarded,
+                    owner: None,
                 };
                 match retry.fail(now, attempt) {
                     retry::Step::Now | retry::Step::Later => {}
