Split the caller's, the attempt's and the lane's files; classify across comments

The first test of `statement::classify_all` said: left: [Plain, Copy, Plain], right: [Plain, Copy, End]: a comment's text was put back without the end of its line, so that the statement after `-- x` was taken for a part of the comment and its COMMIT went unseen.

Ruled out: passing a batch's statements on as the tokenizer writes them; what runs is the caller's own text, always.

--- /dev/null
+++ b/crates/cardamomhold_daemon/src/filter.rs
@@ -0,0 +1,58 @@
+//! Drops the answers to messages that the proxy added to a caller's batch.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use pgwire::messages;
+
+use crate::batch;
+use crate::relay;
+
+/// Drops the answers to messages that the caller did not send.
+/// Drops such answers from what an endpoint sends.
+#[derive(Debug)]
+pub struct Filter<'a> {
+    steps: std::slice::Iter<'a, batch::Step>,
+    is_needed: bool,
+    rest: BytesMut,
+}
+
+impl<'a> Filter<'a> {
+    /// A filter for the answer to a batch of these messages.
+    pub fn new(steps: &'a [batch::Step]) -> Self {
+        let is_needed = steps.contains(&batch::Step::AddedParse);
+        Self {
+            steps: steps.iter(),
+            is_needed,
+            rest: BytesMut::new(),
+        }
+    }
+
+    /// Appends what the caller is to see.
+    pub fn put(&mut self, frames: Bytes, out: &mut BytesMut) {
+        if !self.is_needed {
+            out.extend_from_slice(&frames);
+            return;
+        }
+        self.rest.extend_from_slice(&frames);
+        let context = messages::DecodeContext::default();
+        while let Ok(Some(message)) =
+            messages::PgWireBackendMessage::decode(&mut self.rest, &context)
+        {
+            if matches!(message, messages::PgWireBackendMessage::ParseComplete(_))
+                && self.is_added()
+            {
+                continue;
+            }
+            relay::put(out, &message);
+        }
+    }
+
+    /// Whether the parse that is answered next was added here.
+    fn is_added(&mut self) -> bool {
+        let mut parses = self
+            .steps
+            .by_ref()
+            .filter(|s| matches!(s, batch::Step::Parse | batch::Step::AddedParse));
+        parses.next() == Some(&batch::Step::AddedParse)
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/plan.rs
@@ -0,0 +1,147 @@
+//! The plan of one attempt: which member, through which owner, with which ticket.
+
+use std::time;
+
+use cardamomhold_config::config;
+use cardamomhold_core::name;
+use cardamomhold_core::outcome;
+use cardamomhold_group::spec;
+use cardamomhold_session::retry;
+use cardamomhold_session::route;
+use cardamomhold_wire::statement;
+
+use crate::batch;
+use crate::caller;
+use crate::lane;
+
+/// What one attempt needs.
+pub struct Plan {
+    /// What the owner must know.
+    pub ticket: lane::Ticket,
+    /// Address of the owner; none when it is this instance.
+    pub address: Option<String>,
+}
+
+/// Name of the kind of read that `BEGIN READ ONLY` stands for.
+const DEFAULT_KIND: &str = "default";
+
+impl caller::Caller {
+    pub(crate) fn guard_of(&self, batch: &batch::Batch) -> retry::Guard {
+        if !batch.executes() || batch.begins() || self.session.read_kind.is_some() {
+            return retry::Guard::Harmless;
+        }
+        match self.session.request_key {
+            Some(_) => retry::Guard::Key,
+            None => retry::Guard::None,
+        }
+    }
+
+    pub(crate) fn plan(
+        &mut self,
+        batch: &batch::Batch,
+        deadline: time::Duration,
+        retry: &retry::Retry,
+    ) -> Result<Plan, outcome::Refusal> {
+        let config = self.context.config.borrow().clone();
+        let spec = config
+            .group(&self.group)
+            .ok_or(outcome::Refusal::UnknownGroup)?;
+        let reign = config
+            .reign(&self.group)
+            .ok_or(outcome::Refusal::UnknownGroup)?;
+        let kind = self.kind_of(batch.class(), &config);
+        let seen = self.session.token.position(self.group.as_str());
+        let replicas = self.replicas(spec, reign.primary.as_ref(), retry);
+        let view = route::View {
+            term: reign.term,
+            primary: reign.primary.as_ref(),
+            replicas: &replicas,
+        };
+        self.spread = self.spread.wrapping_add(1);
+        let wants_replica = kind.is_some();
+        let (member, access) = match route::choose(view, wants_replica, seen, self.spread)? {
+            route::Route::Replica(member) => {
+                (member, lane::Access::ReadReplica(kind.unwrap_or_default()))
+            }
+            route::Route::Primary(member) if kind.is_some() => (member, lane::Access::ReadPrimary),
+            route::Route::Primary(member) => (member, lane::Access::Write),
+        };
+        let ticket = lane::Ticket {
+            group: self.group.clone(),
+            member: member.clone(),
+            term: reign.term,
+            rank: self.session.rank,
+            caller: self.caller.clone(),
+            deadline,
+            access,
+            request_key: self
+                .session
+                .request_key
+                .filter(|_| (batch.executes() || !batch.sync) && !access.is_read()),
+            begins: batch.begins(),
+            seen,
+            setup: self.session.setup().map(str::to_owned).collect(),
+        };
+        let address = self.owner_address(spec, member, retry)?;
+        Ok(Plan { ticket, address })
+    }
+
+    /// The accepted staleness of a declared read; none for everything else.
+    fn kind_of(&self, class: &statement::Class, config: &config::Config) -> Option<time::Duration> {
+        let default = name::KindName::parse(DEFAULT_KIND).ok();
+        let default = default.filter(|kind| config.read_rule(kind).is_some());
+        let kind = match class {
+            statement::Class::Begin { read_only: true } => {
+                self.session.read_kind.as_ref().or(default.as_ref())
+            }
+            _ => self.session.read_kind.as_ref(),
+        };
+        // A kind that is no more stays a read, at the primary.
+        let staleness = config.read_rule(kind?).map_or(0, |rule| rule.staleness_ms);
+        Some(time::Duration::from_millis(staleness))
+    }
+
+    fn replicas<'a>(
+        &self,
+        spec: &'a spec::GroupSpec,
+        primary: Option<&name::MemberName>,
+        retry: &retry::Retry,
+    ) -> Vec<route::Candidate<'a>> {
+        let mut replicas = Vec::new();
+        for member in &spec.members {
+            if Some(&member.name) == primary || member.draining {
+                continue;
+            }
+            if !retry.allows(&member.name) {
+                continue;
+            }
+            replicas.push(route::Candidate {
+                member: &member.name,
+                is_near: member.zone == self.context.zone,
+            });
+        }
+        replicas
+    }
+
+    /// Address of the instance that owns a member; none when it is this one.
+    ///
+    /// Owners that have said that they are stopping are passed over, even while the
+    /// list of instances does not know it yet.
+    fn owner_address(
+        &self,
+        spec: &spec::GroupSpec,
+        member: &name::MemberName,
+        retry: &retry::Retry,
+    ) -> Result<Option<String>, outcome::Refusal> {
+        let fleet = self.context.fleet.borrow().clone();
+        let fleet = fleet.without(retry.stopping());
+        let zone = &spec.member(member).ok_or(outcome::Refusal::NoPrimary)?.zone;
+        let owner = fleet
+            .owner(member, zone)
+            .ok_or(outcome::Refusal::OwnerUnreachable)?;
+        if owner.name == self.context.instance {
+            return Ok(None);
+        }
+        Ok(Some(owner.address.clone()))
+    }
+}
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -2,12 +2,10 @@
 
 use std::time;
 
-use cardamomhold_core::key;
 use cardamomhold_core::outcome;
 use cardamomhold_core::position;
 use cardamomhold_endpoint::connection;
 
-use crate::clock;
 use crate::endpoint;
 use crate::group;
 use crate::lane;
@@ -21,22 +19,8 @@
 pub const KEY_TABLE: &str = "CREATE TABLE IF NOT EXISTS cardamomhold_request_key \
      (request_key TEXT PRIMARY KEY, tag TEXT NOT NULL)";
 
-/// SQLSTATE of a key that is there already.
-const UNIQUE_VIOLATION: &str = "23505";
-
-/// Class of SQLSTATEs of integrity constraints.
-const INTEGRITY_CLASS: &str = "23";
-
-const SERIALIZATION_FAILURE: &str = "40001";
-const DEADLOCK: &str = "40P01";
-
 const ROLLBACK_TAG: &str = "ROLLBACK";
 
-/// Whether an error says for certain that a COMMIT has been rolled back.
-fn is_abort(code: &str) -> bool {
-    code.starts_with(INTEGRITY_CLASS) || code == SERIALIZATION_FAILURE || code == DEADLOCK
-}
-
 /// What the work needs besides its lane.
 #[derive(Debug, Clone)]
 pub struct Context {
@@ -66,14 +50,15 @@
     }
 }
 
-struct Work {
-    context: Context,
+/// The work of one lane.
+pub struct Work {
+    pub(crate) context: Context,
     lease: lease::Lease,
     deadline: tokio::time::Instant,
     is_read: bool,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     is_synced: bool,
-    progress: relay::Progress,
+    pub(crate) progress: relay::Progress,
 }
 
 /// What comes after a batch.
@@ -86,14 +71,6 @@
     Ended(outcome::Refusal),
 }
 
-/// What the guard of a request key found.
-enum Guard {
-    /// The transaction may go on.
-    Passed,
-    /// The key ran before.
-    Repeated(lane::Failure),
-}
-
 impl Work {
     async fn admit(context: Context, ticket: &lane::Ticket) -> Result<Self, outcome::Refusal> {
         let deadline = tokio::time::Instant::now() + ticket.deadline;
@@ -243,7 +220,7 @@
             .map_err(|_| lane::Failure::NotRun(outcome::Refusal::ConnectFailed))
     }
 
-    async fn query(
+    pub(crate) async fn query(
         &mut self,
         statement: &str,
     ) -> Result<Option<connection::Row>, connection::ConnectionError> {
@@ -254,110 +231,6 @@
         }
     }
 
-    fn check_age(&self, key: key::RequestKey) -> Result<(), lane::Failure> {
-        if key.is_expired(clock::unix_now(), self.context.retention) {
-            return Err(lane::Failure::Unknown(outcome::Doubt::KeyExpired));
-        }
-        Ok(())
-    }
-
-    /// Records the transaction's key, unless it is recorded already.
-    async fn pass(
-        &mut self,
-        ticket: &lane::Ticket,
-        key: Option<key::RequestKey>,
-    ) -> Result<(), lane::Failure> {
-        let Some(key) = key else {
-            return Ok(());
-        };
-        match self.record(ticket, key).await? {
-            Guard::Passed => Ok(()),
-            Guard::Repeated(failure) => Err(failure),
-        }
-    }
-
-    async fn record(
-        &mut self,
-        ticket: &lane::Ticket,
-        key: key::RequestKey,
-    ) -> Result<Guard, lane::Failure> {
-        let insert =
-            format!("INSERT INTO cardamomhold_request_key (request_key, tag) VALUES ('{key}', '')");
-        match self.query(&insert).await {
-            Ok(_) => Ok(Guard::Passed),
-            Err(connection::ConnectionError::Failed { code }) if code == UNIQUE_VIOLATION => {
-                Ok(Guard::Repeated(self.repeat(ticket, key).await?))
-            }
-            Err(error) => Err(self.doubt(&error.into())),
-        }
-    }
-
-    /// The answer to a key that has run: what was kept with it, once that is confirmed.
-    async fn repeat(
-        &mut self,
-        ticket: &lane::Ticket,
-        key: key::RequestKey,
-    ) -> Result<lane::Failure, lane::Failure> {
-        let select =
-            format!("SELECT tag FROM cardamomhold_request_key WHERE request_key = '{key}'");
-        let row = match self.query("ROLLBACK").await {
-            Ok(_) => self.query(&select).await,
-            Err(error) => Err(error),
-        };
-        let Ok(Some(row)) = row else {
-            return Err(lane::Failure::Unknown(outcome::Doubt::ConnectionLost));
-        };
-        let written = self.confirmed_position(ticket).await?;
-        Ok(lane::Failure::Ran {
-            tag: row.text(0).unwrap_or_default().to_owned(),
-            written,
-        })
-    }
-
-    /// Ends the transaction that the guard of a single statement opened.
-    async fn unwrap(
-        &mut self,
-        ticket: &lane::Ticket,
-        ended: &relay::Ended,
-    ) -> Result<lane::Status, lane::Failure> {
-        match ended.status {
-            lane::Status::Idle => return Ok(lane::Status::Idle),
-            lane::Status::Failed => {
-                let rolled_back = self.query("ROLLBACK").await;
-                rolled_back.map_err(|e| self.doubt(&e.into()))?;
-                return Ok(lane::Status::Idle);
-            }
-            lane::Status::Transaction => {}
-        }
-        let Some(key) = ticket.request_key else {
-            return Ok(lane::Status::Idle);
-        };
-        let tag = self.kept_tag(&ended.tag);
-        let update = format!(
-            "UPDATE cardamomhold_request_key SET tag = '{tag}' WHERE request_key = '{key}'"
-        );
-        self.query(&update)
-            .await
-            .map_err(|e| self.doubt(&e.into()))?;
-        self.may_have_run = true;
-        match self.query("COMMIT").await {
-            Ok(_) => Ok(lane::Status::Idle),
-            Err(connection::ConnectionError::Failed { code }) if is_abort(&code) => {
-                Err(lane::Failure::NotRun(outcome::Refusal::ConnectFailed))
-            }
-            Err(error) => Err(self.doubt(&error.into())),
-        }
-    }
-
-    /// The tag that a repeated key is answered with; none for an answer of which the tag
-    /// is only a part.
-    fn kept_tag(&self, tag: &str) -> String {
-        if self.progress.has_rows || self.progress.completed != 1 {
-            return String::new();
-        }
-        tag.replace('\'', "")
-    }
-
     async fn relay(
         &mut self,
         end: &mut lane::LaneEnd,
@@ -398,7 +271,7 @@
     }
 
     /// The failure for an error after which the outcome may be unknown.
-    fn doubt(&self, error: &relay::RelayError) -> lane::Failure {
+    pub(crate) fn doubt(&self, error: &relay::RelayError) -> lane::Failure {
         if !self.may_have_run || (self.is_read && !self.progress.forwarded) {
             return lane::Failure::NotRun(outcome::Refusal::ConnectFailed);
         }
@@ -426,7 +299,7 @@
         self.confirmed_position(ticket).await.map(Some)
     }
 
-    async fn confirmed_position(
+    pub(crate) async fn confirmed_position(
         &mut self,
         ticket: &lane::Ticket,
     ) -> Result<position::Position, lane::Failure> {
--- a/crates/cardamomhold_wire/src/statement.rs
+++ b/crates/cardamomhold_wire/src/statement.rs
@@ -277,6 +277,11 @@
             statements.push(std::mem::take(&mut current));
             continue;
         }
+        if matches!(token, tokenizer::Token::Whitespace(_)) {
+            // The text of a comment does not bring the line's end that closes it.
+            current.push(' ');
+            continue;
+        }
         current.push_str(&token.to_string());
     }
     statements.push(current);
