Decide the change of primary in the group aggregate

Cause: a group had no change of primary. The driver is now a state machine that keeps no step to itself: what is to be done follows from the group's object and the members' reports, so another instance can go on at any point.

Ruled out: a lock or lease of one driver (lapses while its holder is paused); remembering the fence replies in the driver (lost with it); promoting before the choice is written (two drivers could promote two members in one term).

Found by the fuzz and mended: - A replica that joined a term before it held the term's start counted as one of that term. Replicas now take a term on once they hold its start; in the stand-in the test printed left [Term(2), Term(2)], right [Term(1), Term(2)] before. - A member that was chosen but not yet promoted was replaced for ever, since the replicas' silence of the term before counted against it ('no recovery', term 199). Silence now counts only from replicas of the primary's own term while the primary is in reach. - A wanted switchover kept restarted replicas from being told to follow ('no recovery'). Both are now done side by side.

--- a/crates/cardamomhold_group/src/lib.rs
+++ b/crates/cardamomhold_group/src/lib.rs
@@ -11,10 +11,15 @@
 //! assert_eq!(reign.term, Term(1));
 //! ```
 
+pub mod change;
+pub mod choice;
 pub mod confirm;
+pub mod detect;
+pub mod event;
 pub mod reign;
 pub mod spec;
 pub mod status;
+mod step;
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
--- a/crates/cardamomhold_group/src/status.rs
+++ b/crates/cardamomhold_group/src/status.rs
@@ -35,6 +35,11 @@
 }
 
 impl MemberStatus {
+    /// Whether the member takes writes as the primary of that term.
+    pub fn is_primary_of(&self, term: position::Term) -> bool {
+        self.role == MemberRole::Primary && self.term == term && self.fenced <= term
+    }
+
     /// Whether this report confirms a commit at `position`.
     ///
     /// A member that was fenced at a later term no longer confirms, even while
--- /dev/null
+++ b/crates/cardamomhold_group/src/step.rs
@@ -0,0 +1,223 @@
+//! The steps of a change of primary: which commands a duty leads to.
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+
+use crate::change;
+use crate::choice;
+use crate::event;
+use crate::reign;
+
+impl change::Change {
+    /// Whether a command may go to the member now; if so, takes note of it.
+    fn may_ask(&mut self, now: Timestamp, member: &name::MemberName) -> bool {
+        let Some(member) = self.members.get_mut(member) else {
+            return false;
+        };
+        if member.reach.is_lost() || now < member.next_ask {
+            return false;
+        }
+        member.next_ask = now.after(change::ASK_RETRY);
+        true
+    }
+
+    fn may_call(&mut self, now: Timestamp) -> bool {
+        if self.is_calling || now < self.next_call {
+            return false;
+        }
+        self.is_calling = true;
+        true
+    }
+
+    pub(crate) fn read(&mut self, now: Timestamp) -> Vec<event::Command> {
+        if !self.may_call(now) {
+            return Vec::new();
+        }
+        // A read that shows nothing new is not repeated at once.
+        self.next_call = now.after(change::STORE_PAUSE);
+        vec![event::Command::Read]
+    }
+
+    pub(crate) fn write(&mut self, now: Timestamp, reign: reign::Reign) -> Vec<event::Command> {
+        if !self.may_call(now) {
+            return Vec::new();
+        }
+        let expected = self.version;
+        vec![event::Command::Write { reign, expected }]
+    }
+
+    pub(crate) fn probe(&mut self, now: Timestamp) -> Vec<event::Command> {
+        let mut commands = Vec::new();
+        let pause = self.pause(now);
+        let names: Vec<name::MemberName> = self.members.keys().cloned().collect();
+        for member in names {
+            let age = self.members.get(&member).map(|m| now.since(m.at));
+            if age.is_some_and(|a| a < pause) {
+                continue;
+            }
+            if self.may_ask(now, &member) {
+                commands.push(event::Command::Probe { member });
+            }
+        }
+        commands
+    }
+
+    pub(crate) fn start(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
+        let next = reign::Reign {
+            term: reign.term.next(),
+            primary: None,
+            wanted: reign.wanted.clone(),
+        };
+        let term = next.term;
+        let commands = self.write(now, next);
+        if !commands.is_empty() {
+            self.started = term;
+        }
+        commands
+    }
+
+    pub(crate) fn choose(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
+        let mut frozen = Vec::new();
+        for (name, member) in &self.members {
+            let Some(report) = member.up() else {
+                continue;
+            };
+            if report.fenced == reign.term && report.term < reign.term {
+                frozen.push(choice::Frozen {
+                    member: name,
+                    held: position::Position::new(report.term, report.received),
+                    is_welcome: member.is_welcome(),
+                });
+            }
+        }
+        if let Some(chosen) = choice::choose(&frozen, self.majority, reign.wanted.as_ref()) {
+            let next = reign::Reign {
+                term: reign.term,
+                primary: Some(chosen.clone()),
+                wanted: None,
+            };
+            return self.write(now, next);
+        }
+        self.fence(now, reign.term)
+    }
+
+    fn fence(&mut self, now: Timestamp, term: position::Term) -> Vec<event::Command> {
+        let mut commands = Vec::new();
+        let names: Vec<name::MemberName> = self.members.keys().cloned().collect();
+        for member in names {
+            let report = self.members.get(&member).and_then(change::Member::up);
+            if report.is_some_and(|r| r.fenced >= term) {
+                continue;
+            }
+            if self.may_ask(now, &member) {
+                commands.push(event::Command::Fence { member, term });
+            }
+        }
+        commands
+    }
+
+    pub(crate) fn promote(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
+        let term = reign.term;
+        match &reign.primary {
+            Some(member) if self.may_ask(now, member) => {
+                let member = member.clone();
+                vec![event::Command::Promote { member, term }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    pub(crate) fn lead(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
+        let mut commands = Vec::new();
+        let Some(primary) = &reign.primary else {
+            return commands;
+        };
+        for member in self.strays(reign.term, primary) {
+            if !self.may_ask(now, &member) {
+                continue;
+            }
+            commands.push(event::Command::Follow {
+                member,
+                term: reign.term,
+                primary: primary.clone(),
+            });
+        }
+        commands
+    }
+
+    /// Whether a planned change is asked for and another member could take over.
+    pub(crate) fn has_target(&self, reign: &reign::Reign, primary: &name::MemberName) -> bool {
+        let Some(current) = self.members.get(primary) else {
+            return false;
+        };
+        if reign.wanted.as_ref() == Some(primary) {
+            return false;
+        }
+        if reign.wanted.is_none() && current.is_welcome() {
+            return false;
+        }
+        self.target(reign, primary).is_some()
+    }
+
+    /// The member that is to take over, the one that is furthest unless one is named.
+    fn target(
+        &self,
+        reign: &reign::Reign,
+        primary: &name::MemberName,
+    ) -> Option<position::LogPosition> {
+        let strays = self.strays(reign.term, primary);
+        let mut best = None;
+        for (name, member) in &self.members {
+            if name == primary || !member.is_welcome() || strays.contains(name) {
+                continue;
+            }
+            if reign.wanted.as_ref().is_some_and(|w| w != name) {
+                continue;
+            }
+            let report = member.up().filter(|r| r.term == reign.term);
+            best = best.max(report.map(|r| r.received));
+        }
+        best
+    }
+
+    /// Holds new writes back for a while before a planned change.
+    pub(crate) fn hold(&mut self, now: Timestamp) {
+        let waited = self.held.map(|h| now.since(h));
+        self.is_holding = waited.is_some_and(|w| w < change::HOLD_LIMIT);
+    }
+
+    pub(crate) fn hand_over(
+        &mut self,
+        now: Timestamp,
+        reign: &reign::Reign,
+    ) -> Vec<event::Command> {
+        let mut commands = self.lead(now, reign);
+        let held = *self.held.get_or_insert(now);
+        self.hold(now);
+        let waited = now.since(held);
+        if waited >= change::HOLD_LIMIT + change::HOLD_PAUSE {
+            self.held = None;
+        }
+        if waited >= change::HOLD_LIMIT {
+            return commands;
+        }
+        let is_quiet = self.writers == 0 || waited >= change::HOLD_GRACE;
+        if is_quiet && self.is_level(held.max(self.quiet), reign) {
+            commands.extend(self.start(now, reign));
+            return commands;
+        }
+        commands.extend(self.probe(now));
+        commands
+    }
+
+    /// Whether the target holds all that the primary reported after `since`.
+    fn is_level(&self, since: Timestamp, reign: &reign::Reign) -> bool {
+        let Some(primary) = &reign.primary else {
+            return false;
+        };
+        let current = self.members.get(primary).filter(|m| m.at > since);
+        let end = current.and_then(change::Member::up).map(|r| r.received);
+        end.is_some() && end <= self.target(reign, primary)
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_group/tests/world/mod.rs
@@ -0,0 +1,518 @@
+//! A small world for the driver of changes: members, a platform, and drivers that pause,
+//! die and lose messages between any two steps.
+
+pub mod member;
+pub mod oracle;
+pub mod store;
+
+use std::collections;
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_group::change;
+use cardamomhold_group::confirm;
+use cardamomhold_group::detect;
+use cardamomhold_group::event;
+use cardamomhold_group::reign;
+use cardamomhold_group::spec;
+use cardamomhold_group::status;
+
+/// Drivers in the world.
+pub const DRIVERS: usize = 3;
+
+/// Rounds in which a whole world must be well again: some seconds of its time.
+const RECOVERY: usize = 600;
+
+/// Time of one round.
+const ROUND: time::Duration = time::Duration::from_millis(25);
+
+/// A rule of the members that a check switches off to see the oracle object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    /// All rules hold.
+    Nothing,
+    /// A replica takes the new term on before it holds the term's start.
+    EarlyTerm,
+    /// Members say that they are fenced, and go on as before.
+    Fence,
+}
+
+/// One thing that happens.
+#[derive(Debug, Clone, Copy)]
+pub enum Action {
+    Write(usize),
+    Round(usize),
+    Poll(usize),
+    Deliver(usize),
+    Drop(usize),
+    Replicate(usize, usize),
+    Kill(usize),
+    Restart(usize),
+    Freeze(usize),
+    Thaw(usize),
+    CutMembers(usize, usize),
+    CutDriver(usize, usize),
+    Isolate(usize),
+    Heal,
+    Pause(usize),
+    Resume(usize),
+    Replace(usize),
+    StoreDown(bool),
+    LoseAnswer,
+    Want(usize),
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    ToMember(usize, event::Command),
+    Reply(usize, usize, Option<status::MemberStatus>),
+    Probed(usize, usize, Option<status::MemberStatus>),
+    ToStore(usize, event::Command),
+    Stored(usize, Option<(reign::Reign, u64)>),
+}
+
+struct Driver {
+    change: change::Change,
+    confirmations: confirm::Confirmations,
+    pending: Vec<(u64, position::Position)>,
+    paused: bool,
+}
+
+pub struct World {
+    broken: Broken,
+    now: Timestamp,
+    spec: spec::GroupSpec,
+    members: Vec<member::Member>,
+    drivers: Vec<Driver>,
+    store: store::Store,
+    messages: collections::VecDeque<(usize, Message)>,
+    cut_members: collections::BTreeSet<(usize, usize)>,
+    cut_drivers: collections::BTreeSet<(usize, usize)>,
+    next_write: u64,
+    pub oracle: oracle::Oracle,
+}
+
+fn name_of(at: usize) -> name::MemberName {
+    name::MemberName::parse(&format!("m{at}")).expect("name")
+}
+
+fn index_of(name: &name::MemberName) -> usize {
+    name.as_str()[1..].parse().expect("number")
+}
+
+impl World {
+    pub fn new(count: usize, broken: Broken) -> Self {
+        let zone = name::ZoneName::parse("a").expect("name");
+        let mut members = Vec::new();
+        for at in 0..count {
+            members.push(spec::MemberSpec {
+                name: name_of(at),
+                zone: zone.clone(),
+                address: String::new(),
+                draining: false,
+            });
+        }
+        let spec = spec::GroupSpec {
+            members,
+            slots: 3,
+            connections: 50,
+            key_retention_s: 60,
+        };
+        let mut world = Self {
+            broken,
+            now: Timestamp::from_millis(1_000),
+            members: (0..count).map(|at| member::Member::new(at == 0)).collect(),
+            drivers: Vec::new(),
+            store: store::Store {
+                reign: reign::Reign::first(name_of(0)),
+                version: 0,
+                is_down: false,
+                lost_answers: 0,
+            },
+            messages: collections::VecDeque::new(),
+            cut_members: collections::BTreeSet::new(),
+            cut_drivers: collections::BTreeSet::new(),
+            next_write: 0,
+            oracle: oracle::Oracle::default(),
+            spec,
+        };
+        for at in 0..DRIVERS {
+            let driver = world.new_driver(at);
+            world.drivers.push(driver);
+        }
+        world
+    }
+
+    fn new_driver(&self, at: usize) -> Driver {
+        let mut change = change::Change::default();
+        change.reshape(&self.spec);
+        let place = event::Place {
+            rank: at as u32,
+            owns_primary: at == 0,
+        };
+        change.observe(self.now, event::Event::Place(place));
+        let majority = self.spec.majority();
+        Driver {
+            change,
+            confirmations: confirm::Confirmations::new(majority),
+            pending: Vec::new(),
+            paused: false,
+        }
+    }
+
+    pub fn act(&mut self, action: Action) -> Result<(), String> {
+        let (count, drivers) = (self.members.len(), DRIVERS);
+        match action {
+            Action::Write(d) => self.write(d % drivers)?,
+            Action::Round(n) => {
+                for _ in 0..n {
+                    self.round()?;
+                }
+            }
+            Action::Poll(d) => self.poll(d % drivers),
+            Action::Deliver(at) if !self.messages.is_empty() => {
+                let at = at % self.messages.len();
+                self.deliver(at)?;
+            }
+            Action::Drop(at) if !self.messages.is_empty() => {
+                let at = at % self.messages.len();
+                self.lose(at);
+            }
+            Action::Deliver(_) | Action::Drop(_) => {}
+            Action::Replicate(m, n) => self.replicate(m % count, 1 + n),
+            Action::Kill(m) => self.members[m % count].alive = false,
+            Action::Restart(m) => {
+                let member = &mut self.members[m % count];
+                if !member.alive {
+                    member.restart();
+                }
+            }
+            Action::Freeze(m) => self.members[m % count].frozen = true,
+            Action::Thaw(m) => self.members[m % count].frozen = false,
+            Action::CutMembers(a, b) => {
+                self.cut_members.insert((a % count, b % count));
+                self.cut_members.insert((b % count, a % count));
+            }
+            Action::CutDriver(d, m) => {
+                self.cut_drivers.insert((d % drivers, m % count));
+            }
+            Action::Isolate(m) => self.isolate(m % count),
+            Action::Heal => {
+                self.cut_members.clear();
+                self.cut_drivers.clear();
+            }
+            Action::Pause(d) => self.drivers[d % drivers].paused = true,
+            Action::Resume(d) => self.drivers[d % drivers].paused = false,
+            Action::Replace(d) => self.drivers[d % drivers] = self.new_driver(d % drivers),
+            Action::StoreDown(is_down) => self.store.is_down = is_down,
+            Action::LoseAnswer => self.store.lost_answers += 1,
+            Action::Want(m) => self.want(m % count),
+        }
+        Ok(())
+    }
+
+    /// A zone that is cut off: the member, and the driver that is with it.
+    fn isolate(&mut self, m: usize) {
+        for other in (0..self.members.len()).filter(|o| *o != m) {
+            self.cut_members.insert((m, other));
+            self.cut_members.insert((other, m));
+        }
+        for d in (0..DRIVERS).filter(|d| *d != m) {
+            self.cut_drivers.insert((d, m));
+        }
+    }
+
+    fn want(&mut self, m: usize) {
+        let mut reign = self.store.reign.clone();
+        reign.wanted = Some(name_of(m));
+        let version = self.store.version;
+        self.store.write(&reign, version);
+    }
+
+    /// A stretch in which everything that can go on does so, in order.
+    fn round(&mut self) -> Result<(), String> {
+        self.now = self.now.after(ROUND);
+        for m in 0..self.members.len() {
+            self.replicate(m, 4);
+        }
+        for d in 0..DRIVERS {
+            self.watch(d)?;
+            self.poll(d);
+        }
+        for _ in 0..self.messages.len() * 3 {
+            if !self.messages.is_empty() {
+                self.deliver(0)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn reaches(&self, d: usize, m: usize) -> bool {
+        self.members[m].answers() && !self.cut_drivers.contains(&(d, m))
+    }
+
+    /// The monitors and the watch of a driver.
+    fn watch(&mut self, d: usize) -> Result<(), String> {
+        if self.drivers[d].paused {
+            return Ok(());
+        }
+        if let store::Answer::Object(reign, version) = self.store.read() {
+            self.see_reign(d, &reign, version);
+        }
+        for m in 0..self.members.len() {
+            let status = self.reaches(d, m).then(|| self.members[m].status(self.now));
+            self.see_member(d, m, status)?;
+        }
+        Ok(())
+    }
+
+    fn see_reign(&mut self, d: usize, reign: &reign::Reign, version: u64) {
+        let event = event::Event::Reign { reign, version };
+        self.drivers[d].change.observe(self.now, event);
+    }
+
+    fn see_member(
+        &mut self,
+        d: usize,
+        m: usize,
+        status: Option<status::MemberStatus>,
+    ) -> Result<(), String> {
+        let member = &name_of(m);
+        let driver = &mut self.drivers[d];
+        let Some(status) = &status else {
+            let reach = if self.members[m].alive {
+                detect::Reach::Timeout
+            } else {
+                detect::Reach::Closed
+            };
+            driver
+                .change
+                .observe(self.now, event::Event::Lost { member, reach });
+            return Ok(());
+        };
+        driver
+            .change
+            .observe(self.now, event::Event::Report { member, status });
+        driver.confirmations.observe(member, status);
+        self.settle(d)
+    }
+
+    /// Acknowledges what is confirmed, by the daemon's rule.
+    fn settle(&mut self, d: usize) -> Result<(), String> {
+        let driver = &mut self.drivers[d];
+        let mut left = Vec::new();
+        for (write, position) in std::mem::take(&mut driver.pending) {
+            if driver.confirmations.is_confirmed(position) {
+                self.oracle.acknowledged(write)?;
+            } else if driver.confirmations.newest_term() <= position.term {
+                left.push((write, position));
+            }
+        }
+        self.drivers[d].pending = left;
+        Ok(())
+    }
+
+    fn poll(&mut self, d: usize) {
+        if self.drivers[d].paused {
+            return;
+        }
+        for command in self.drivers[d].change.poll(self.now) {
+            let message = match &command {
+                event::Command::Write { .. } | event::Command::Read => Message::ToStore(d, command),
+                event::Command::Fence { member, .. }
+                | event::Command::Promote { member, .. }
+                | event::Command::Follow { member, .. }
+                | event::Command::Probe { member } => {
+                    Message::ToMember(index_of(member), command.clone())
+                }
+            };
+            self.messages.push_back((d, message));
+        }
+    }
+
+    fn lose(&mut self, at: usize) {
+        let Some((d, message)) = self.messages.remove(at) else {
+            return;
+        };
+        let answer = match message {
+            Message::ToMember(m, event::Command::Probe { .. }) => Message::Probed(d, m, None),
+            Message::ToMember(m, _) => Message::Reply(d, m, None),
+            Message::ToStore(d, _) => Message::Stored(d, None),
+            // An answer is lost by its timeout.
+            Message::Probed(d, m, _) => Message::Probed(d, m, None),
+            Message::Reply(d, m, _) => Message::Reply(d, m, None),
+            Message::Stored(d, _) => Message::Stored(d, None),
+        };
+        self.messages.push_back((d, answer));
+    }
+
+    fn deliver(&mut self, at: usize) -> Result<(), String> {
+        let Some((d, message)) = self.messages.remove(at) else {
+            return Ok(());
+        };
+        match message {
+            Message::ToMember(m, command) => {
+                let status = self.command(d, m, &command)?;
+                let answer = match command {
+                    event::Command::Probe { .. } => Message::Probed(d, m, status),
+                    _ => Message::Reply(d, m, status),
+                };
+                self.messages.push_back((d, answer));
+            }
+            Message::ToStore(_, command) => {
+                let answer = match command {
+                    event::Command::Write { reign, expected } => self.store.write(&reign, expected),
+                    _ => self.store.read(),
+                };
+                let seen = match answer {
+                    store::Answer::Object(reign, version) => Some((reign, version)),
+                    store::Answer::Lost => None,
+                };
+                self.messages.push_back((d, Message::Stored(d, seen)));
+            }
+            answer if self.drivers[d].paused => self.messages.push_back((d, answer)),
+            Message::Reply(_, m, status) | Message::Probed(_, m, status) => {
+                let done = status.is_some();
+                if done {
+                    self.see_member(d, m, status)?;
+                }
+                let member = &name_of(m);
+                let event = event::Event::Answered { member, done };
+                self.drivers[d].change.observe(self.now, event);
+            }
+            Message::Stored(_, seen) => {
+                let event = match &seen {
+                    Some((reign, version)) => {
+                        self.see_reign(d, reign, *version);
+                        event::Event::Stored
+                    }
+                    None => event::Event::StoreLost,
+                };
+                self.drivers[d].change.observe(self.now, event);
+            }
+        }
+        Ok(())
+    }
+
+    fn command(
+        &mut self,
+        d: usize,
+        m: usize,
+        command: &event::Command,
+    ) -> Result<Option<status::MemberStatus>, String> {
+        if !self.reaches(d, m) {
+            return Ok(None);
+        }
+        let broken = self.broken;
+        let member = &mut self.members[m];
+        let done = match command {
+            event::Command::Fence { term, .. } if broken == Broken::Fence => {
+                let mut status = member.status(self.now);
+                status.fenced = *term;
+                return Ok(Some(status));
+            }
+            event::Command::Fence { term, .. } => member.fence(*term),
+            event::Command::Promote { term, .. } => {
+                if broken == Broken::Fence {
+                    member.fenced = member.fenced.max(*term);
+                }
+                let done = member.promote(*term);
+                if done {
+                    let log = member.log.clone();
+                    self.oracle.promoted(*term, m, &log)?;
+                }
+                done
+            }
+            event::Command::Follow { term, primary, .. } => member.follow(*term, index_of(primary)),
+            _ => true,
+        };
+        Ok(done.then(|| self.members[m].status(self.now)))
+    }
+
+    fn replicate(&mut self, m: usize, most: usize) {
+        let Some(primary) = self.members[m].following else {
+            return;
+        };
+        let is_cut = self.cut_members.contains(&(m, primary));
+        if is_cut || !self.members[m].answers() || !self.members[primary].answers() {
+            return;
+        }
+        let source = self.members[primary].clone();
+        let early = self.broken == Broken::EarlyTerm;
+        self.members[m].receive(&source, self.now, most, early);
+    }
+
+    /// A caller's write through one instance.
+    fn write(&mut self, d: usize) -> Result<(), String> {
+        if self.drivers[d].paused {
+            return Ok(());
+        }
+        let Some((primary, term)) = self.drivers[d].change.serving() else {
+            return Ok(());
+        };
+        let (m, primary) = (index_of(primary), primary.clone());
+        if !self.reaches(d, m) || !self.members[m].is_primary() {
+            return Ok(());
+        }
+        let of = self.members[m].term;
+        let write = self.next_write;
+        self.next_write += 1;
+        self.members[m].log.push((of, write));
+        let fenced = self.members.iter().filter(|f| f.fenced > of).count();
+        self.oracle.took(write, of, fenced >= self.spec.majority());
+        if of != term {
+            return Ok(());
+        }
+        let end = position::LogPosition(self.members[m].log.len() as u64);
+        let position = position::Position::new(of, end);
+        self.drivers[d].confirmations.note(&primary, position);
+        self.drivers[d].pending.push((write, position));
+        self.settle(d)
+    }
+
+    /// Ends every fault; the group must come to serve again, with nothing lost.
+    pub fn recover(&mut self) -> Result<(), String> {
+        self.act(Action::Heal)?;
+        self.store.is_down = false;
+        for member in &mut self.members {
+            member.frozen = false;
+            if !member.alive {
+                member.restart();
+            }
+        }
+        for driver in &mut self.drivers {
+            driver.paused = false;
+        }
+        let before = self.oracle.acknowledged.len();
+        for _ in 0..RECOVERY {
+            self.round()?;
+            if !self.is_whole() {
+                continue;
+            }
+            for d in 0..DRIVERS {
+                self.write(d)?;
+            }
+            self.round()?;
+            if self.oracle.acknowledged.len() >= before + DRIVERS {
+                return self.check_members();
+            }
+        }
+        Err(format!("no recovery: {:?} {:?}", self.store, self.members))
+    }
+
+    fn is_whole(&self) -> bool {
+        let term = self.store.reign.term;
+        let led = self.members.iter().filter(|m| m.is_primary()).count();
+        led == 1 && self.members.iter().all(|m| m.term == term)
+    }
+
+    fn check_members(&self) -> Result<(), String> {
+        let term = self.store.reign.term;
+        for member in self.members.iter().filter(|m| m.is_primary()) {
+            self.oracle.check_log(term, &member.log)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/cardamomhold_standin/src/follow.rs
+++ b/crates/cardamomhold_standin/src/follow.rs
@@ -94,7 +94,7 @@
     let body = data.get(4..)?;
     let item: Item = serde_json::from_slice(body).ok()?;
     Some(match item {
-        Item::Start(at) => member::Request::Joined(term, position::LogPosition(at)),
+        Item::Start { at, first } => member::Request::Joined { term, at, first },
         Item::Entries(entries) => member::Request::Received(term, entries),
     })
 }
@@ -102,8 +102,13 @@
 /// One row of a replication stream.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 pub enum Item {
-    /// The stream starts after this position.
-    Start(u64),
+    /// The stream starts.
+    Start {
+        /// Position after which its entries come; the follower cuts what lies beyond.
+        at: position::LogPosition,
+        /// Position after which the term's own entries come.
+        first: position::LogPosition,
+    },
     /// Entries; none for a heartbeat.
     Entries(Vec<log::Entry>),
 }
--- a/crates/cardamomhold_standin/src/log.rs
+++ b/crates/cardamomhold_standin/src/log.rs
@@ -101,6 +101,12 @@
     common
 }
 
+/// The end of what was written before a term.
+pub fn end_before(segments: &[Segment], term: position::Term) -> position::LogPosition {
+    let older = segments.iter().filter(|s| s.term < term);
+    older.map(|s| s.end).max().unwrap_or_default()
+}
+
 /// Writes segments as `term:end,term:end`; `-` stands for an empty log.
 pub fn format_segments(segments: &[Segment]) -> String {
     if segments.is_empty() {
--- a/crates/cardamomhold_standin/src/member.rs
+++ b/crates/cardamomhold_standin/src/member.rs
@@ -87,8 +87,15 @@
     Promote(position::Term, oneshot::Sender<bool>),
     /// Makes the member follow a primary.
     Follow(position::Term, String, oneshot::Sender<bool>),
-    /// From the follower task: the stream of a term starts after a position.
-    Joined(position::Term, position::LogPosition),
+    /// From the follower task: the stream of a term starts.
+    Joined {
+        /// The term.
+        term: position::Term,
+        /// Position after which the stream's entries come.
+        at: position::LogPosition,
+        /// Position after which the term's own entries come.
+        first: position::LogPosition,
+    },
     /// From the follower task: entries of a term, which may be none.
     Received(position::Term, Vec<log::Entry>),
 }
@@ -127,6 +134,8 @@
     pending: collections::VecDeque<Pending>,
     publisher: watch::Sender<Published>,
     follower: Option<tokio::task::JoinHandle<()>>,
+    /// Where the followed term starts, once its stream has begun.
+    joined: Option<position::LogPosition>,
     requests: mpsc::WeakSender<Request>,
 }
 
@@ -165,6 +174,7 @@
         pending: collections::VecDeque::new(),
         publisher,
         follower: None,
+        joined: None,
         requests: sender.downgrade(),
     };
     tokio::spawn(member.run(receiver, kept.sink));
@@ -256,7 +266,7 @@
             Request::Follow(term, address, reply) => {
                 let _ = reply.send(self.follow(term, address));
             }
-            Request::Joined(term, at) => self.joined(term, at),
+            Request::Joined { term, at, first } => self.joined(term, at, first),
             Request::Received(term, entries) => self.received(term, entries),
         }
     }
@@ -374,9 +384,15 @@
         if let Some(task) = self.follower.take() {
             task.abort();
         }
+        self.joined = None;
     }
 
-    fn joined(&mut self, term: position::Term, at: position::LogPosition) {
+    fn joined(
+        &mut self,
+        term: position::Term,
+        at: position::LogPosition,
+        first: position::LogPosition,
+    ) {
         if term != self.status().fenced || self.is_primary() {
             return;
         }
@@ -384,13 +400,25 @@
             self.log.truncate(at);
             self.rebuild();
         }
+        self.joined = Some(first);
         let now = time::Instant::now();
         let end = self.log.end();
         self.publisher.send_modify(|p| {
-            p.status.term = term;
             p.status.received = end;
             p.heard = now;
         });
+        self.take_term(term);
+    }
+
+    /// Takes a followed term on once everything before the term's start is here.
+    ///
+    /// Before that the log may lack confirmed entries of older terms, and must not count
+    /// as one of the new term.
+    fn take_term(&mut self, term: position::Term) {
+        let end = self.log.end();
+        if self.joined.is_some_and(|first| end >= first) {
+            self.publisher.send_modify(|p| p.status.term = term);
+        }
     }
 
     fn rebuild(&mut self) {
@@ -412,8 +440,8 @@
     }
 
     fn received(&mut self, term: position::Term, entries: Vec<log::Entry>) {
-        let status = self.status();
-        if term != status.term || term != status.fenced || self.is_primary() {
+        let is_stale = self.joined.is_none() || term != self.status().fenced;
+        if is_stale || self.is_primary() {
             return;
         }
         let taken = time::Instant::now();
@@ -431,6 +459,7 @@
                 p.fresh = taken;
             }
         });
+        self.take_term(term);
     }
 
     fn apply_due(&mut self) {
--- a/crates/cardamomhold_standin/src/replication.rs
+++ b/crates/cardamomhold_standin/src/replication.rs
@@ -133,6 +133,7 @@
 pub struct Stream {
     term: position::Term,
     at: position::LogPosition,
+    first: position::LogPosition,
     is_started: bool,
 }
 
@@ -149,9 +150,11 @@
             return None;
         }
         let at = log::common_end(&ours, theirs);
+        let first = log::end_before(&ours, term);
         Some(Self {
             term,
             at,
+            first,
             is_started: false,
         })
     }
@@ -160,7 +163,8 @@
     pub async fn next(&mut self, handle: &member::Handle) -> Option<follow::Item> {
         if !self.is_started {
             self.is_started = true;
-            return Some(follow::Item::Start(self.at.0));
+            let (at, first) = (self.at, self.first);
+            return Some(follow::Item::Start { at, first });
         }
         let mut published = handle.published.clone();
         let at = self.at;
