Drive changes of primary from the group's task

Cause: nobody carried the group aggregate's decisions out; a dead primary meant an outage for good.

Change: the group's task feeds its driver with the monitors' reports, the configuration and the fleet; commands run in tasks of their own and answer by message; a task of its own calls the platform, and hands the object it gets to the configuration's task at once. A write is let in only while its member reports to be primary of the caller's term, and ends in doubt as soon as a later term is known. A batch that a just-replaced primary refused as read-only did not run and is tried again. Waiting statements wake on a change of the configuration in place of every 20 ms. The members' wait for news is 1 s.

Ruled out: sending a write to the chosen member before it is promoted (the caller would see 25006); leaving writes at a silent primary until their deadline (the gap would be the deadline).

--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -21,8 +21,8 @@
 use crate::peer;
 use crate::relay;
 
-/// Pause before another attempt while nothing has changed.
-const RETRY: time::Duration = time::Duration::from_millis(20);
+/// Pause before another attempt while the configuration has not changed.
+const RETRY: time::Duration = time::Duration::from_millis(50);
 
 /// Name of the kind of read that `BEGIN READ ONLY` stands for.
 const DEFAULT_KIND: &str = "default";
@@ -171,7 +171,9 @@
         let deadline = start + allowance;
         let mut doubt = None;
         let mut skips_replica = false;
+        let mut config = self.context.config.clone();
         loop {
+            config.mark_unchanged();
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
             let plan = self.plan(batch, left, skips_replica);
             let (failure, forwarded) = match plan {
@@ -196,7 +198,10 @@
                     return Ok(Ended::Failure { failure, forwarded });
                 }
             }
-            tokio::time::sleep(RETRY).await;
+            // A change of the configuration may have brought the new primary.
+            if let Ok(Err(_)) = tokio::time::timeout(RETRY, config.changed()).await {
+                tokio::time::sleep(RETRY).await;
+            }
         }
     }
 
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::operator;
 use crate::owner;
 use crate::peer;
+use crate::reigns;
 use crate::settings;
 
 /// Cancel requests that wait for slow tasks.
@@ -100,11 +101,13 @@
         };
         let config = config::start(platform.clone());
         let fleet = fleet_task::start(platform.clone(), own.clone());
+        let reigns = reigns::start(platform.clone(), own.name.clone(), config.heard.clone());
         let owner = owner::start(owner::Setting {
             instance: own.name.clone(),
             config: config.config.clone(),
             fleet: fleet.clone(),
             clock: clock::Clock::start(),
+            reigns,
         });
         let (ready, ready_seen) = watch::channel(false);
         let (stopping, stopping_seen) = watch::channel(false);
--- a/crates/cardamomhold_daemon/src/endpoint.rs
+++ b/crates/cardamomhold_daemon/src/endpoint.rs
@@ -206,7 +206,8 @@
     }
 }
 
-async fn sleep_until(at: Option<tokio::time::Instant>) {
+/// Sleeps until an instant; for ever when there is none.
+pub(crate) async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
         None => std::future::pending().await,
--- a/crates/cardamomhold_daemon/src/group.rs
+++ b/crates/cardamomhold_daemon/src/group.rs
@@ -5,20 +5,24 @@
 use std::time;
 
 use cardamomhold_config::config;
+use cardamomhold_config::object;
 use cardamomhold_core::name;
 use cardamomhold_core::outcome;
 use cardamomhold_core::position;
 use cardamomhold_endpoint::connection;
+use cardamomhold_fleet::fleet;
 use cardamomhold_group::confirm;
-use cardamomhold_group::reign;
 use cardamomhold_group::spec;
 use cardamomhold_group::status;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::change;
+use crate::clock;
 use crate::endpoint;
 use crate::monitor;
+use crate::reigns;
 use crate::work;
 
 /// Messages that wait for the task.
@@ -45,6 +49,21 @@
         /// Told when it is so.
         reply: oneshot::Sender<()>,
     },
+    /// Lets a write transaction in once the member is the primary of the term.
+    Enter {
+        /// The member.
+        member: name::MemberName,
+        /// Term of the caller's view.
+        term: position::Term,
+        /// Told when it may run; dropped when the term is over.
+        reply: oneshot::Sender<Pass>,
+    },
+    /// A write transaction that was let in has ended.
+    Left,
+    /// A command of a change of primary has ended.
+    Controlled(change::Controlled),
+    /// A call of the platform has ended; none when the answer was lost.
+    Stored(Option<reigns::Stored>),
     /// Shows the members.
     Members(oneshot::Sender<Vec<MemberView>>),
 }
@@ -84,17 +103,82 @@
     pub instance: name::InstanceName,
     /// The configuration as it changes.
     pub config: watch::Receiver<sync::Arc<config::Config>>,
+    /// The fleet as it changes.
+    pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
+    /// The clock.
+    pub clock: clock::Clock,
+    /// The task that calls the platform.
+    pub reigns: mpsc::Sender<reigns::Call>,
+}
+
+/// Leave for one write transaction; its end is told to the group's task.
+#[derive(Debug)]
+pub struct Pass {
+    requests: mpsc::WeakSender<Request>,
+    newest: watch::Receiver<position::Term>,
+    term: position::Term,
+}
+
+impl Pass {
+    /// The group's newest term, to wait for the end of the transaction's own.
+    pub fn watch(&self) -> Replaced {
+        Replaced {
+            newest: self.newest.clone(),
+            term: self.term,
+        }
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let Some(requests) = self.requests.upgrade() else {
+            return;
+        };
+        if let Err(mpsc::error::TrySendError::Full(left)) = requests.try_send(Request::Left) {
+            tokio::spawn(async move { requests.send(left).await });
+        }
+    }
+}
+
+/// Waits for the end of a term.
+#[derive(Debug)]
+pub struct Replaced {
+    newest: watch::Receiver<position::Term>,
+    term: position::Term,
+}
+
+impl Replaced {
+    /// Returns once the group is in a later term.
+    pub async fn wait(&mut self) {
+        let term = self.term;
+        if self.newest.wait_for(|newest| *newest > term).await.is_err() {
+            // The group's task has ended, and nobody will tell of a later term.
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 /// Starts the task; it ends when its last handle is dropped or the group is removed.
 pub fn start(setting: Setting) -> Handle {
     let (requests, mailbox) = mpsc::channel(MAILBOX);
+    let driver = change::Driver::new(
+        change::Setting {
+            group: setting.group.clone(),
+            instance: setting.instance.clone(),
+            fleet: setting.fleet.clone(),
+            clock: setting.clock,
+            reigns: setting.reigns.clone(),
+        },
+        requests.downgrade(),
+    );
     let task = Task {
         setting,
+        driver,
+        entries: Vec::new(),
+        writers: 0,
         confirmations: confirm::Confirmations::new(usize::MAX),
         reports: requests.downgrade(),
         spec: None,
-        reign: None,
         seen: collections::BTreeMap::new(),
         monitors: collections::BTreeMap::new(),
         commits: Vec::new(),
@@ -107,10 +191,12 @@
 
 struct Task {
     setting: Setting,
+    driver: change::Driver,
+    entries: Vec<Entry>,
+    writers: usize,
     confirmations: confirm::Confirmations,
     reports: mpsc::WeakSender<Request>,
     spec: Option<spec::GroupSpec>,
-    reign: Option<reign::Reign>,
     seen: collections::BTreeMap<name::MemberName, Option<tokio::time::Instant>>,
     monitors: collections::BTreeMap<name::MemberName, Monitor>,
     commits: Vec<(position::Position, oneshot::Sender<()>)>,
@@ -118,6 +204,13 @@
     key_table: Option<position::Term>,
 }
 
+/// A write transaction that waits to be let in.
+struct Entry {
+    member: name::MemberName,
+    term: position::Term,
+    reply: oneshot::Sender<Pass>,
+}
+
 #[derive(Debug)]
 struct Monitor {
     address: String,
@@ -133,8 +226,11 @@
 impl Task {
     async fn run(mut self, mut mailbox: mpsc::Receiver<Request>) {
         let mut config = self.setting.config.clone();
+        let mut fleet = self.setting.fleet.clone();
         self.reshape();
+        let mut wake = self.driver.act();
         loop {
+            let at = wake.map(|at| self.setting.clock.instant(at));
             tokio::select! {
                 request = mailbox.recv() => match request {
                     Some(request) => self.handle(request),
@@ -146,7 +242,15 @@
                     }
                     self.reshape();
                 }
+                changed = fleet.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.driver.take_place();
+                }
+                () = endpoint::sleep_until(at) => {}
             }
+            wake = self.driver.act();
             self.settle();
         }
     }
@@ -160,7 +264,10 @@
             self.watch_members(spec.as_ref());
             self.spec = spec;
         }
-        self.reign = reign;
+        let name = object::ObjectName::Reign(self.setting.group.clone());
+        let version = config.version(&name);
+        self.driver
+            .reshape(self.spec.as_ref(), reign.as_ref(), version);
     }
 
     fn watch_members(&mut self, spec: Option<&spec::GroupSpec>) {
@@ -207,6 +314,26 @@
                 self.confirmations.note(&member, position);
                 self.commits.push((position, reply));
             }
+            Request::Enter {
+                member,
+                term,
+                reply,
+            } => self.entries.push(Entry {
+                member,
+                term,
+                reply,
+            }),
+            Request::Left => {
+                self.writers = self.writers.saturating_sub(1);
+                self.driver.writers(self.writers);
+            }
+            Request::Controlled(controlled) => {
+                if let Some(status) = &controlled.status {
+                    self.take_status(&controlled.member, status);
+                }
+                self.driver.answered(&controlled);
+            }
+            Request::Stored(stored) => self.driver.stored(stored.as_ref()),
             Request::AwaitFresh { fresh, reply } => self.reads.push((fresh, reply)),
             Request::Members(reply) => {
                 // Whoever asked may have stopped waiting.
@@ -216,14 +343,57 @@
     }
 
     fn observe(&mut self, observed: &monitor::Observed) {
-        let Some(status) = &observed.status else {
-            self.seen.insert(observed.member.clone(), None);
-            return;
-        };
-        self.seen
-            .insert(observed.member.clone(), Some(tokio::time::Instant::now()));
-        self.confirmations.observe(&observed.member, status);
-        self.prepare_keys(&observed.member, status);
+        match &observed.status {
+            Ok(status) => {
+                self.take_status(&observed.member, status);
+                self.driver.report(&observed.member, status);
+            }
+            Err(reach) => {
+                self.seen.insert(observed.member.clone(), None);
+                self.driver.lose(&observed.member, *reach);
+            }
+        }
+    }
+
+    fn take_status(&mut self, member: &name::MemberName, status: &status::MemberStatus) {
+        let now = tokio::time::Instant::now();
+        self.seen.insert(member.clone(), Some(now));
+        self.confirmations.observe(member, status);
+        self.prepare_keys(member, status);
+    }
+
+    /// Lets in the writes whose member is the primary of their term.
+    fn admit(&mut self) {
+        let mut entries = Vec::new();
+        let newest = *self.driver.term().borrow();
+        for entry in std::mem::take(&mut self.entries) {
+            if entry.reply.is_closed() || newest > entry.term {
+                // A dropped reply tells that the term is over.
+                continue;
+            }
+            if !self.is_open(&entry) {
+                entries.push(entry);
+                continue;
+            }
+            self.writers += 1;
+            let pass = Pass {
+                requests: self.reports.clone(),
+                newest: self.driver.term(),
+                term: entry.term,
+            };
+            // A pass that can't be handed over comes back when it is dropped.
+            let _ = entry.reply.send(pass);
+        }
+        self.entries = entries;
+        self.driver.writers(self.writers);
+    }
+
+    fn is_open(&self, entry: &Entry) -> bool {
+        if self.driver.serving() != Some((&entry.member, entry.term)) {
+            return false;
+        }
+        let report = self.confirmations.report(entry.member.as_str());
+        report.is_some_and(|r| r.is_primary_of(entry.term))
     }
 
     /// Lets a new primary have the table of request keys.
@@ -241,6 +411,9 @@
 
     /// Answers whatever can be answered by now.
     fn settle(&mut self) {
+        if !self.entries.is_empty() {
+            self.admit();
+        }
         let mut commits = Vec::new();
         for (position, reply) in self.commits.drain(..) {
             if reply.is_closed() {
@@ -338,6 +511,33 @@
         }
     }
 
+    /// Waits until the member takes writes as the primary of the term.
+    ///
+    /// # Errors
+    /// The refusal when the term is over, or nothing comes of it in time.
+    pub async fn enter(
+        &self,
+        member: &name::MemberName,
+        term: position::Term,
+        deadline: tokio::time::Instant,
+    ) -> Result<Pass, outcome::Refusal> {
+        let (reply, answer) = oneshot::channel();
+        let request = Request::Enter {
+            member: member.clone(),
+            term,
+            reply,
+        };
+        self.requests
+            .send(request)
+            .await
+            .map_err(|_| outcome::Refusal::Stopping)?;
+        match tokio::time::timeout_at(deadline, answer).await {
+            Ok(Ok(pass)) => Ok(pass),
+            Ok(Err(_)) => Err(outcome::Refusal::StaleView),
+            Err(_) => Err(outcome::Refusal::NoPrimary),
+        }
+    }
+
     /// Waits until a replica is fresh enough.
     ///
     /// # Errors
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod attempt;
 pub mod batch;
 pub mod caller;
+pub mod change;
 pub mod clock;
 pub mod config;
 pub mod daemon;
@@ -26,6 +27,7 @@
 pub mod operator;
 pub mod owner;
 pub mod peer;
+pub mod reigns;
 pub mod relay;
 pub mod settings;
 pub mod work;
--- a/crates/cardamomhold_daemon/src/monitor.rs
+++ b/crates/cardamomhold_daemon/src/monitor.rs
@@ -6,13 +6,14 @@
 use cardamomhold_endpoint::connection;
 use cardamomhold_endpoint::control;
 use cardamomhold_endpoint::control::Control;
+use cardamomhold_group::detect;
 use cardamomhold_group::status;
 use tokio::sync::mpsc;
 
 use crate::group;
 
 /// Longest wait for news of a member that has none.
-pub const STATUS_WAIT: time::Duration = time::Duration::from_millis(500);
+pub const STATUS_WAIT: time::Duration = time::Duration::from_secs(1);
 
 /// Pause before a member that failed is asked again.
 pub const RETRY: time::Duration = time::Duration::from_millis(100);
@@ -22,8 +23,8 @@
 pub struct Observed {
     /// The member.
     pub member: name::MemberName,
-    /// Its status; none when it could not be had.
-    pub status: Option<status::MemberStatus>,
+    /// Its status, or how the attempt to have it failed.
+    pub status: Result<status::MemberStatus, detect::Reach>,
 }
 
 /// Watches until the group's task has ended.
@@ -33,8 +34,8 @@
     reports: mpsc::WeakSender<group::Request>,
 ) {
     while reports.upgrade().is_some() {
-        watch(&member, &login, &reports).await;
-        report(&member, None, &reports).await;
+        let reach = watch(&member, &login, &reports).await;
+        report(&member, Err(reach), &reports).await;
         tokio::time::sleep(RETRY).await;
     }
 }
@@ -43,12 +44,12 @@
     member: &name::MemberName,
     login: &connection::Login,
     reports: &mpsc::WeakSender<group::Request>,
-) {
+) -> detect::Reach {
     let mut control = match control::SqlControl::open(login).await {
         Ok(control) => control,
         Err(error) => {
             log::debug!("event=member_unreachable member={member} error=\"{error}\"");
-            return;
+            return error.reach();
         }
     };
     let mut seen = control::Seen::default();
@@ -57,15 +58,15 @@
             Ok(status) => status,
             Err(error) => {
                 log::info!("event=member_lost member={member} error=\"{error}\"");
-                return;
+                return error.reach();
             }
         };
         seen = control::Seen {
             received: status.received,
             applied: status.applied,
         };
-        if !report(member, Some(status), reports).await {
-            return;
+        if !report(member, Ok(status), reports).await {
+            return detect::Reach::Unknown;
         }
     }
 }
@@ -73,7 +74,7 @@
 /// Tells the group's task; false when it has ended.
 async fn report(
     member: &name::MemberName,
-    status: Option<status::MemberStatus>,
+    status: Result<status::MemberStatus, detect::Reach>,
     reports: &mpsc::WeakSender<group::Request>,
 ) -> bool {
     let Some(reports) = reports.upgrade() else {
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -19,6 +19,7 @@
 use crate::endpoint;
 use crate::group;
 use crate::lane;
+use crate::reigns;
 use crate::work;
 
 /// Messages that wait for the task.
@@ -57,6 +58,8 @@
     pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
     /// The clock.
     pub clock: clock::Clock,
+    /// The task that calls the platform for the groups' reigns.
+    pub reigns: mpsc::Sender<reigns::Call>,
 }
 
 /// Starts the task; it ends when its last handle is dropped.
@@ -135,6 +138,9 @@
                 group: group.clone(),
                 instance: setting.instance.clone(),
                 config: setting.config.clone(),
+                fleet: setting.fleet.clone(),
+                clock: setting.clock,
+                reigns: setting.reigns.clone(),
             })
         });
         handle.clone()
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/reigns.rs
@@ -0,0 +1,122 @@
+//! The task that reads and writes the groups' reigns at the platform.
+
+use cardamomhold_config::object;
+use cardamomhold_core::name;
+use cardamomhold_group::reign;
+use cardamomhold_platform::client;
+use cardamomhold_platform::client::Platform;
+use tokio::sync::mpsc;
+
+use crate::config;
+use crate::group;
+
+/// Messages that wait for the task.
+const MAILBOX: usize = 1024;
+
+/// One call of the platform.
+#[derive(Debug)]
+pub struct Call {
+    /// The group.
+    pub group: name::GroupName,
+    /// What to do.
+    pub act: Act,
+    /// The group's task, which gets the answer.
+    pub reply: mpsc::WeakSender<group::Request>,
+}
+
+/// What a call does.
+#[derive(Debug)]
+pub enum Act {
+    /// Reads the reign.
+    Read,
+    /// Writes it if its version is the expected one.
+    Write {
+        /// The new content.
+        reign: reign::Reign,
+        /// The expected version.
+        expected: u64,
+    },
+}
+
+/// The reign as it stands at the platform.
+#[derive(Debug)]
+pub struct Stored {
+    /// Its content; none when nobody has written it.
+    pub reign: Option<reign::Reign>,
+    /// Its version.
+    pub version: u64,
+}
+
+/// Starts the task; it ends when its last handle is dropped.
+pub fn start<P: Platform>(
+    platform: P,
+    author: name::InstanceName,
+    heard: mpsc::Sender<config::Heard>,
+) -> mpsc::Sender<Call> {
+    let (calls, mut mailbox) = mpsc::channel::<Call>(MAILBOX);
+    tokio::spawn(async move {
+        while let Some(call) = mailbox.recv().await {
+            // A slow answer for one group must not hold up another group's change.
+            tokio::spawn(serve(platform.clone(), author.clone(), heard.clone(), call));
+        }
+    });
+    calls
+}
+
+async fn serve<P: Platform>(
+    platform: P,
+    author: name::InstanceName,
+    heard: mpsc::Sender<config::Heard>,
+    call: Call,
+) {
+    let name = object::ObjectName::Reign(call.group.clone()).to_string();
+    let answer = match call.act {
+        Act::Read => platform.get(&name).await,
+        Act::Write { reign, expected } => write(&platform, &author, &name, reign, expected).await,
+    };
+    let stored = match answer {
+        Ok(object) => Some(publish(object, &heard).await),
+        Err(error) => {
+            log::warn!("event=reign_call_failed group={} error={error}", call.group);
+            None
+        }
+    };
+    if let Some(reply) = call.reply.upgrade() {
+        // The group may have been removed in the meantime.
+        let _ = reply.send(group::Request::Stored(stored)).await;
+    }
+}
+
+async fn write<P: Platform>(
+    platform: &P,
+    author: &name::InstanceName,
+    name: &str,
+    reign: reign::Reign,
+    expected: u64,
+) -> Result<client::Object, client::PlatformError> {
+    let envelope = object::Envelope {
+        author: author.to_string(),
+        change: uuid::Uuid::now_v7().to_string(),
+        spec: object::Spec::Reign(reign),
+    };
+    let value = serde_json::to_vec(&envelope).map_err(|_| client::PlatformError::BadAnswer)?;
+    match platform.put(name, Some(&value), expected).await? {
+        client::Written::Accepted(object) | client::Written::Conflict(object) => Ok(object),
+    }
+}
+
+/// Lets this instance's configuration have the object at once, without the watch.
+async fn publish(object: client::Object, heard: &mpsc::Sender<config::Heard>) -> Stored {
+    let change = config::change_of(object);
+    let envelope = serde_json::from_slice::<object::Envelope>(&change.value).ok();
+    let reign = match envelope.map(|e| e.spec) {
+        Some(object::Spec::Reign(reign)) if !change.removed => Some(reign),
+        _ => None,
+    };
+    let version = change.version;
+    if version > 0 {
+        // The watch brings the change too, should the task have ended.
+        let _ = heard.send(config::Heard::Change(change)).await;
+    }
+    Stored { reign, version }
+}
--- a/crates/cardamomhold_daemon/src/relay.rs
+++ b/crates/cardamomhold_daemon/src/relay.rs
@@ -14,6 +14,9 @@
 const MAX_HELD_LEN: usize = 4 * 1024 * 1024;
 const COMMIT_TAG: &str = "COMMIT";
 
+/// SQLSTATE of a write where nothing can be written.
+const READ_ONLY: &str = "25006";
+
 /// Why the answer could not be relayed to its end.
 #[derive(Debug)]
 pub enum RelayError {
@@ -44,6 +47,9 @@
     pub failed: bool,
     /// Whether anything was sent on.
     pub forwarded: bool,
+    /// Whether the batch was refused as a whole because nothing can be written there;
+    /// the refusal is held back.
+    pub is_read_only: bool,
 }
 
 /// Relays until "ready for query".
@@ -67,6 +73,7 @@
             }
         };
         if let messages::PgWireBackendMessage::ReadyForQuery(ready) = &message {
+            state.judge(ready.status);
             state.flush(down).await?;
             return Ok(state.end(ready.status));
         }
@@ -85,9 +92,20 @@
     tag: String,
     failed: bool,
     forwarded: bool,
+    refused: bool,
+    is_read_only: bool,
 }
 
 impl State {
+    /// Holds the answer back when it says that nothing of the batch could be written.
+    fn judge(&mut self, status: response::TransactionStatus) {
+        let is_idle = matches!(status, response::TransactionStatus::Idle);
+        if self.refused && is_idle && self.tag.is_empty() && !self.forwarded {
+            self.is_read_only = true;
+            self.held = self.out.split();
+        }
+    }
+
     fn take(&mut self, message: &messages::PgWireBackendMessage) -> Result<(), RelayError> {
         if matches!(message, messages::PgWireBackendMessage::ParameterStatus(_)) {
             return Ok(());
@@ -102,8 +120,9 @@
                 self.is_commit_held |= complete.tag == COMMIT_TAG;
                 put(&mut self.held, message);
             }
-            messages::PgWireBackendMessage::ErrorResponse(_) => {
+            messages::PgWireBackendMessage::ErrorResponse(error) => {
                 self.failed = true;
+                self.refused |= error.fields.contains(&(b'C', READ_ONLY.to_owned()));
                 let out = if self.is_commit_held {
                     &mut self.held
                 } else {
@@ -137,6 +156,7 @@
             tag: self.tag,
             failed: self.failed,
             forwarded: self.forwarded,
+            is_read_only: self.is_read_only,
         }
     }
 }
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -19,6 +19,12 @@
 pub const KEY_TABLE: &str = "CREATE TABLE IF NOT EXISTS cardamomhold_request_key \
      (request_key TEXT PRIMARY KEY, tag TEXT NOT NULL)";
 
+/// Asks a member at once for its status, whose first column is its role.
+const ROLE_QUERY: &str = "MEMBER STATUS AFTER 0 0 WAIT 0";
+
+/// Role of a member that takes no writes.
+const REPLICA: &str = "replica";
+
 /// SQLSTATE of a key that is there already.
 const UNIQUE_VIOLATION: &str = "23505";
 
@@ -47,9 +53,18 @@
     }
 }
 
+/// Waits for the end of the term that a write was let in at.
+async fn await_end(replaced: Option<&mut group::Replaced>) {
+    match replaced {
+        Some(replaced) => replaced.wait().await,
+        None => std::future::pending().await,
+    }
+}
+
 struct Work {
     context: Context,
     lease: endpoint::Lease,
+    pass: Option<group::Pass>,
     deadline: tokio::time::Instant,
     is_read: bool,
     sent: bool,
@@ -77,9 +92,15 @@
         }
         let lease = context.endpoint.admit(ticket, deadline).await?;
         let is_read = ticket.access.is_read();
+        let mut pass = None;
+        if !is_read {
+            let entering = context.group.enter(&ticket.member, ticket.term, deadline);
+            pass = Some(entering.await?);
+        }
         Ok(Self {
             context,
             lease,
+            pass,
             deadline,
             is_read,
             sent: false,
@@ -92,7 +113,17 @@
         ticket: &lane::Ticket,
         end: &mut lane::LaneEnd,
     ) -> Result<(), lane::Failure> {
-        let result = self.serve_all(ticket, end).await;
+        let mut replaced = self.pass.as_ref().map(group::Pass::watch);
+        let served = tokio::select! {
+            biased;
+            result = self.serve_all(ticket, end) => Some(result),
+            () = await_end(replaced.as_mut()) => None,
+        };
+        let result = served.unwrap_or_else(|| {
+            // Nothing that is still under way can be confirmed in a term that is over.
+            let closed = connection::ConnectionError::Closed;
+            Err(self.doubt(&closed.into()))
+        });
         if result.is_ok() {
             self.lease.give_back().await;
         }
@@ -131,6 +162,9 @@
                 continue;
             }
             let ended = self.relay(end).await?;
+            if ended.is_read_only && !self.is_read && self.is_replica().await {
+                return Err(lane::Failure::NotRun(outcome::Refusal::NoPrimary));
+            }
             status = ended.status;
             if status == lane::Status::Transaction && key.is_some() {
                 self.pass(ticket, key.take()).await?;
@@ -150,6 +184,14 @@
         }
     }
 
+    /// Whether the member has been replaced as primary; if it can't say so, it has not.
+    async fn is_replica(&mut self) -> bool {
+        match self.query(ROLE_QUERY).await {
+            Ok(Some(row)) => row.text(0) == Some(REPLICA),
+            Ok(None) | Err(_) => false,
+        }
+    }
+
     /// Brings the connection to the session's settings.
     async fn set_up(&mut self, ticket: &lane::Ticket) -> Result<(), lane::Failure> {
         for statement in &ticket.setup {
@@ -326,7 +368,7 @@
         if self.is_read || status != lane::Status::Idle {
             return Ok(None);
         }
-        if ended.failed && ended.held.is_empty() {
+        if ended.failed && (ended.held.is_empty() || ended.is_read_only) {
             return Ok(None);
         }
         self.confirmed_position(ticket).await.map(Some)
--- a/crates/cardamomhold_endpoint/src/control.rs
+++ b/crates/cardamomhold_endpoint/src/control.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 use std::future;
+use std::io;
 use std::time;
 
 use cardamomhold_core::position;
+use cardamomhold_group::detect;
 use cardamomhold_group::status;
 
 use crate::connection;
@@ -25,6 +27,42 @@
     Connection(connection::ConnectionError),
 }
 
+impl ControlError {
+    /// What the failure says of the member.
+    pub fn reach(&self) -> detect::Reach {
+        match self {
+            Self::Timeout => detect::Reach::Timeout,
+            Self::Closed => detect::Reach::Closed,
+            // It answered, though not as wished.
+            Self::WrongTerm => detect::Reach::Unknown,
+            Self::Connection(error) => reach_of(error),
+        }
+    }
+}
+
+fn reach_of(error: &connection::ConnectionError) -> detect::Reach {
+    match error {
+        connection::ConnectionError::Open(error) if is_refusal(error) => detect::Reach::Closed,
+        connection::ConnectionError::Open(_) | connection::ConnectionError::Timeout => {
+            detect::Reach::Timeout
+        }
+        connection::ConnectionError::Closed | connection::ConnectionError::Frame(_) => {
+            detect::Reach::Closed
+        }
+        connection::ConnectionError::Refused { .. }
+        | connection::ConnectionError::Failed { .. }
+        | connection::ConnectionError::BadAnswer => detect::Reach::Unknown,
+    }
+}
+
+/// Whether the member's machine answered that no process listens.
+fn is_refusal(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+    )
+}
+
 impl fmt::Display for ControlError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/cardamomhold_group/src/change.rs
+++ b/crates/cardamomhold_group/src/change.rs
@@ -151,6 +151,7 @@
                 self.next_call = now.after(STORE_PAUSE);
             }
             event::Event::Place(place) => self.place = place,
+            event::Event::Writers(writers) if writers == self.writers => {}
             event::Event::Writers(writers) => {
                 self.writers = writers;
                 self.quiet = now;
--- a/crates/cardamomhold_group/src/event.rs
+++ b/crates/cardamomhold_group/src/event.rs
@@ -1,5 +1,7 @@
 //! What the driver of a change of primary is told, and what it asks for.
 
+use std::fmt;
+
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 
@@ -98,3 +100,32 @@
         member: name::MemberName,
     },
 }
+
+impl fmt::Display for Command {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Write { reign, expected } => {
+                let primary = reign.primary.as_ref().map_or("none", |p| p.as_str());
+                let term = reign.term;
+                write!(
+                    f,
+                    "step=write term={term} primary={primary} expected={expected}"
+                )
+            }
+            Self::Read => f.write_str("step=read"),
+            Self::Fence { member, term } => write!(f, "step=fence member={member} term={term}"),
+            Self::Promote { member, term } => {
+                write!(f, "step=promote member={member} term={term}")
+            }
+            Self::Follow {
+                member,
+                term,
+                primary,
+            } => write!(
+                f,
+                "step=follow member={member} term={term} primary={primary}"
+            ),
+            Self::Probe { member } => write!(f, "step=probe member={member}"),
+        }
+    }
+}
--- a/crates/cardamomhold_standin/src/follow.rs
+++ b/crates/cardamomhold_standin/src/follow.rs
@@ -34,6 +34,8 @@
     pub group: String,
     /// Name of the follower.
     pub name: String,
+    /// Number of this order to follow, by which the member knows late items of earlier ones.
+    pub stream: u64,
 }
 
 /// Follows until the task is aborted or the member's task has ended.
@@ -71,7 +73,7 @@
     loop {
         match reader.next_backend().await.ok()?? {
             messages::PgWireBackendMessage::DataRow(row) => {
-                let request = request_of(target.term, &row.data)?;
+                let request = request_of(target, &row.data)?;
                 member.upgrade()?.send(request).await.ok()?;
             }
             messages::PgWireBackendMessage::ErrorResponse(_) => return Some(()),
@@ -90,12 +92,22 @@
     answer.await.ok()
 }
 
-fn request_of(term: position::Term, data: &[u8]) -> Option<member::Request> {
+fn request_of(target: &Target, data: &[u8]) -> Option<member::Request> {
     let body = data.get(4..)?;
     let item: Item = serde_json::from_slice(body).ok()?;
+    let (stream, term) = (target.stream, target.term);
     Some(match item {
-        Item::Start { at, first } => member::Request::Joined { term, at, first },
-        Item::Entries(entries) => member::Request::Received(term, entries),
+        Item::Start { at, first } => member::Request::Joined {
+            stream,
+            term,
+            at,
+            first,
+        },
+        Item::Entries(entries) => member::Request::Received {
+            stream,
+            term,
+            entries,
+        },
     })
 }
 
--- a/crates/cardamomhold_standin/src/member.rs
+++ b/crates/cardamomhold_standin/src/member.rs
@@ -89,6 +89,8 @@
     Follow(position::Term, String, oneshot::Sender<bool>),
     /// From the follower task: the stream of a term starts.
     Joined {
+        /// Number of the order to follow.
+        stream: u64,
         /// The term.
         term: position::Term,
         /// Position after which the stream's entries come.
@@ -97,7 +99,14 @@
         first: position::LogPosition,
     },
     /// From the follower task: entries of a term, which may be none.
-    Received(position::Term, Vec<log::Entry>),
+    Received {
+        /// Number of the order to follow.
+        stream: u64,
+        /// The term.
+        term: position::Term,
+        /// The entries.
+        entries: Vec<log::Entry>,
+    },
 }
 
 /// What a member publishes of itself.
@@ -136,6 +145,8 @@
     follower: Option<tokio::task::JoinHandle<()>>,
     /// Where the followed term starts, once its stream has begun.
     joined: Option<position::LogPosition>,
+    /// Number of the latest order to follow.
+    stream: u64,
     requests: mpsc::WeakSender<Request>,
 }
 
@@ -175,6 +186,7 @@
         publisher,
         follower: None,
         joined: None,
+        stream: 0,
         requests: sender.downgrade(),
     };
     tokio::spawn(member.run(receiver, kept.sink));
@@ -266,8 +278,13 @@
             Request::Follow(term, address, reply) => {
                 let _ = reply.send(self.follow(term, address));
             }
-            Request::Joined { term, at, first } => self.joined(term, at, first),
-            Request::Received(term, entries) => self.received(term, entries),
+            // An earlier follower's last items may come after it was stopped.
+            Request::Joined { stream, .. } | Request::Received { stream, .. }
+                if stream != self.stream => {}
+            Request::Joined {
+                term, at, first, ..
+            } => self.joined(term, at, first),
+            Request::Received { term, entries, .. } => self.received(term, entries),
         }
     }
 
@@ -370,7 +387,9 @@
         let Some(requests) = self.requests.upgrade() else {
             return false;
         };
+        self.stream += 1;
         let target = follow::Target {
+            stream: self.stream,
             term,
             address,
             group: self.options.group.clone(),
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,3 +7,4 @@
 
 pub mod bed;
 pub mod instance;
+pub mod writer;
