--- a/crates/cardamomhold_core/src/outcome.rs
+++ b/crates/cardamomhold_core/src/outcome.rs
@@ -38,11 +38,15 @@
     ConnectFailed,
     /// The instance lost its place in the fleet and rejoins first.
     Rejoining,
+    /// The transaction was idle for too long and was rolled back.
+    IdleTransaction,
+    /// The endpoint is leaving and takes no new work.
+    EndpointLeaving,
 }
 
 impl Refusal {
     /// Every value; the place of each is its code between instances and never changes.
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 13] = [
         Self::UnknownGroup,
         Self::NoPrimary,
         Self::StaleView,
@@ -54,6 +58,8 @@
         Self::OwnerUnreachable,
         Self::ConnectFailed,
         Self::Rejoining,
+        Self::IdleTransaction,
+        Self::EndpointLeaving,
     ];
 
     /// The value's code between instances.
@@ -80,6 +86,8 @@
             Self::OwnerUnreachable => "owner_unreachable",
             Self::ConnectFailed => "connect_failed",
             Self::Rejoining => "rejoining",
+            Self::IdleTransaction => "idle_transaction",
+            Self::EndpointLeaving => "endpoint_leaving",
         }
     }
 
@@ -90,11 +98,14 @@
             | Self::StaleView
             | Self::ReplicaBehind
             | Self::EndpointDown
+            | Self::EndpointLeaving
             | Self::OwnerUnreachable
             | Self::ConnectFailed
             | Self::Rejoining
             | Self::Stopping => true,
-            Self::UnknownGroup | Self::DeadlineUnmet | Self::QueueFull => false,
+            Self::UnknownGroup | Self::DeadlineUnmet | Self::QueueFull | Self::IdleTransaction => {
+                false
+            }
         }
     }
 }
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -11,7 +11,9 @@
 use crate::endpoint;
 use crate::group;
 use crate::lane;
+use crate::lease;
 use crate::relay;
+use crate::stop;
 
 const READ_ONLY_SETTING: &str = "SET default_transaction_read_only = on";
 
@@ -28,6 +30,19 @@
 /// SQLSTATE of a key that is there already.
 const UNIQUE_VIOLATION: &str = "23505";
 
+/// Class of SQLSTATEs of integrity constraints.
+const INTEGRITY_CLASS: &str = "23";
+
+const SERIALIZATION_FAILURE: &str = "40001";
+const DEADLOCK: &str = "40P01";
+
+const ROLLBACK_TAG: &str = "ROLLBACK";
+
+/// Whether an error says for certain that a COMMIT has been rolled back.
+fn is_abort(code: &str) -> bool {
+    code.starts_with(INTEGRITY_CLASS) || code == SERIALIZATION_FAILURE || code == DEADLOCK
+}
+
 /// What the work needs besides its lane.
 #[derive(Debug, Clone)]
 pub struct Context {
@@ -35,10 +50,14 @@
     pub group: group::Handle,
     /// The endpoint's task.
     pub endpoint: endpoint::Handle,
+    /// Weight of the caller's fair share.
+    pub weight: u32,
     /// Time that the group keeps request keys.
     pub retention: time::Duration,
     /// Time that a transaction may stay idle.
     pub idle: time::Duration,
+    /// How far the instance's end has come.
+    pub stop: stop::Stop,
 }
 
 /// Serves a lane from its first batch to the end of its transaction.
@@ -63,12 +82,24 @@
 
 struct Work {
     context: Context,
-    lease: endpoint::Lease,
+    lease: lease::Lease,
     pass: Option<group::Pass>,
+    is_between: bool,
     deadline: tokio::time::Instant,
     is_read: bool,
-    sent: bool,
-    forwarded: bool,
+    may_have_run: bool,
+    is_synced: bool,
+    progress: relay::Progress,
+}
+
+/// What comes after a batch.
+enum Next {
+    /// Another batch.
+    Batch(lane::Batch),
+    /// The caller went away.
+    Gone,
+    /// The transaction is ended; nothing of it was committed.
+    Ended(outcome::Refusal),
 }
 
 /// What the guard of a request key found.
@@ -90,7 +121,10 @@
             };
             context.group.await_fresh(fresh, deadline).await?;
         }
-        let lease = context.endpoint.admit(ticket, deadline).await?;
+        let lease = context
+            .endpoint
+            .admit(ticket, context.weight, deadline)
+            .await?;
         let is_read = ticket.access.is_read();
         let mut pass = None;
         if !is_read {
@@ -101,10 +135,12 @@
             context,
             lease,
             pass,
+            is_between: true,
             deadline,
             is_read,
-            sent: false,
-            forwarded: false,
+            may_have_run: false,
+            is_synced: true,
+            progress: relay::Progress::default(),
         })
     }
 
@@ -119,12 +155,9 @@
             result = self.serve_all(ticket, end) => Some(result),
             () = await_end(replaced.as_mut()) => None,
         };
-        let result = served.unwrap_or_else(|| {
-            // Nothing that is still under way can be confirmed in a term that is over.
-            let closed = connection::ConnectionError::Closed;
-            Err(self.doubt(&closed.into()))
-        });
-        if result.is_ok() {
+        let result = served.unwrap_or_else(|| Err(self.cut_off()));
+        // After anything else the connection's state is in doubt, and it is closed.
+        if matches!(result, Ok(()) | Err(lane::Failure::Ran { .. })) {
             self.lease.give_back().await;
         }
         result
@@ -147,25 +180,39 @@
         }
         let mut status = lane::Status::Idle;
         loop {
+            self.is_between = self.is_synced;
             let batch = match self.next_batch(end, status).await {
-                Some(batch) => batch,
-                None => return self.abandon(status).await,
+                Next::Batch(batch) => batch,
+                Next::Gone => return self.abandon().await,
+                // Dropping the lease closes the connection, which rolls back.
+                Next::Ended(refusal) => return Err(lane::Failure::NotRun(refusal)),
             };
-            self.sent = true;
+            // What only a COMMIT of the guard's own would make last can't have run before
+            // it; neither has a lone BEGIN any effect.
+            let is_begin = ticket.begins && status == lane::Status::Idle;
+            self.may_have_run |= !wraps && !is_begin;
+            self.is_synced = batch.sync;
+            self.is_between = false;
+            self.lease.ask();
             self.lease
                 .connection()
                 .send(&batch.frames)
                 .await
                 .map_err(|e| self.doubt(&e.into()))?;
+            let mode = relay::Mode {
+                answers: (!batch.sync).then_some(batch.answers),
+                holds: wraps && batch.sync,
+            };
+            let ended = self.relay(end, mode).await?;
+            status = ended.status;
             if !batch.sync {
-                // A flush has no end of its own; its answers come with the next batch.
+                self.answer_flush(ticket, end, ended).await?;
                 continue;
             }
-            let ended = self.relay(end).await?;
             if ended.is_read_only && !self.is_read && self.is_replica().await {
                 return Err(lane::Failure::NotRun(outcome::Refusal::NoPrimary));
             }
-            status = ended.status;
+            self.lease.answered();
             if status == lane::Status::Transaction && key.is_some() {
                 self.pass(ticket, key.take()).await?;
             }
@@ -176,14 +223,28 @@
             if !ended.held.is_empty() {
                 self.send(end, lane::Down::Frames(ended.held)).await?;
             }
-            self.send(end, lane::Down::Ready(lane::Ready { status, written }))
-                .await?;
+            let rolled_back = ended.failed || ended.tag.starts_with(ROLLBACK_TAG);
+            let ready = lane::Ready {
+                status,
+                written,
+                rolled_back,
+            };
+            self.send(end, lane::Down::Ready(ready)).await?;
             if status == lane::Status::Idle {
                 return Ok(());
             }
         }
     }
 
+    /// What becomes of a transaction when its term is over: nothing that is still under
+    /// way can be confirmed.
+    fn cut_off(&self) -> lane::Failure {
+        if self.is_between {
+            return lane::Failure::NotRun(outcome::Refusal::NoPrimary);
+        }
+        self.doubt(&connection::ConnectionError::Closed.into())
+    }
+
     /// Whether the member has been replaced as primary; if it can't say so, it has not.
     async fn is_replica(&mut self) -> bool {
         match self.query(ROLE_QUERY).await {
@@ -192,6 +253,28 @@
         }
     }
 
+    /// Answers a batch that ends with a flush; its transaction goes on.
+    async fn answer_flush(
+        &mut self,
+        ticket: &lane::Ticket,
+        end: &mut lane::LaneEnd,
+        ended: relay::Ended,
+    ) -> Result<(), lane::Failure> {
+        let mut written = None;
+        if ended.is_commit_held && !self.is_read {
+            written = Some(self.confirmed_position(ticket).await?);
+        }
+        if !ended.held.is_empty() {
+            self.send(end, lane::Down::Frames(ended.held)).await?;
+        }
+        let ready = lane::Ready {
+            status: lane::Status::Transaction,
+            written,
+            rolled_back: ended.failed,
+        };
+        self.send(end, lane::Down::Ready(ready)).await
+    }
+
     /// Brings the connection to the session's settings.
     async fn set_up(&mut self, ticket: &lane::Ticket) -> Result<(), lane::Failure> {
         for statement in &ticket.setup {
@@ -300,24 +383,43 @@
         let Some(key) = ticket.request_key else {
             return Ok(lane::Status::Idle);
         };
-        let tag = ended.tag.replace('\'', "");
+        let tag = self.kept_tag(&ended.tag);
         let update = format!(
             "UPDATE cardamomhold_request_key SET tag = '{tag}' WHERE request_key = '{key}'"
         );
         self.query(&update)
             .await
             .map_err(|e| self.doubt(&e.into()))?;
-        self.query("COMMIT")
-            .await
-            .map_err(|e| self.doubt(&e.into()))?;
-        Ok(lane::Status::Idle)
+        self.may_have_run = true;
+        match self.query("COMMIT").await {
+            Ok(_) => Ok(lane::Status::Idle),
+            Err(connection::ConnectionError::Failed { code }) if is_abort(&code) => {
+                Err(lane::Failure::NotRun(outcome::Refusal::ConnectFailed))
+            }
+            Err(error) => Err(self.doubt(&error.into())),
+        }
+    }
+
+    /// The tag that a repeated key is answered with; none for an answer of which the tag
+    /// is only a part.
+    fn kept_tag(&self, tag: &str) -> String {
+        if self.progress.has_rows || self.progress.completed != 1 {
+            return String::new();
+        }
+        tag.replace('\'', "")
     }
 
-    async fn relay(&mut self, end: &mut lane::LaneEnd) -> Result<relay::Ended, lane::Failure> {
+    async fn relay(
+        &mut self,
+        end: &mut lane::LaneEnd,
+        mode: relay::Mode,
+    ) -> Result<relay::Ended, lane::Failure> {
         let cancel = self.lease.connection().cancel_key();
         let deadline = self.deadline;
+        let mut stop = self.context.stop.clone();
         let result = {
-            let relaying = relay::relay(self.lease.connection(), &end.down);
+            let connection = self.lease.connection();
+            let relaying = relay::relay(connection, &end.down, mode, &mut self.progress);
             tokio::pin!(relaying);
             loop {
                 tokio::select! {
@@ -329,6 +431,9 @@
                         }
                         Some(lane::Up::Batch(_)) | None => break Err(relay::RelayError::CallerGone),
                     },
+                    () = stop.reached(stop::Phase::Ending) => {
+                        break Err(relay::RelayError::CallerGone);
+                    }
                     () = tokio::time::sleep_until(deadline) => {
                         let error = connection::ConnectionError::Timeout;
                         break Err(relay::RelayError::Connection(error));
@@ -336,18 +441,16 @@
                 }
             }
         };
-        match result {
-            Ok(ended) => {
-                self.forwarded |= ended.forwarded;
-                Ok(ended)
-            }
-            Err(error) => Err(self.doubt(&error)),
+        if result.is_err() {
+            // Nobody waits for the statement any more; its slot is needed.
+            tokio::spawn(async move { cancel.cancel().await });
         }
+        result.map_err(|error| self.doubt(&error))
     }
 
     /// The failure for an error after which the outcome may be unknown.
     fn doubt(&self, error: &relay::RelayError) -> lane::Failure {
-        if !self.sent || (self.is_read && !self.forwarded) {
+        if !self.may_have_run || (self.is_read && !self.progress.forwarded) {
             return lane::Failure::NotRun(outcome::Refusal::ConnectFailed);
         }
         lane::Failure::Unknown(match error {
@@ -368,7 +471,7 @@
         if self.is_read || status != lane::Status::Idle {
             return Ok(None);
         }
-        if ended.failed && (ended.held.is_empty() || ended.is_read_only) {
+        if ended.failed && !ended.is_commit_held {
             return Ok(None);
         }
         self.confirmed_position(ticket).await.map(Some)
@@ -393,26 +496,30 @@
         Ok(position)
     }
 
-    async fn next_batch(
-        &mut self,
-        end: &mut lane::LaneEnd,
-        status: lane::Status,
-    ) -> Option<lane::Batch> {
-        let idle = self.context.idle;
+    async fn next_batch(&mut self, end: &mut lane::LaneEnd, status: lane::Status) -> Next {
+        let patience = match status {
+            lane::Status::Idle => None,
+            lane::Status::Transaction | lane::Status::Failed => Some(self.context.idle),
+        };
+        if patience.is_some() {
+            self.lease.pause();
+        }
+        let mut stop = self.context.stop.clone();
         loop {
-            let next = if status == lane::Status::Idle {
-                end.up.recv().await
-            } else {
-                tokio::time::timeout(idle, end.up.recv())
-                    .await
-                    .unwrap_or(None)
+            let up = tokio::select! {
+                up = end.up.recv() => up,
+                () = pause(patience) => return Next::Ended(outcome::Refusal::IdleTransaction),
+                () = stop.reached(stop::Phase::Ending) => {
+                    return Next::Ended(outcome::Refusal::Stopping);
+                }
             };
-            match next? {
-                lane::Up::Batch(batch) => {
+            match up {
+                Some(lane::Up::Batch(batch)) => {
                     self.renew_deadline(status);
-                    return Some(batch);
+                    return Next::Batch(batch);
                 }
-                lane::Up::Cancel => continue,
+                Some(lane::Up::Cancel) => continue,
+                None => return Next::Gone,
             }
         }
     }
@@ -425,9 +532,9 @@
     }
 
     /// Ends a lane whose caller went away between batches.
-    async fn abandon(&mut self, status: lane::Status) -> Result<(), lane::Failure> {
-        if status == lane::Status::Idle && !self.sent {
-            return Ok(());
+    async fn abandon(&mut self) -> Result<(), lane::Failure> {
+        if !self.is_synced {
+            return Err(lane::Failure::Unknown(outcome::Doubt::ConnectionLost));
         }
         let rolled_back = self.query("ROLLBACK").await;
         rolled_back.map(drop).map_err(|e| self.doubt(&e.into()))
@@ -438,3 +545,10 @@
         sent.map_err(|_| lane::Failure::Unknown(outcome::Doubt::ConnectionLost))
     }
 }
+
+async fn pause(patience: Option<time::Duration>) {
+    match patience {
+        Some(patience) => tokio::time::sleep(patience).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/cardamomhold_standin/src/member.rs
+++ b/crates/cardamomhold_standin/src/member.rs
@@ -87,6 +87,8 @@
     Promote(position::Term, oneshot::Sender<bool>),
     /// Makes the member follow a primary.
     Follow(position::Term, String, oneshot::Sender<bool>),
+    /// Makes the member ask for no new work, or for work again.
+    Leave(bool, oneshot::Sender<()>),
     /// From the follower task: the stream of a term starts.
     Joined {
         /// Number of the order to follow.
@@ -278,6 +280,10 @@
             Request::Follow(term, address, reply) => {
                 let _ = reply.send(self.follow(term, address));
             }
+            Request::Leave(leaving, reply) => {
+                self.publisher.send_modify(|p| p.status.leaving = leaving);
+                let _ = reply.send(());
+            }
             // An earlier follower's last items may come after it was stopped.
             Request::Joined { stream, .. } | Request::Received { stream, .. }
                 if stream != self.stream => {}
--- a/crates/cardamomhold_wire/src/sqlstate.rs
+++ b/crates/cardamomhold_wire/src/sqlstate.rs
@@ -31,6 +31,12 @@
     Listen,
     /// A statement that leaves state on a connection, which pooling can't keep.
     SessionState(&'static str),
+    /// A parameter of the proxy's own is set or shown together with other statements.
+    NotAlone(String),
+    /// A request key covers one transaction, and the batch ends or starts others.
+    KeyedControl,
+    /// A declared read tries to become a write.
+    DeclaredRead,
     /// The message broke the protocol.
     Protocol(String),
     /// A prepared statement of that name does not exist.
@@ -72,6 +78,21 @@
                 ),
                 "",
             ),
+            Self::NotAlone(name) => (
+                "0A000",
+                format!("parameter \"{name}\" must be set or shown by a statement sent alone"),
+                "",
+            ),
+            Self::KeyedControl => (
+                "0A000",
+                "a request key covers one transaction: send BEGIN alone and end it last".to_owned(),
+                "",
+            ),
+            Self::DeclaredRead => (
+                "25006",
+                "a declared read stays read-only".to_owned(),
+                "end the declaration first",
+            ),
             Self::Protocol(problem) => ("08P01", format!("protocol violation: {problem}"), ""),
             Self::UnknownStatement(name) => (
                 "26000",
@@ -119,10 +140,12 @@
         outcome::Refusal::UnknownGroup => "3D000",
         outcome::Refusal::DeadlineUnmet | outcome::Refusal::QueueFull => "53300",
         outcome::Refusal::Stopping => "57P01",
+        outcome::Refusal::IdleTransaction => "25P03",
         outcome::Refusal::NoPrimary
         | outcome::Refusal::StaleView
         | outcome::Refusal::ReplicaBehind
         | outcome::Refusal::EndpointDown
+        | outcome::Refusal::EndpointLeaving
         | outcome::Refusal::OwnerUnreachable
         | outcome::Refusal::ConnectFailed
         | outcome::Refusal::Rejoining => "57P03",
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,4 +7,7 @@
 
 pub mod bed;
 pub mod instance;
+pub mod load;
+pub mod raw;
+pub mod soak;
 pub mod writer;
