--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A caller's transaction: choosing the way, trying, and trying again while that is safe.
 
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use cardamomhold_wire::sqlstate;
 use cardamomhold_wire::statement;
 use pgwire::messages;
+use tokio::sync::watch;
 
 use crate::batch;
 use crate::caller;
@@ -23,8 +25,16 @@
 use crate::peer;
 use crate::relay;
 
-/// Pause before another attempt while nothing has changed.
-const RETRY: time::Duration = time::Duration::from_millis(20);
+/// Pause before another attempt while the configuration has not changed.
+const RETRY: time::Duration = time::Duration::from_millis(50);
+
+/// Waits until the configuration changes, which may bring the new primary, or a while.
+async fn await_change(config: &mut watch::Receiver<sync::Arc<config::Config>>) {
+    if let Ok(Err(_)) = tokio::time::timeout(RETRY, config.changed()).await {
+        // No further change is to come.
+        tokio::time::sleep(RETRY).await;
+    }
+}
 
 /// Name of the kind of read that `BEGIN READ ONLY` stands for.
 const DEFAULT_KIND: &str = "default";
@@ -200,11 +210,13 @@
             .deadline
             .unwrap_or(time::Duration::from_millis(rule.deadline_ms));
         let deadline = start + allowance;
+        let mut config = self.context.config.clone();
         let clock = clock::Clock::start();
         let last = clock.now().after(allowance.saturating_sub(RETRY));
         let guard = self.guard_of(batch);
         let mut retry = retry::Retry::resume(guard, last, self.session.doubt());
         loop {
+            config.mark_unchanged();
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
             let mut replica = None;
             let mut address = None;
@@ -232,7 +244,7 @@
             };
             match retry.fail(clock.now(), attempt) {
                 retry::Step::Now => {}
-                retry::Step::Later => tokio::time::sleep(RETRY).await,
+                retry::Step::Later => await_change(&mut config).await,
                 retry::Step::GiveUp(outcome) => {
                     let failure = with_outcome(failure, outcome);
                     return Ok(Ended::Failure { failure, forwarded });
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::operator;
 use crate::owner;
 use crate::peer;
+use crate::reigns;
 use crate::seats;
 use crate::settings;
 use crate::stop;
@@ -107,6 +108,7 @@
         };
         let config = config::start(platform.clone());
         let fleet = fleet_task::start(platform.clone(), own.clone());
+        let reigns = reigns::start(platform.clone(), own.name.clone(), config.heard.clone());
         let phase = watch::Sender::new(stop::Phase::default());
         let stop = stop::Stop::new(phase.subscribe());
         let owner = owner::start(owner::Setting {
@@ -114,6 +116,7 @@
             config: config.config.clone(),
             fleet: fleet.clone(),
             clock: clock::Clock::start(),
+            reigns,
             metrics: metrics.clone(),
             stop: stop.clone(),
         });
--- a/crates/cardamomhold_daemon/src/relay.rs
+++ b/crates/cardamomhold_daemon/src/relay.rs
@@ -14,6 +14,9 @@
 const MAX_HELD_LEN: usize = 4 * 1024 * 1024;
 const COMMIT_TAG: &str = "COMMIT";
 
+/// SQLSTATE of a write where nothing can be written.
+const READ_ONLY: &str = "25006";
+
 /// Why the answer could not be relayed to its end.
 #[derive(Debug)]
 pub enum RelayError {
@@ -67,6 +70,9 @@
     pub failed: bool,
     /// Whether a COMMIT is among what is held back.
     pub is_commit_held: bool,
+    /// Whether the batch was refused as a whole because nothing can be written there;
+    /// the refusal is held back.
+    pub is_read_only: bool,
 }
 
 /// Relays until "ready for query", or until so many answers have come.
@@ -92,6 +98,7 @@
             }
         };
         if let messages::PgWireBackendMessage::ReadyForQuery(ready) = &message {
+            state.judge(status_of(ready.status), progress);
             state.flush(down, progress).await?;
             return Ok(state.end(status_of(ready.status)));
         }
@@ -114,6 +121,8 @@
     is_commit_held: bool,
     tag: String,
     failed: bool,
+    refused: bool,
+    is_read_only: bool,
 }
 
 impl State {
@@ -126,6 +135,17 @@
             is_commit_held: false,
             tag: String::new(),
             failed: false,
+            refused: false,
+            is_read_only: false,
+        }
+    }
+
+    /// Holds the answer back when it says that nothing of the batch could be written.
+    fn judge(&mut self, status: lane::Status, progress: &Progress) {
+        let is_first = self.tag.is_empty() && !progress.forwarded;
+        if self.refused && is_first && status == lane::Status::Idle {
+            self.is_read_only = true;
+            self.holds = true;
         }
     }
 
@@ -161,8 +181,9 @@
                 self.is_commit_held |= complete.tag.starts_with(COMMIT_TAG);
                 put(&mut self.held, message);
             }
-            messages::PgWireBackendMessage::ErrorResponse(_) => {
+            messages::PgWireBackendMessage::ErrorResponse(error) => {
                 self.failed = true;
+                self.refused |= error.fields.contains(&(b'C', READ_ONLY.to_owned()));
                 let out = if self.is_commit_held {
                     &mut self.held
                 } else {
@@ -201,6 +222,7 @@
             tag: self.tag,
             failed: self.failed,
             is_commit_held: self.is_commit_held,
+            is_read_only: self.is_read_only,
         }
     }
 }
