--- a/crates/cardamomhold_daemon/src/reigns.rs
+++ b/crates/cardamomhold_daemon/src/reigns.rs
@@ -98,6 +98,8 @@
         author: author.to_string(),
         change: uuid::Uuid::now_v7().to_string(),
         spec: object::Spec::Reign(reign),
+        // The instances log every change of primary; the object keeps the last one only.
+        history: Vec::new(),
     };
     let value = serde_json::to_vec(&envelope).map_err(|_| client::PlatformError::BadAnswer)?;
     match platform.put(name, Some(&value), expected).await? {
