--- a/crates/cardamomhold_daemon/src/caller.rs
+++ b/crates/cardamomhold_daemon/src/caller.rs
@@ -141,8 +141,15 @@
 async fn greet(context: Context, socket: net::TcpStream, own: CancelTarget) -> Result<(), End> {
     let (read, mut writer) = socket.into_split();
     let mut reader = frame::Reader::for_caller(read);
+    let mut stop = context.stop.clone();
     let startup = loop {
-        let message = match reader.next_frontend().await {
+        let message = tokio::select! {
+            biased;
+            message = reader.next_frontend() => message,
+            // Whoever has said nothing yet, such as a balancer's probe, waits for nothing.
+            () = stop.reached(stop::Phase::Draining) => return Ok(()),
+        };
+        let message = match message {
             Ok(Some(message)) => message,
             Ok(None) => return Ok(()),
             Err(error) => {
--- a/tests/tests/planned_stop.rs
+++ b/tests/tests/planned_stop.rs
@@ -8,6 +8,9 @@
 /// Grace of the stops below, longer than everything that waits for it.
 const GRACE: time::Duration = time::Duration::from_secs(20);
 
+/// Time of each statement at its endpoint, so that requests are in flight at any moment.
+const SERVICE: time::Duration = time::Duration::from_millis(3);
+
 /// Callers of the load.
 const CALLERS: usize = 6;
 
@@ -38,7 +41,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn owner_stops_unnoticed() {
-    let mut bed = bed::Bed::start().await;
+    let mut bed = bed::Bed::shaped(|o| o.service = SERVICE).await;
     load::create_table(&bed.connect(1).await).await;
     let load = load::Load::start(&bed, &[1, 2], CALLERS);
     load.await_more(WRITES).await;
@@ -58,7 +61,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_stops_cleanly() {
-    let mut bed = bed::Bed::start().await;
+    let mut bed = bed::Bed::shaped(|o| o.service = SERVICE).await;
     load::create_table(&bed.connect(1).await).await;
     let load = load::Load::start(&bed, &[1, 2], CALLERS);
     load.await_more(WRITES).await;
@@ -108,3 +111,33 @@
         "{error:?}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sent_requests_are_served() {
+    let mut bed = bed::Bed::start().await;
+    let client = bed.connect(1).await;
+    let mut entry = bed.leave(1);
+    // The first request outlasts the notice; the others wait in the socket behind it.
+    let (first, second, third, fourth, left) = tokio::join!(
+        client.batch_execute("SLEEP 4000"),
+        client.batch_execute("SELECT 1"),
+        client.batch_execute("SELECT 2"),
+        client.batch_execute("SELECT 3"),
+        entry.stop(GRACE),
+    );
+    for answer in [first, second, third, fourth] {
+        answer.expect("served before the farewell");
+    }
+    assert_eq!(left, 0, "nothing was cut");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_is_closed() {
+    let mut bed = bed::Bed::start().await;
+    let address = bed.instances[1].addresses.listen;
+    // Balancers probe like this: they connect and say nothing.
+    let silent = tokio::net::TcpStream::connect(address).await;
+    let _silent = silent.expect("connects");
+    let mut entry = bed.leave(1);
+    assert_eq!(entry.stop(GRACE).await, 0, "it holds nothing up");
+}
