A statement that outlasts the grace is answered "unknown", not cut without a word

Cause: a caller whose statement ran at another instance's endpoint when the grace ended saw its connection close without an answer: `running_hears_doubt` printed "Error { kind: Closed }" in place of 08007. Its task waited for a lane that nothing ended, and was aborted with it.

Change: a caller's task that waits for an answer follows the phase of the end as well, and gives up with "unknown" when the grace is over. No further attempt is made then.

--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::owner;
 use crate::peer;
 use crate::relay;
+use crate::stop;
 
 /// Pause before another attempt while nothing has changed.
 const RETRY: time::Duration = time::Duration::from_millis(20);
@@ -423,6 +424,7 @@
     ) -> Result<Ended, caller::End> {
         let mut filter = Filter::new(&batch.steps);
         let mut forwarded = false;
+        let mut stop = self.context.stop.clone();
         loop {
             tokio::select! {
                 down = lane.down.recv() => match down {
@@ -448,6 +450,11 @@
                     let failure = lane::Failure::Unknown(outcome::Doubt::DeadlinePassed);
                     return Ok(Ended::Failure { failure, forwarded });
                 }
+                () = stop.reached(stop::Phase::Ending) => {
+                    // There is no time for another attempt, whatever was forwarded.
+                    let failure = lane::Failure::Unknown(outcome::Doubt::OwnerLost);
+                    return Ok(Ended::Failure { failure, forwarded: true });
+                }
             }
         }
     }
--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -112,6 +112,18 @@
         std::mem::replace(&mut self.instances[at], ended)
     }
 
+    /// Waits until a member has served more than `before` statements.
+    pub async fn await_served(&self, at: usize, before: usize) {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        while self.members[at].served() <= before {
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "member {at} serves nothing"
+            );
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+
     /// Declares a member as draining.
     pub fn drain(&self, at: usize) {
         let object = group_object(&self.members, Some(at));
--- a/tests/tests/endless_transaction.rs
+++ b/tests/tests/endless_transaction.rs
@@ -52,6 +52,22 @@
     endless.batch_execute("SELECT 1").await.expect("goes on");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn running_hears_doubt() {
+    // Instance 0 owns the primary itself, instance 1 reaches it through a lane.
+    for at in [0, 1] {
+        let mut bed = bed::Bed::start().await;
+        let endless = bed.connect(at).await;
+        let before = bed.members[0].served();
+        let running = tokio::spawn(async move { endless.batch_execute("SLEEP 9000").await });
+        bed.await_served(0, before).await;
+        let mut entry = bed.leave(at);
+        assert_eq!(entry.stop(GRACE).await, 1, "one statement was cut");
+        let error = running.await.expect("answered").expect_err("unknown");
+        assert_eq!(bed::code_of(&error), "08007", "{error:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_is_ended() {
     let bed = bed::Bed::start().await;
