--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -1,12 +1,15 @@
 //! A caller's transaction: choosing the way, trying, and trying again while that is safe.
 
+use std::sync;
 use std::time;
 
+use cardamomhold_config::config;
 use cardamomhold_core::outcome;
 use cardamomhold_core::position;
 use cardamomhold_session::retry;
 use cardamomhold_wire::sqlstate;
 use cardamomhold_wire::statement;
+use tokio::sync::watch;
 
 use crate::batch;
 use crate::caller;
@@ -16,9 +19,18 @@
 use crate::owner;
 use crate::peer;
 use crate::plan;
+use crate::stop;
 
-/// Pause before another attempt while nothing has changed.
-const RETRY: time::Duration = time::Duration::from_millis(20);
+/// Pause before another attempt while the configuration has not changed.
+const RETRY: time::Duration = time::Duration::from_millis(50);
+
+/// Waits until the configuration changes, which may bring the new primary, or a while.
+async fn await_change(config: &mut watch::Receiver<sync::Arc<config::Config>>) {
+    if let Ok(Err(_)) = tokio::time::timeout(RETRY, config.changed()).await {
+        // No further change is to come.
+        tokio::time::sleep(RETRY).await;
+    }
+}
 
 /// A lane whose transaction is open.
 #[derive(Debug)]
@@ -185,11 +197,13 @@
             .deadline
             .unwrap_or(time::Duration::from_millis(rule.deadline_ms));
         let deadline = start + allowance;
+        let mut config = self.context.config.clone();
         let clock = clock::Clock::start();
         let last = clock.now().after(allowance.saturating_sub(RETRY));
         let guard = self.guard_of(batch);
         let mut retry = retry::Retry::resume(guard, last, self.session.doubt());
         loop {
+            config.mark_unchanged();
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
             let mut replica = None;
             let mut address = None;
@@ -217,7 +231,7 @@
             };
             match retry.fail(clock.now(), attempt) {
                 retry::Step::Now => {}
-                retry::Step::Later => tokio::time::sleep(RETRY).await,
+                retry::Step::Later => await_change(&mut config).await,
                 retry::Step::GiveUp(outcome) => {
                     let failure = with_outcome(failure, outcome);
                     return Ok(Ended::Failure { failure, forwarded });
@@ -291,6 +305,7 @@
     ) -> Result<Ended, caller::End> {
         let mut filter = filter::Filter::new(&batch.steps);
         let mut forwarded = false;
+        let mut stop = self.context.stop.clone();
         loop {
             tokio::select! {
                 down = lane.down.recv() => match down {
@@ -316,6 +331,11 @@
                     let failure = lane::Failure::Unknown(outcome::Doubt::DeadlinePassed);
                     return Ok(Ended::Failure { failure, forwarded });
                 }
+                () = stop.reached(stop::Phase::Ending) => {
+                    // There is no time for another attempt, whatever was forwarded.
+                    let failure = lane::Failure::Unknown(outcome::Doubt::OwnerLost);
+                    return Ok(Ended::Failure { failure, forwarded: true });
+                }
             }
         }
     }
--- a/crates/cardamomhold_daemon/src/greet.rs
+++ b/crates/cardamomhold_daemon/src/greet.rs
@@ -18,6 +18,7 @@
 use crate::batch;
 use crate::caller;
 use crate::peer;
+use crate::stop;
 
 /// Time within which a caller must have said what it wants.
 const GREET_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -63,8 +64,15 @@
     reader: &mut frame::Reader<tcp::OwnedReadHalf>,
     writer: &mut tcp::OwnedWriteHalf,
 ) -> Result<Option<startup::Startup>, caller::End> {
+    let mut stop = context.stop.clone();
     loop {
-        let message = match reader.next_frontend().await {
+        let message = tokio::select! {
+            biased;
+            message = reader.next_frontend() => message,
+            // Whoever has said nothing yet, such as a balancer's probe, waits for nothing.
+            () = stop.reached(stop::Phase::Draining) => return Ok(None),
+        };
+        let message = match message {
             Ok(Some(message)) => message,
             Ok(None) => return Ok(None),
             Err(error) => {
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod attempt;
 pub mod batch;
 pub mod caller;
+pub mod change;
 pub mod clock;
 pub mod config;
 pub mod daemon;
@@ -34,6 +35,7 @@
 pub mod owner;
 pub mod peer;
 pub mod plan;
+pub mod reigns;
 pub mod relay;
 pub mod seats;
 pub mod settings;
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -19,6 +19,12 @@
 pub const KEY_TABLE: &str = "CREATE TABLE IF NOT EXISTS cardamomhold_request_key \
      (request_key TEXT PRIMARY KEY, tag TEXT NOT NULL)";
 
+/// Asks a member at once for its status, whose first column is its role.
+const ROLE_QUERY: &str = "MEMBER STATUS AFTER 0 0 WAIT 0";
+
+/// Role of a member that takes no writes.
+const REPLICA: &str = "replica";
+
 const ROLLBACK_TAG: &str = "ROLLBACK";
 
 /// What the work needs besides its lane.
@@ -50,10 +56,20 @@
     }
 }
 
+/// Waits for the end of the term that a write was let in at.
+async fn await_end(replaced: Option<&mut group::Replaced>) {
+    match replaced {
+        Some(replaced) => replaced.wait().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The work of one lane.
 pub struct Work {
     pub(crate) context: Context,
     lease: lease::Lease,
+    pass: Option<group::Pass>,
+    is_between: bool,
     deadline: tokio::time::Instant,
     is_read: bool,
     pub(crate) may_have_run: bool,
@@ -87,9 +103,16 @@
             .admit(ticket, context.weight, deadline)
             .await?;
         let is_read = ticket.access.is_read();
+        let mut pass = None;
+        if !is_read {
+            let entering = context.group.enter(&ticket.member, ticket.term, deadline);
+            pass = Some(entering.await?);
+        }
         Ok(Self {
             context,
             lease,
+            pass,
+            is_between: true,
             deadline,
             is_read,
             may_have_run: false,
@@ -103,7 +126,13 @@
         ticket: &lane::Ticket,
         end: &mut lane::LaneEnd,
     ) -> Result<(), lane::Failure> {
-        let result = self.serve_all(ticket, end).await;
+        let mut replaced = self.pass.as_ref().map(group::Pass::watch);
+        let served = tokio::select! {
+            biased;
+            result = self.serve_all(ticket, end) => Some(result),
+            () = await_end(replaced.as_mut()) => None,
+        };
+        let result = served.unwrap_or_else(|| Err(self.cut_off()));
         // After anything else the connection's state is in doubt, and it is closed.
         if matches!(result, Ok(()) | Err(lane::Failure::Ran { .. })) {
             self.lease.give_back().await;
@@ -128,6 +157,7 @@
         }
         let mut status = lane::Status::Idle;
         loop {
+            self.is_between = self.is_synced;
             let batch = match self.next_batch(end, status).await {
                 Next::Batch(batch) => batch,
                 Next::Gone => return self.abandon().await,
@@ -139,6 +169,7 @@
             let is_begin = ticket.begins && status == lane::Status::Idle;
             self.may_have_run |= !wraps && !is_begin;
             self.is_synced = batch.sync;
+            self.is_between = false;
             self.lease.ask();
             self.lease
                 .connection()
@@ -155,6 +186,9 @@
                 self.answer_flush(ticket, end, ended).await?;
                 continue;
             }
+            if ended.is_read_only && !self.is_read && self.is_replica().await {
+                return Err(lane::Failure::NotRun(outcome::Refusal::NoPrimary));
+            }
             self.lease.answered();
             if status == lane::Status::Transaction && key.is_some() {
                 self.pass(ticket, key.take()).await?;
@@ -179,6 +213,23 @@
         }
     }
 
+    /// What becomes of a transaction when its term is over: nothing that is still under
+    /// way can be confirmed.
+    fn cut_off(&self) -> lane::Failure {
+        if self.is_between {
+            return lane::Failure::NotRun(outcome::Refusal::NoPrimary);
+        }
+        self.doubt(&connection::ConnectionError::Closed.into())
+    }
+
+    /// Whether the member has been replaced as primary; if it can't say so, it has not.
+    async fn is_replica(&mut self) -> bool {
+        match self.query(ROLE_QUERY).await {
+            Ok(Some(row)) => row.text(0) == Some(REPLICA),
+            Ok(None) | Err(_) => false,
+        }
+    }
+
     /// Answers a batch that ends with a flush; its transaction goes on.
     async fn answer_flush(
         &mut self,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod load;
 pub mod raw;
 pub mod soak;
+pub mod writer;
