Zones in the status; the probe and the metrics are proved

Cause: `status` had no line per zone, and nothing proved that an instance is not ready before it stops, nor that it has a histogram for each rank and group.

Change: `status` sums instances and members by zone, in tables and JSON; tests/tests/readiness_probe.rs asks a real instance over HTTP.

Seen to fail: with the probe left ready during a stop `not_ready_comes_first` printed "connects: Connection refused" (it never saw 503); without the notice it printed "served: Closed"; with an instance that is ready at once `not_ready_without_config` printed "left: 200, right: 503".

After: readiness_probe 3 of 3, human_tables 4 of 4.

--- a/crates/cardamomhold_cli/src/status.rs
+++ b/crates/cardamomhold_cli/src/status.rs
@@ -1,5 +1,7 @@
 //! The status, for people and for scripts.
 
+use std::collections;
+
 use cardamomhold_proto::operator as schema;
 use serde_json::Value;
 
@@ -33,9 +35,59 @@
     text += &members(status);
     text.push('\n');
     text += &instances(status);
+    text.push('\n');
+    text += &zones(status);
     text
 }
 
+/// A zone at a glance.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Zone {
+    /// Its name.
+    pub name: String,
+    /// Instances that serve.
+    pub alive: usize,
+    /// Instances that are known.
+    pub instances: usize,
+    /// Members in reach of the instance that was asked.
+    pub reachable: usize,
+    /// Members.
+    pub members: usize,
+}
+
+/// The zones of the instances and the members, by name.
+pub fn zones_of(status: &schema::StatusReply) -> Vec<Zone> {
+    let mut zones = collections::BTreeMap::<&str, Zone>::new();
+    for instance in &status.instances {
+        let zone = zones.entry(&instance.zone).or_default();
+        zone.instances += 1;
+        zone.alive += usize::from(instance.state == "alive");
+    }
+    for member in status.groups.iter().flat_map(|g| &g.members) {
+        let zone = zones.entry(&member.zone).or_default();
+        zone.members += 1;
+        zone.reachable += usize::from(member.reachable);
+    }
+    let mut named = Vec::new();
+    for (name, zone) in zones {
+        let name = name.to_owned();
+        named.push(Zone { name, ..zone });
+    }
+    named
+}
+
+fn zones(status: &schema::StatusReply) -> String {
+    let mut rows = Vec::new();
+    for zone in zones_of(status) {
+        rows.push([
+            zone.name,
+            format!("{}/{}", zone.alive, zone.instances),
+            format!("{}/{}", zone.reachable, zone.members),
+        ]);
+    }
+    table::render(["ZONE", "ALIVE", "REACHABLE"], &rows)
+}
+
 fn groups(status: &schema::StatusReply) -> String {
     let mut rows = Vec::new();
     for group in &status.groups {
@@ -105,7 +157,15 @@
             "name": instance.name, "zone": instance.zone, "state": instance.state,
         }));
     }
+    let mut zones = Vec::new();
+    for zone in zones_of(status) {
+        zones.push(serde_json::json!({
+            "name": zone.name, "alive": zone.alive, "instances": zone.instances,
+            "reachable": zone.reachable, "members": zone.members,
+        }));
+    }
     serde_json::json!({
+        "zones": zones,
         "instance": status.instance,
         "zone": status.zone,
         "config_version": status.config_version,
--- a/crates/cardamomhold_cli/tests/human_tables.rs
+++ b/crates/cardamomhold_cli/tests/human_tables.rs
@@ -64,3 +64,29 @@
     assert!(text.contains("unreachable"), "{text}");
     assert!(text.contains("1/2"), "{text}");
 }
+
+#[test]
+fn zones_are_summed() {
+    let mut near = member("a", "primary");
+    near.zone = "north".to_owned();
+    let mut far = member("b", "unknown");
+    far.zone = "south".to_owned();
+    far.reachable = false;
+    let mut status = status_of(vec![near, far]);
+    for (name, zone, state) in [
+        ("i", "north", "alive"),
+        ("j", "north", "leaving"),
+        ("k", "south", "dead"),
+    ] {
+        status.instances.push(schema::InstanceStatus {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            state: state.to_owned(),
+        });
+    }
+    let zones = status::zones_of(&status);
+    let counts = |z: &status::Zone| (z.alive, z.instances, z.reachable, z.members);
+    assert_eq!(zones.len(), 2);
+    assert_eq!(counts(&zones[0]), (1, 2, 1, 1));
+    assert_eq!(counts(&zones[1]), (0, 1, 0, 1));
+}
--- /dev/null
+++ b/tests/tests/readiness_probe.rs
@@ -0,0 +1,78 @@
+//! The readiness probe and the metrics over HTTP.
+
+use std::net;
+use std::time;
+
+use cardamomhold_tests::bed;
+use cardamomhold_tests::load;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+
+async fn get(address: net::SocketAddr, path: &str) -> String {
+    let mut socket = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connects");
+    let request = format!("GET {path} HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n");
+    socket.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).await.expect("answer");
+    answer
+}
+
+fn status_of(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_ready_comes_first() {
+    let mut bed = bed::Bed::start().await;
+    let metrics = bed.instances[1].addresses.metrics;
+    assert_eq!(status_of(&get(metrics, "/ready").await), "200");
+    let mut entry = bed.leave(1);
+    let stopping = tokio::spawn(async move { entry.stop(time::Duration::from_secs(20)).await });
+    let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+    while status_of(&get(metrics, "/ready").await) != "503" {
+        assert!(tokio::time::Instant::now() < deadline, "ready for ever");
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    // Whoever has not noticed yet is served.
+    let late = bed.connect(1).await;
+    late.batch_execute("SELECT 1").await.expect("served");
+    assert_eq!(stopping.await.expect("stops"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_ready_without_config() {
+    let mut bed = bed::Bed::start().await;
+    bed.platform.set_down(true);
+    for instance in &mut bed.instances {
+        // None is left that could give the configuration away.
+        instance.kill();
+    }
+    let fresh = bed.start_instance("entry-d", "a").await;
+    let answer = get(fresh.addresses.metrics, "/ready").await;
+    assert_eq!(status_of(&answer), "503", "{answer}");
+    bed.platform.set_down(false);
+    let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+    while status_of(&get(fresh.addresses.metrics, "/ready").await) != "200" {
+        assert!(tokio::time::Instant::now() < deadline, "never ready");
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn histogram_for_each_rank() {
+    let bed = bed::Bed::start().await;
+    load::create_table(&bed.connect(0).await).await;
+    for rank in ["urgent", "bulk"] {
+        let options = format!("-c cardamomhold.rank={rank}");
+        let client = bed.connect_with(1, &options).await;
+        client.batch_execute("SELECT 1").await.expect("select");
+    }
+    let text = get(bed.instances[1].addresses.metrics, "/metrics").await;
+    for rank in ["urgent", "bulk"] {
+        let count =
+            format!("cardamomhold_statement_seconds_count{{group=\"bookings\",rank=\"{rank}\"}} 1");
+        assert!(text.contains(&count), "{text}");
+    }
+}
