--- a/crates/cardamomhold_daemon/src/attempt.rs
+++ b/crates/cardamomhold_daemon/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A caller's transaction: choosing the way, trying, and trying again while that is safe.
 
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use cardamomhold_wire::sqlstate;
 use cardamomhold_wire::statement;
 use pgwire::messages;
+use tokio::sync::watch;
 
 use crate::batch;
 use crate::caller;
@@ -24,8 +26,16 @@
 use crate::relay;
 use crate::stop;
 
-/// Pause before another attempt while nothing has changed.
-const RETRY: time::Duration = time::Duration::from_millis(20);
+/// Pause before another attempt while the configuration has not changed.
+const RETRY: time::Duration = time::Duration::from_millis(50);
+
+/// Waits until the configuration changes, which may bring the new primary, or a while.
+async fn await_change(config: &mut watch::Receiver<sync::Arc<config::Config>>) {
+    if let Ok(Err(_)) = tokio::time::timeout(RETRY, config.changed()).await {
+        // No further change is to come.
+        tokio::time::sleep(RETRY).await;
+    }
+}
 
 /// Name of the kind of read that `BEGIN READ ONLY` stands for.
 const DEFAULT_KIND: &str = "default";
@@ -201,11 +211,13 @@
             .deadline
             .unwrap_or(time::Duration::from_millis(rule.deadline_ms));
         let deadline = start + allowance;
+        let mut config = self.context.config.clone();
         let clock = clock::Clock::start();
         let last = clock.now().after(allowance.saturating_sub(RETRY));
         let guard = self.guard_of(batch);
         let mut retry = retry::Retry::resume(guard, last, self.session.doubt());
         loop {
+            config.mark_unchanged();
             let left = deadline.saturating_duration_since(tokio::time::Instant::now());
             let mut replica = None;
             let mut address = None;
@@ -233,7 +245,7 @@
             };
             match retry.fail(clock.now(), attempt) {
                 retry::Step::Now => {}
-                retry::Step::Later => tokio::time::sleep(RETRY).await,
+                retry::Step::Later => await_change(&mut config).await,
                 retry::Step::GiveUp(outcome) => {
                     let failure = with_outcome(failure, outcome);
                     return Ok(Ended::Failure { failure, forwarded });
@@ -305,14 +317,16 @@
     /// The accepted staleness of a declared read; none for everything else.
     fn kind_of(&self, class: &statement::Class, config: &config::Config) -> Option<time::Duration> {
         let default = name::KindName::parse(DEFAULT_KIND).ok();
+        let default = default.filter(|kind| config.read_rule(kind).is_some());
         let kind = match class {
             statement::Class::Begin { read_only: true } => {
                 self.session.read_kind.as_ref().or(default.as_ref())
             }
             _ => self.session.read_kind.as_ref(),
         };
-        let rule = config.read_rule(kind?)?;
-        Some(time::Duration::from_millis(rule.staleness_ms))
+        // A kind that is no more stays a read, at the primary.
+        let staleness = config.read_rule(kind?).map_or(0, |rule| rule.staleness_ms);
+        Some(time::Duration::from_millis(staleness))
     }
 
     fn replicas<'a>(
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -27,9 +27,11 @@
 use crate::operator;
 use crate::owner;
 use crate::peer;
+use crate::reigns;
 use crate::seats;
 use crate::settings;
 use crate::stop;
+use crate::sweep;
 
 /// Cancel requests that wait for slow tasks.
 const CANCELS: usize = 256;
@@ -107,6 +109,7 @@
         };
         let config = config::start(platform.clone());
         let fleet = fleet_task::start(platform.clone(), own.clone());
+        let reigns = reigns::start(platform.clone(), own.name.clone(), config.heard.clone());
         let phase = watch::Sender::new(stop::Phase::default());
         let stop = stop::Stop::new(phase.subscribe());
         let owner = owner::start(owner::Setting {
@@ -114,6 +117,7 @@
             config: config.config.clone(),
             fleet: fleet.clone(),
             clock: clock::Clock::start(),
+            reigns,
             metrics: metrics.clone(),
             stop: stop.clone(),
         });
@@ -137,6 +141,12 @@
             config: config.config.clone(),
             cancels,
         };
+        let sweep = sweep::Setting {
+            instance: own.name.clone(),
+            config: config.config.clone(),
+            fleet: fleet.clone(),
+            owner: owner.clone(),
+        };
         let operators = operator::Service {
             platform,
             config: config.clone(),
@@ -148,6 +158,7 @@
         let ended = stop::Stop::new(phase.subscribe());
         let peers = tokio::spawn(serve_peers(peer_listener, peers, operators, ended));
         services.spawn(http::run(metrics_listener, metrics, ready_seen));
+        services.spawn(sweep::run(sweep));
         services.spawn(become_ready(config.config.clone(), ready.clone()));
         let callers = tokio::spawn(accept(callers_listener, context));
         log::info!(
--- a/crates/cardamomhold_daemon/src/endpoint.rs
+++ b/crates/cardamomhold_daemon/src/endpoint.rs
@@ -329,7 +329,8 @@
     let _ = owner.send(Request::Opened(opened)).await;
 }
 
-async fn sleep_until(at: Option<tokio::time::Instant>) {
+/// Sleeps until an instant; for ever when there is none.
+pub(crate) async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
         None => std::future::pending().await,
