A quickstart whose parts can fail one by one

Cause: the stand-ins of the quickstart shared one process, so nobody could see a primary die or the platform stop without the others, and the pages had to say "not tried".

--- a/crates/cardamomhold_standin/src/bin/cardamomhold_standin.rs
+++ b/crates/cardamomhold_standin/src/bin/cardamomhold_standin.rs
@@ -20,10 +20,15 @@
         cmd standin {
             /// Settings file, in JSON.
             required settings: PathBuf
+            /// Runs one part only: platform, or the name of a member.
+            optional --only part: String
         }
     }
 }
 
+/// Name of the platform's part.
+const PLATFORM: &str = "platform";
+
 /// Settings of the stand-ins.
 #[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +75,7 @@
     Parse(serde_json::Error),
     Listen(std::io::Error),
     Start(endpoint::StartError),
+    NoPart,
 }
 
 impl fmt::Display for Failure {
@@ -79,6 +85,7 @@
             Self::Parse(error) => write!(f, "settings: {error}"),
             Self::Listen(error) => write!(f, "platform: {error}"),
             Self::Start(error) => write!(f, "members: {error}"),
+            Self::NoPart => f.write_str("--only: use \"platform\" or the name of a member"),
         }
     }
 }
@@ -93,7 +100,7 @@
             return process::ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run(&parsed.settings)) {
+    match runtime.block_on(run(&parsed.settings, parsed.only.as_deref())) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(failure) => {
             eprintln!("can't start: {failure}");
@@ -102,9 +109,31 @@
     }
 }
 
-async fn run(path: &path::Path) -> Result<(), Failure> {
+async fn run(path: &path::Path, only: Option<&str>) -> Result<(), Failure> {
     let text = fs::read_to_string(path).map_err(Failure::Read)?;
     let settings: Settings = serde_json::from_str(&text).map_err(Failure::Parse)?;
+    let is_wanted = |part: &str| only.is_none_or(|only| only == part);
+    // Both live until the process ends.
+    let platform = match is_wanted(PLATFORM) {
+        true => Some(start_platform(&settings).await?),
+        false => None,
+    };
+    let members = start_members(&settings, is_wanted).await?;
+    if platform.is_none() && members.is_empty() {
+        return Err(Failure::NoPart);
+    }
+    log::info!(
+        "event=standins_ready platform={} members={}",
+        platform.is_some(),
+        members.len()
+    );
+    if let Err(error) = tokio::signal::ctrl_c().await {
+        log::warn!("event=no_signals error=\"{error}\"");
+    }
+    Ok(())
+}
+
+async fn start_platform(settings: &Settings) -> Result<platform::Platform, Failure> {
     let platform = platform::Platform::start(&settings.platform)
         .await
         .map_err(Failure::Listen)?;
@@ -114,26 +143,26 @@
     for object in &settings.objects {
         platform.store(&object.name, object.value.to_string().as_bytes());
     }
+    Ok(platform)
+}
+
+async fn start_members(
+    settings: &Settings,
+    is_wanted: impl Fn(&str) -> bool,
+) -> Result<Vec<endpoint::Endpoint>, Failure> {
     let mut endpoints = Vec::new();
-    let mut primary = None;
-    for member in &settings.members {
+    for (at, member) in settings.members.iter().enumerate() {
+        if !is_wanted(&member.name) {
+            continue;
+        }
         let mut options = member::Options::new(&member.name, &settings.group);
         options.apply_lag = time::Duration::from_millis(member.apply_lag_ms);
-        let part = match &primary {
-            None => endpoint::Part::Primary,
-            Some(address) => endpoint::Part::Replica(String::clone(address)),
+        let part = match at {
+            0 => endpoint::Part::Primary,
+            _ => endpoint::Part::Replica(settings.members[0].address.clone()),
         };
         let endpoint = endpoint::Endpoint::start(options, &member.address, part).await;
-        primary.get_or_insert_with(|| member.address.clone());
         endpoints.push(endpoint.map_err(Failure::Start)?);
     }
-    log::info!(
-        "event=standins_ready platform={} members={}",
-        settings.platform,
-        endpoints.len()
-    );
-    if let Err(error) = tokio::signal::ctrl_c().await {
-        log::warn!("event=no_signals error=\"{error}\"");
-    }
-    Ok(())
+    Ok(endpoints)
 }
