--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -27,8 +27,11 @@
 use crate::operator;
 use crate::owner;
 use crate::peer;
+use crate::reigns;
+use crate::seats;
 use crate::settings;
 use crate::stop;
+use crate::sweep;
 
 /// Cancel requests that wait for slow tasks.
 const CANCELS: usize = 256;
@@ -106,6 +109,7 @@
         };
         let config = config::start(platform.clone());
         let fleet = fleet_task::start(platform.clone(), own.clone());
+        let reigns = reigns::start(platform.clone(), own.name.clone(), config.heard.clone());
         let phase = watch::Sender::new(stop::Phase::default());
         let stop = stop::Stop::new(phase.subscribe());
         let owner = owner::start(owner::Setting {
@@ -113,10 +117,12 @@
             config: config.config.clone(),
             fleet: fleet.clone(),
             clock: clock::Clock::start(),
+            reigns,
             metrics: metrics.clone(),
             stop: stop.clone(),
         });
         let (ready, ready_seen) = watch::channel(false);
+        let cancels = broadcast::Sender::new(CANCELS);
         let context = caller::Context {
             instance: own.name.clone(),
             zone: own.zone.clone(),
@@ -125,13 +131,21 @@
             fleet: fleet.clone(),
             owner: owner.clone(),
             peers: peer::start(),
-            cancels: broadcast::Sender::new(CANCELS),
+            cancels: cancels.clone(),
+            seats: seats::start(),
             metrics: metrics.clone(),
             stop,
         };
         let peers = peer::Service {
             owner: owner.clone(),
             config: config.config.clone(),
+            cancels,
+        };
+        let sweep = sweep::Setting {
+            instance: own.name.clone(),
+            config: config.config.clone(),
+            fleet: fleet.clone(),
+            owner: owner.clone(),
         };
         let operators = operator::Service {
             platform,
@@ -144,6 +158,7 @@
         let ended = stop::Stop::new(phase.subscribe());
         let peers = tokio::spawn(serve_peers(peer_listener, peers, operators, ended));
         services.spawn(http::run(metrics_listener, metrics, ready_seen));
+        services.spawn(sweep::run(sweep));
         services.spawn(become_ready(config.config.clone(), ready.clone()));
         let callers = tokio::spawn(accept(callers_listener, context));
         log::info!(
@@ -292,7 +307,7 @@
 async fn accept(listener: net::TcpListener, context: caller::Context) -> task::JoinSet<()> {
     let mut callers = task::JoinSet::new();
     let mut stop = context.stop.clone();
-    let mut number = 0;
+    let mut number = 0u32;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -310,9 +325,9 @@
         if socket.set_nodelay(true).is_err() {
             continue;
         }
-        number += 1;
+        number = number.wrapping_add(1);
         let secret = uuid::Uuid::new_v4().as_u128() as i32;
-        let own = caller::CancelTarget { number, secret };
+        let own = caller::CancelTarget::new(&context.instance, number, secret);
         callers.spawn(caller::run(context.clone(), socket, own));
     }
 }
--- a/crates/cardamomhold_daemon/src/endpoint.rs
+++ b/crates/cardamomhold_daemon/src/endpoint.rs
@@ -35,6 +35,10 @@
     },
     /// Gives a place back.
     Finish(job::JobId, job::Ended),
+    /// Leaves the endpoint idle while the caller thinks.
+    Pause(job::JobId),
+    /// Goes on after a pause.
+    Resume(job::JobId),
     /// Gives a connection back.
     Return(connection::Connection),
     /// A lent connection, or one that was to be opened, is no more.
@@ -185,6 +189,8 @@
                 self.answers = matches!(ended, job::Ended::Answered(_));
                 self.queue.finish(self.setting.clock.now(), id, ended);
             }
+            Request::Pause(id) => self.queue.pause(self.setting.clock.now(), id),
+            Request::Resume(id) => self.queue.resume(self.setting.clock.now(), id),
             Request::Return(connection) => self.keep(connection),
             Request::Closed => self.open = self.open.saturating_sub(1),
             Request::Opened(opened) => {
@@ -323,7 +329,8 @@
     let _ = owner.send(Request::Opened(opened)).await;
 }
 
-async fn sleep_until(at: Option<tokio::time::Instant>) {
+/// Sleeps until an instant; for ever when there is none.
+pub(crate) async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
         None => std::future::pending().await,
--- a/crates/cardamomhold_daemon/src/lease.rs
+++ b/crates/cardamomhold_daemon/src/lease.rs
@@ -29,6 +29,7 @@
     asked: Option<tokio::time::Instant>,
     busy: time::Duration,
     has_failed: bool,
+    is_paused: bool,
 }
 
 impl Lease {
@@ -43,6 +44,7 @@
             asked: None,
             busy: time::Duration::ZERO,
             has_failed: false,
+            is_paused: false,
         }
     }
 
@@ -115,6 +117,20 @@
     /// Takes note that the endpoint has work now.
     pub fn ask(&mut self) {
         self.asked = Some(tokio::time::Instant::now());
+        if let Some(id) = self.place
+            && std::mem::take(&mut self.is_paused)
+        {
+            tell(&self.requests, endpoint::Request::Resume(id));
+        }
+    }
+
+    /// Takes note that the caller thinks, in the middle of its transaction.
+    pub fn pause(&mut self) {
+        if let Some(id) = self.place
+            && !std::mem::replace(&mut self.is_paused, true)
+        {
+            tell(&self.requests, endpoint::Request::Pause(id));
+        }
     }
 
     /// Takes note that the endpoint has answered.
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -22,6 +22,7 @@
 use crate::group;
 use crate::lane;
 use crate::metrics;
+use crate::reigns;
 use crate::stop;
 use crate::work;
 
@@ -77,6 +78,8 @@
     pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
     /// The clock.
     pub clock: clock::Clock,
+    /// The task that calls the platform for the groups' reigns.
+    pub reigns: mpsc::Sender<reigns::Call>,
     /// Where the endpoints' load is shown.
     pub metrics: metrics::Metrics,
     /// How far the instance's end has come.
@@ -181,6 +184,9 @@
                 group: group.clone(),
                 instance: setting.instance.clone(),
                 config: setting.config.clone(),
+                fleet: setting.fleet.clone(),
+                clock: setting.clock,
+                reigns: setting.reigns.clone(),
             })
         });
         handle.clone()
--- a/crates/cardamomhold_queue/src/queue.rs
+++ b/crates/cardamomhold_queue/src/queue.rs
@@ -72,6 +72,7 @@
     rank: rank::Rank,
     caller: name::CallerName,
     since: Timestamp,
+    held: time::Duration,
     charged_us: u64,
     is_probe: bool,
     filled: bool,
@@ -89,6 +90,7 @@
     places: collections::HashMap<job::JobId, Place>,
     deadlines: collections::BTreeSet<(Timestamp, job::JobId)>,
     running: collections::HashMap<job::JobId, Running>,
+    paused: collections::HashMap<job::JobId, Running>,
     evicted: Vec<job::JobId>,
 }
 
@@ -105,6 +107,7 @@
             places: collections::HashMap::new(),
             deadlines: collections::BTreeSet::new(),
             running: collections::HashMap::new(),
+            paused: collections::HashMap::new(),
             evicted: Vec::new(),
         }
     }
@@ -178,7 +181,7 @@
             decisions.push(Decision::Refuse(id, outcome::Refusal::QueueFull));
         }
         self.expire(now, &mut decisions);
-        while self.running.len() < self.limit.get() {
+        while self.has_room() {
             let gate = self.breaker.gate(now);
             if gate == breaker::Gate::Shut {
                 break;
@@ -196,6 +199,12 @@
         decisions
     }
 
+    /// Whether another job may start: within the limit, and with a connection to spare.
+    fn has_room(&self) -> bool {
+        let started = self.running.len() + self.paused.len();
+        self.running.len() < self.limit.get() && started < self.limits.running
+    }
+
     fn expire(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
         while let Some((deadline, id)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -246,6 +255,7 @@
                 rank: job.rank,
                 caller: job.caller,
                 since: now,
+                held: time::Duration::ZERO,
                 charged_us,
                 is_probe,
                 filled,
@@ -255,11 +265,11 @@
 
     /// Takes note that a started job has ended; of others it takes no note.
     pub fn finish(&mut self, now: Timestamp, id: job::JobId, ended: job::Ended) {
-        let Some(run) = self.running.remove(&id) else {
+        let Some(run) = self.take_started(now, id) else {
             return;
         };
         let at = run.rank.index();
-        let held = now.since(run.since);
+        let held = run.held;
         let held_us = held.as_micros() as u64;
         let correction = held_us as i64 - run.charged_us as i64;
         self.shares.charge(run.rank, correction, self.has_work());
@@ -278,6 +288,32 @@
         }
     }
 
+    fn take_started(&mut self, now: Timestamp, id: job::JobId) -> Option<Running> {
+        if let Some(mut run) = self.running.remove(&id) {
+            run.held += now.since(run.since);
+            return Some(run);
+        }
+        self.paused.remove(&id)
+    }
+
+    /// Takes note that a started job leaves the endpoint idle for a while: its caller
+    /// thinks, and others may run meanwhile.
+    pub fn pause(&mut self, now: Timestamp, id: job::JobId) {
+        if let Some(mut run) = self.running.remove(&id) {
+            run.held += now.since(run.since);
+            self.paused.insert(id, run);
+        }
+    }
+
+    /// Takes note that a paused job goes on; it has its connection, so it does not wait,
+    /// and the limit may be exceeded until another job ends.
+    pub fn resume(&mut self, now: Timestamp, id: job::JobId) {
+        if let Some(mut run) = self.paused.remove(&id) {
+            run.since = now;
+            self.running.insert(id, run);
+        }
+    }
+
     /// Forgets a job that waits no longer; true when it was waiting.
     pub fn withdraw(&mut self, id: job::JobId) -> bool {
         let Some(place) = self.places.remove(&id) else {
@@ -307,6 +343,11 @@
         self.running.len()
     }
 
+    /// Number of started jobs that leave the endpoint idle.
+    pub fn paused(&self) -> usize {
+        self.paused.len()
+    }
+
     /// Number of jobs that may run at once now.
     pub fn limit(&self) -> usize {
         self.limit.get()
--- a/crates/cardamomhold_standin/src/member.rs
+++ b/crates/cardamomhold_standin/src/member.rs
@@ -87,10 +87,28 @@
     Promote(position::Term, oneshot::Sender<bool>),
     /// Makes the member follow a primary.
     Follow(position::Term, String, oneshot::Sender<bool>),
-    /// From the follower task: the stream of a term starts after a position.
-    Joined(position::Term, position::LogPosition),
+    /// Makes the member ask for no new work, or for work again.
+    Leave(bool, oneshot::Sender<()>),
+    /// From the follower task: the stream of a term starts.
+    Joined {
+        /// Number of the order to follow.
+        stream: u64,
+        /// The term.
+        term: position::Term,
+        /// Position after which the stream's entries come.
+        at: position::LogPosition,
+        /// Position after which the term's own entries come.
+        first: position::LogPosition,
+    },
     /// From the follower task: entries of a term, which may be none.
-    Received(position::Term, Vec<log::Entry>),
+    Received {
+        /// Number of the order to follow.
+        stream: u64,
+        /// The term.
+        term: position::Term,
+        /// The entries.
+        entries: Vec<log::Entry>,
+    },
 }
 
 /// What a member publishes of itself.
@@ -127,6 +145,10 @@
     pending: collections::VecDeque<Pending>,
     publisher: watch::Sender<Published>,
     follower: Option<tokio::task::JoinHandle<()>>,
+    /// Where the followed term starts, once its stream has begun.
+    joined: Option<position::LogPosition>,
+    /// Number of the latest order to follow.
+    stream: u64,
     requests: mpsc::WeakSender<Request>,
 }
 
@@ -165,6 +187,8 @@
         pending: collections::VecDeque::new(),
         publisher,
         follower: None,
+        joined: None,
+        stream: 0,
         requests: sender.downgrade(),
     };
     tokio::spawn(member.run(receiver, kept.sink));
@@ -256,8 +280,17 @@
             Request::Follow(term, address, reply) => {
                 let _ = reply.send(self.follow(term, address));
             }
-            Request::Joined(term, at) => self.joined(term, at),
-            Request::Received(term, entries) => self.received(term, entries),
+            Request::Leave(leaving, reply) => {
+                self.publisher.send_modify(|p| p.status.leaving = leaving);
+                let _ = reply.send(());
+            }
+            // An earlier follower's last items may come after it was stopped.
+            Request::Joined { stream, .. } | Request::Received { stream, .. }
+                if stream != self.stream => {}
+            Request::Joined {
+                term, at, first, ..
+            } => self.joined(term, at, first),
+            Request::Received { term, entries, .. } => self.received(term, entries),
         }
     }
 
@@ -360,7 +393,9 @@
         let Some(requests) = self.requests.upgrade() else {
             return false;
         };
+        self.stream += 1;
         let target = follow::Target {
+            stream: self.stream,
             term,
             address,
             group: self.options.group.clone(),
@@ -374,9 +409,15 @@
         if let Some(task) = self.follower.take() {
             task.abort();
         }
+        self.joined = None;
     }
 
-    fn joined(&mut self, term: position::Term, at: position::LogPosition) {
+    fn joined(
+        &mut self,
+        term: position::Term,
+        at: position::LogPosition,
+        first: position::LogPosition,
+    ) {
         if term != self.status().fenced || self.is_primary() {
             return;
         }
@@ -384,13 +425,25 @@
             self.log.truncate(at);
             self.rebuild();
         }
+        self.joined = Some(first);
         let now = time::Instant::now();
         let end = self.log.end();
         self.publisher.send_modify(|p| {
-            p.status.term = term;
             p.status.received = end;
             p.heard = now;
         });
+        self.take_term(term);
+    }
+
+    /// Takes a followed term on once everything before the term's start is here.
+    ///
+    /// Before that the log may lack confirmed entries of older terms, and must not count
+    /// as one of the new term.
+    fn take_term(&mut self, term: position::Term) {
+        let end = self.log.end();
+        if self.joined.is_some_and(|first| end >= first) {
+            self.publisher.send_modify(|p| p.status.term = term);
+        }
     }
 
     fn rebuild(&mut self) {
@@ -412,8 +465,8 @@
     }
 
     fn received(&mut self, term: position::Term, entries: Vec<log::Entry>) {
-        let status = self.status();
-        if term != status.term || term != status.fenced || self.is_primary() {
+        let is_stale = self.joined.is_none() || term != self.status().fenced;
+        if is_stale || self.is_primary() {
             return;
         }
         let taken = time::Instant::now();
@@ -431,6 +484,7 @@
                 p.fresh = taken;
             }
         });
+        self.take_term(term);
     }
 
     fn apply_due(&mut self) {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod bed;
 pub mod instance;
 pub mod load;
+pub mod raw;
 pub mod soak;
+pub mod writer;
