Planned changes of primary without a cut or refused request

Cause: 'switchover' answered 'unimplemented', and the driver of a planned change had never run with real instances.

Change: the operator's order sets the reign's wanted member by a conditional update. The primary's owner holds new writes, lets running ones end, waits until the target is level, then fences and goes on as in any other change. Held statements wait at the entry and run in the new term.

Found on the way and mended: - The choice fell on whichever replica was fenced first ('bookings-c does not become primary: ... bookings-b'). The choice waits up to 100 ms for the wanted member. - Fenced replicas were told to follow only after 200 ms of silence; whoever started the change tells them at once.

Ruled out: a count of running writes over all instances (needs messages between them in every write).

--- a/crates/cardamomhold_daemon/src/change.rs
+++ b/crates/cardamomhold_daemon/src/change.rs
@@ -115,7 +115,7 @@
         let Some(spec) = &self.spec else {
             return;
         };
-        let primary = self.change.serving().map(|(primary, _)| primary.clone());
+        let primary = self.change.primary().cloned();
         let mut owners = Vec::new();
         let mut last = None;
         for member in &spec.members {
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod settings;
 pub mod shutdown;
 pub mod stop;
+pub mod switchover;
 pub mod work;
--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -16,6 +16,7 @@
 
 use crate::config as config_task;
 use crate::owner;
+use crate::switchover;
 
 /// The service of one instance.
 #[derive(Debug)]
@@ -67,6 +68,16 @@
         {
             return bad(&field.path, &field.problem.to_string());
         }
+        self.write_spec(name, spec, author, version).await
+    }
+
+    async fn write_spec(
+        &self,
+        name: &object::ObjectName,
+        spec: Option<object::Spec>,
+        author: &str,
+        version: u64,
+    ) -> schema::ApplyReply {
         let change = uuid::Uuid::now_v7().to_string();
         let envelope = spec.map(|spec| object::Envelope {
             author: author.to_owned(),
@@ -243,9 +254,24 @@
 
     async fn switchover(
         &self,
-        _: tonic::Request<schema::SwitchoverRequest>,
+        request: tonic::Request<schema::SwitchoverRequest>,
     ) -> Result<tonic::Response<schema::ApplyReply>, tonic::Status> {
-        Err(tonic::Status::unimplemented("switchover"))
+        let request = request.into_inner();
+        let group = name::GroupName::parse(&request.group).map_err(|_| missing("group"))?;
+        let config = self.config.config.borrow().clone();
+        let spec = config.group(&group).ok_or_else(|| missing("group"))?;
+        let reign = config.reign(&group).ok_or_else(|| missing("group"))?;
+        let wanted = match switchover::order(spec, &reign, &request.member) {
+            Ok(wanted) => wanted,
+            Err(error) => return Ok(tonic::Response::new(bad("member", error.as_str()))),
+        };
+        let name = object::ObjectName::Reign(group);
+        let version = config.version(&name);
+        let spec = object::Spec::Reign(wanted);
+        let reply = self
+            .write_spec(&name, Some(spec), &request.author, version)
+            .await;
+        Ok(tonic::Response::new(reply))
     }
 
     async fn status(
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/switchover.rs
@@ -0,0 +1,73 @@
+//! Which member a planned change of primary goes to.
+
+use cardamomhold_core::name;
+use cardamomhold_group::reign;
+use cardamomhold_group::spec;
+
+/// Why a planned change is not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SwitchoverError {
+    /// No such member in the group.
+    UnknownMember,
+    /// The member is the primary already.
+    IsPrimary,
+    /// The member gets no new work.
+    Draining,
+    /// No other member takes work.
+    NoCandidate,
+    /// Another change is under way.
+    Changing,
+}
+
+impl SwitchoverError {
+    /// What the operator is told.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownMember => "no such member",
+            Self::IsPrimary => "is the primary already",
+            Self::Draining => "is being drained",
+            Self::NoCandidate => "no other member takes work",
+            Self::Changing => "a change is under way; try again",
+        }
+    }
+}
+
+/// The reign that asks for the change; without a name any other member will do.
+///
+/// # Errors
+/// [`SwitchoverError`] when the named member can't take over.
+pub fn order(
+    spec: &spec::GroupSpec,
+    reign: &reign::Reign,
+    member: &str,
+) -> Result<reign::Reign, SwitchoverError> {
+    let primary = reign.primary.as_ref().ok_or(SwitchoverError::Changing)?;
+    let wanted = if member.is_empty() {
+        let mut others = spec.members.iter().filter(|m| m.name != *primary);
+        let found = others.find(|m| !m.draining);
+        found.ok_or(SwitchoverError::NoCandidate)?
+    } else {
+        named(spec, primary, member)?
+    };
+    Ok(reign::Reign {
+        wanted: Some(wanted.name.clone()),
+        ..reign.clone()
+    })
+}
+
+fn named<'a>(
+    spec: &'a spec::GroupSpec,
+    primary: &name::MemberName,
+    member: &str,
+) -> Result<&'a spec::MemberSpec, SwitchoverError> {
+    let mut members = spec.members.iter();
+    let found = members.find(|m| m.name.as_str() == member);
+    let found = found.ok_or(SwitchoverError::UnknownMember)?;
+    if found.name == *primary {
+        return Err(SwitchoverError::IsPrimary);
+    }
+    if found.draining {
+        return Err(SwitchoverError::Draining);
+    }
+    Ok(found)
+}
--- a/crates/cardamomhold_group/src/change.rs
+++ b/crates/cardamomhold_group/src/change.rs
@@ -49,9 +49,16 @@
 /// Longest time that a planned change holds writes back before it starts.
 pub const HOLD_LIMIT: time::Duration = time::Duration::from_millis(500);
 
+/// Shortest time that a planned change holds writes back: whoever else takes some for
+/// the primary, by another view of the fleet, hears of the change and ends them.
+pub const HOLD_SETTLE: time::Duration = time::Duration::from_millis(50);
+
 /// Time that open transactions get to end before a planned change starts.
 pub const HOLD_GRACE: time::Duration = time::Duration::from_millis(150);
 
+/// Time that the choice waits for the member that a planned change names.
+pub const WANTED_WAIT: time::Duration = time::Duration::from_millis(100);
+
 /// Time before a planned change is tried again whose target did not catch up.
 pub const HOLD_PAUSE: time::Duration = time::Duration::from_secs(5);
 
@@ -81,6 +88,8 @@
     pub(crate) report: Option<status::MemberStatus>,
     pub(crate) at: Timestamp,
     pub(crate) next_ask: Timestamp,
+    /// Term in which this driver last told it whom to follow, and when.
+    pub(crate) led: (position::Term, Timestamp),
 }
 
 impl Member {
@@ -139,6 +148,9 @@
                         ASK_PAUSE
                     };
                     member.next_ask = now.after(pause);
+                    if !done {
+                        member.led = Default::default();
+                    }
                 }
             }
             event::Event::Stored => {
@@ -207,6 +219,11 @@
         reign.primary.as_ref().map(|primary| (primary, reign.term))
     }
 
+    /// The primary of the newest known reign, whether or not it takes writes now.
+    pub fn primary(&self) -> Option<&name::MemberName> {
+        self.reign.as_ref()?.primary.as_ref()
+    }
+
     /// When to poll again though nothing has happened; none while all is well.
     pub fn wake(&self, now: Timestamp) -> Option<Timestamp> {
         self.duty.is_some().then(|| now.after(self.pause(now)))
@@ -214,8 +231,13 @@
 
     /// Time between two looks; it grows while nothing comes of them.
     pub(crate) fn pause(&self, now: Timestamp) -> time::Duration {
-        let spent = self.duty.map(|(_, _, since)| now.since(since));
-        (spent.unwrap_or_default() / LOOKS).clamp(TICK, MAX_PAUSE)
+        (self.spent(now) / LOOKS).clamp(TICK, MAX_PAUSE)
+    }
+
+    /// Time spent on the present duty so far.
+    pub(crate) fn spent(&self, now: Timestamp) -> time::Duration {
+        let since = self.duty.map_or(now, |(_, _, since)| since);
+        now.since(since)
     }
 
     /// Decides what to do now.
@@ -239,7 +261,7 @@
             return Vec::new();
         };
         if now < since.after(self.delay(duty, reign.term)) {
-            return Vec::new();
+            return self.look_on(now, duty, &reign);
         }
         match duty {
             Duty::Refresh => self.read(now),
@@ -332,7 +354,9 @@
             } else {
                 FOLLOW_SILENCE
             };
-            if report.fenced < term || report.silence >= patience {
+            // The silence since its fence is too short to show, but follows from the fence.
+            let is_fresh = self.started == term && report.term < term && member.led.0 < term;
+            if is_fresh || report.fenced < term || report.silence >= patience {
                 strays.push(name.clone());
             }
         }
--- a/crates/cardamomhold_group/src/step.rs
+++ b/crates/cardamomhold_group/src/step.rs
@@ -47,10 +47,34 @@
         vec![event::Command::Write { reign, expected }]
     }
 
+    /// What an instance does that leaves a duty to another one for now: it looks whether
+    /// the chosen member is promoted, for writes may wait here.
+    pub(crate) fn look_on(
+        &mut self,
+        now: Timestamp,
+        duty: change::Duty,
+        reign: &reign::Reign,
+    ) -> Vec<event::Command> {
+        match &reign.primary {
+            Some(primary) if duty == change::Duty::Promote => {
+                self.probe_each(now, [primary.clone()])
+            }
+            _ => Vec::new(),
+        }
+    }
+
     pub(crate) fn probe(&mut self, now: Timestamp) -> Vec<event::Command> {
+        let names: Vec<name::MemberName> = self.members.keys().cloned().collect();
+        self.probe_each(now, names)
+    }
+
+    fn probe_each(
+        &mut self,
+        now: Timestamp,
+        names: impl IntoIterator<Item = name::MemberName>,
+    ) -> Vec<event::Command> {
         let mut commands = Vec::new();
         let pause = self.pause(now);
-        let names: Vec<name::MemberName> = self.members.keys().cloned().collect();
         for member in names {
             let age = self.members.get(&member).map(|m| now.since(m.at));
             if age.is_some_and(|a| a < pause) {
@@ -91,7 +115,11 @@
                 });
             }
         }
-        if let Some(chosen) = choice::choose(&frozen, self.majority, reign.wanted.as_ref()) {
+        let wanted = reign.wanted.as_ref();
+        let chosen = choice::choose(&frozen, self.majority, wanted);
+        let is_early =
+            wanted.is_some() && chosen != wanted && self.spent(now) < change::WANTED_WAIT;
+        if let Some(chosen) = chosen.filter(|_| !is_early) {
             let next = reign::Reign {
                 term: reign.term,
                 primary: Some(chosen.clone()),
@@ -134,9 +162,16 @@
             return commands;
         };
         for member in self.strays(reign.term, primary) {
-            if !self.may_ask(now, &member) {
+            let led = self.members.get(&member).map(|m| m.led);
+            let is_led = led
+                .is_some_and(|(term, at)| term == reign.term && now < at.after(change::ASK_RETRY));
+            // Each order starts the stream anew, so it gets time to take effect.
+            if is_led || !self.may_ask(now, &member) {
                 continue;
             }
+            if let Some(member) = self.members.get_mut(&member) {
+                member.led = (reign.term, now);
+            }
             commands.push(event::Command::Follow {
                 member,
                 term: reign.term,
@@ -203,7 +238,9 @@
             return commands;
         }
         let is_quiet = self.writers == 0 || waited >= change::HOLD_GRACE;
-        if is_quiet && self.is_level(held.max(self.quiet), reign) {
+        let settled = held.after(change::HOLD_SETTLE);
+        let is_settled = now >= settled && self.is_level(settled.max(self.quiet), reign);
+        if is_quiet && is_settled {
             commands.extend(self.start(now, reign));
             return commands;
         }
