--- /dev/null
+++ b/crates/cardamomhold_group/tests/primary_loss.rs
@@ -0,0 +1,76 @@
+//! When a primary counts as lost: whose failure it is, seen from several places.
+
+use std::time;
+
+use cardamomhold_core::position;
+use cardamomhold_group::detect;
+use cardamomhold_group::status;
+
+const MAJORITY: usize = 2;
+
+fn replica(silence_ms: u64) -> status::MemberStatus {
+    status::MemberStatus {
+        role: status::MemberRole::Replica,
+        term: position::Term(1),
+        fenced: position::Term(1),
+        received: position::LogPosition(9),
+        applied: position::LogPosition(9),
+        silence: time::Duration::from_millis(silence_ms),
+        lag: time::Duration::ZERO,
+        leaving: false,
+    }
+}
+
+fn is_lost(primary: detect::Reach, silences: &[u64], age_ms: u64) -> bool {
+    let replicas: Vec<status::MemberStatus> = silences.iter().map(|s| replica(*s)).collect();
+    let witnesses = replicas.iter().map(|status| detect::Witness {
+        status,
+        age: time::Duration::from_millis(age_ms),
+    });
+    detect::is_lost(primary, witnesses, MAJORITY)
+}
+
+#[test]
+fn dead_process() {
+    assert!(is_lost(detect::Reach::Closed, &[200, 200], 0));
+    assert!(!is_lost(detect::Reach::Closed, &[200, 199], 0));
+}
+
+#[test]
+fn silent_partition() {
+    assert!(is_lost(detect::Reach::Timeout, &[400, 900], 0));
+    assert!(!is_lost(detect::Reach::Timeout, &[399, 900], 0));
+}
+
+#[test]
+fn own_failure_only() {
+    for reach in [detect::Reach::Closed, detect::Reach::Timeout] {
+        assert!(!is_lost(reach, &[0, 100], 0), "replicas hear the primary");
+        assert!(!is_lost(reach, &[100, 9_000], 0), "one replica hears it");
+    }
+}
+
+#[test]
+fn cut_off_zone() {
+    for reach in [detect::Reach::Closed, detect::Reach::Timeout] {
+        assert!(!is_lost(reach, &[], 0), "no replica in reach");
+        assert!(!is_lost(reach, &[9_000], 0), "no majority in reach");
+    }
+}
+
+#[test]
+fn reached_primary_stays() {
+    for reach in [detect::Reach::Up, detect::Reach::Unknown] {
+        assert!(!is_lost(reach, &[1_999, 1_999], 0));
+        assert!(
+            is_lost(reach, &[2_000, 2_000], 0),
+            "nothing can be confirmed"
+        );
+    }
+}
+
+#[test]
+fn old_reports_ignored() {
+    assert!(is_lost(detect::Reach::Closed, &[9_000, 9_000], 500));
+    assert!(!is_lost(detect::Reach::Closed, &[9_000, 9_000], 501));
+}
--- a/tests/tests/switchover.rs
+++ b/tests/tests/switchover.rs
@@ -1,6 +1,8 @@
 //! A planned change of primary: no request is cut and none refused.
 
+use cardamomhold_core::position;
 use cardamomhold_proto::operator as schema;
+use cardamomhold_standin::member;
 use cardamomhold_tests::bed;
 use cardamomhold_tests::writer;
 
@@ -64,3 +66,24 @@
         assert!(is_invalid, "{result:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_primary() {
+    let (bed, mut writers) = writer::start_all().await;
+    let member = bed.members[0].member().expect("member runs");
+    let (reply, answer) = tokio::sync::oneshot::channel();
+    let leave = member::Request::Leave(true, reply);
+    member.requests.send(leave).await.expect("member runs");
+    answer.await.expect("answer");
+    let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+    while writer::reign_of(&bed).term == position::Term(1) {
+        assert!(tokio::time::Instant::now() < deadline, "primary stays");
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    writer::progress(&mut writers, 20).await;
+    let primary = writer::reign_of(&bed).primary.expect("primary");
+    assert_ne!(primary.as_str(), "bookings-a");
+    let journal = writer::check(&bed, writers).await;
+    assert_eq!(journal.refused, [0_i64; 0]);
+    assert_eq!(journal.unknown, [0_i64; 0]);
+}
