--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -4,6 +4,7 @@
 //! two users. Seeds are fixed, so each figure repeats exactly.
 
 pub mod endpoint;
+pub mod failover;
 pub mod flood;
 pub mod load;
 pub mod plain;
