--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -42,4 +42,5 @@
 pub mod shutdown;
 pub mod stop;
 pub mod sweep;
+pub mod switchover;
 pub mod work;
