Configuration: pages vouch for no more than is held, and lost answers are judged

Cause: three faults of the merge and one of the operators' answer. - A page of changes vouched for its last change, also where that change had come ahead of earlier ones; the asker then counted changes as held that it never got. - Objects that a release can't read were dropped while the version went on, so that a peer of a later release which pulled from it missed them for good. - After a lost answer the object's bytes were compared: a change that took effect and was overwritten since was answered as "conflict". - An update that had not arrived yet was answered as "conflict" as well.

Ruled out: asking the platform for history (it keeps none); undecided for every lost answer (true, but of no use to the operator who could be told).

Change: config::Config::page holds the rule of paging; opaque objects are kept and passed on; an envelope names up to eight changes before it, and verdict::judge decides from them: accepted, superseded, conflict, retry or undecided. A removal leaves no content behind, so that its lost answer stays undecided. ApplyReply has "superseded".

--- a/crates/cardamomhold_config/src/config.rs
+++ b/crates/cardamomhold_config/src/config.rs
@@ -41,10 +41,25 @@
 /// nothing ever goes back.
 #[derive(Debug, Clone, Default)]
 pub struct Config {
-    entries: collections::BTreeMap<object::ObjectName, Entry>,
+    entries: collections::BTreeMap<object::ObjectName, sync::Arc<Entry>>,
+    /// Newest versions that can't be read here, by name; kept only to be passed on, because
+    /// a peer of a later release may understand them.
+    opaque: collections::BTreeMap<String, Change>,
     through: Version,
 }
 
+/// Some of the changes after a version, the oldest first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page<'a> {
+    /// The changes.
+    pub changes: Vec<&'a Change>,
+    /// Whoever held everything up to the version asked for and merges the page holds
+    /// everything up to this one.
+    pub through: Version,
+    /// Whether changes were left out for want of room.
+    pub has_more: bool,
+}
+
 /// What merging a change did.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Merged {
@@ -59,8 +74,12 @@
 impl Config {
     /// Takes one change in, from the store or from a peer.
     pub fn merge(&mut self, change: &Change) -> Merged {
+        let held = self.opaque.get(&change.name);
+        if held.is_some_and(|c| c.version >= change.version) {
+            return Merged::Known;
+        }
         let Ok(name) = object::ObjectName::parse(&change.name) else {
-            return Merged::NotUnderstood;
+            return self.keep_opaque(change);
         };
         if self.version(&name) >= change.version {
             return Merged::Known;
@@ -70,19 +89,31 @@
         } else {
             match serde_json::from_slice(&change.value) {
                 Ok(envelope) => Some(envelope),
-                Err(_) => return Merged::NotUnderstood,
+                Err(_) => return self.keep_opaque(change),
             }
         };
-        self.entries.insert(
-            name,
-            Entry {
-                change: change.clone(),
-                envelope,
-            },
-        );
+        let entry = Entry {
+            change: change.clone(),
+            envelope,
+        };
+        self.opaque.remove(&change.name);
+        self.entries.insert(name, sync::Arc::new(entry));
         Merged::Applied
     }
 
+    fn keep_opaque(&mut self, change: &Change) -> Merged {
+        self.opaque.insert(change.name.clone(), change.clone());
+        Merged::NotUnderstood
+    }
+
+    /// Merges changes that leave nothing out between an earlier version and `through`.
+    pub fn merge_page(&mut self, changes: &[Change], through: Version) {
+        for change in changes {
+            self.merge(change);
+        }
+        self.complete(through);
+    }
+
     /// Takes note that every change up to `version` has been merged.
     pub fn complete(&mut self, version: Version) {
         self.through = self.through.max(version);
@@ -100,22 +131,45 @@
 
     /// One object.
     pub fn entry(&self, name: &object::ObjectName) -> Option<&Entry> {
-        self.entries.get(name)
+        self.entries.get(name).map(sync::Arc::as_ref)
     }
 
     /// All objects, removed ones included.
     pub fn entries(&self) -> impl Iterator<Item = (&object::ObjectName, &Entry)> {
-        self.entries.iter()
+        self.entries
+            .iter()
+            .map(|(name, entry)| (name, entry.as_ref()))
     }
 
     /// The changes after a version, the oldest first.
     pub fn since(&self, version: Version) -> Vec<&Change> {
-        let newer = self.entries.values().map(|e| &e.change);
+        let understood = self.entries.values().map(|e| &e.change);
+        let newer = understood.chain(self.opaque.values());
         let mut changes: Vec<&Change> = newer.filter(|c| c.version > version).collect();
         changes.sort_by_key(|c| c.version);
         changes
     }
 
+    /// At most `limit` changes after a version, and at least one if there is any.
+    ///
+    /// A change may be held here ahead of earlier ones, so the page never vouches for more
+    /// than this instance holds in full.
+    pub fn page(&self, since: Version, limit: usize) -> Page<'_> {
+        let mut changes = self.since(since);
+        let limit = limit.max(1);
+        let has_more = changes.len() > limit;
+        changes.truncate(limit);
+        let reached = match changes.last() {
+            Some(last) if has_more => last.version,
+            _ => self.through,
+        };
+        Page {
+            changes,
+            through: reached.min(self.through),
+            has_more,
+        }
+    }
+
     fn spec(&self, name: &object::ObjectName) -> Option<&object::Spec> {
         let envelope = self.entries.get(name)?.envelope.as_ref()?;
         Some(&envelope.spec)
--- a/crates/cardamomhold_config/src/lib.rs
+++ b/crates/cardamomhold_config/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod check;
 pub mod config;
 pub mod object;
+pub mod verdict;
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
--- a/crates/cardamomhold_config/src/object.rs
+++ b/crates/cardamomhold_config/src/object.rs
@@ -1,6 +1,7 @@
 //! The objects of the configuration and their form in the platform's store.
 
 use std::fmt;
+use std::iter;
 
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
@@ -10,6 +11,9 @@
 /// Prefix of every object of the configuration in the platform's store.
 pub const PREFIX: &str = "config/";
 
+/// Most earlier changes that an object names.
+pub const KEPT_CHANGES: usize = 8;
+
 /// Name of an object, typed by its kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum ObjectName {
@@ -189,6 +193,19 @@
     pub author: String,
     /// Identity of the change; tells after a lost answer whether it took effect.
     pub change: String,
+    /// Identities of the changes before it, the latest first, at most [`KEPT_CHANGES`]; tell
+    /// whether a change took effect that has been overwritten since.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<String>,
     /// The content.
     pub spec: Spec,
 }
+
+impl Envelope {
+    /// The identities that the envelope's successor keeps.
+    pub fn lineage(&self) -> Vec<String> {
+        let own = iter::once(&self.change);
+        let all = own.chain(&self.earlier);
+        all.take(KEPT_CHANGES).cloned().collect()
+    }
+}
--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -3,6 +3,7 @@
 use cardamomhold_config::check;
 use cardamomhold_config::config;
 use cardamomhold_config::object;
+use cardamomhold_config::verdict;
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
 use cardamomhold_fleet::fleet;
@@ -46,13 +47,28 @@
     tonic::Status::not_found(format!("no such {what}"))
 }
 
+/// Times that a conditional update is sent when no answer comes.
+const WRITE_ATTEMPTS: usize = 3;
+
 /// What became of a conditional update.
 enum Applied {
     Accepted(config::Change),
+    Superseded(config::Change),
     Conflict(config::Change),
     Undecided,
 }
 
+/// What the store's object says of an attempt; none when the update may be sent again.
+fn applied_of(attempt: &verdict::Attempt<'_>, current: config::Change) -> Option<Applied> {
+    Some(match verdict::judge(attempt, &current) {
+        verdict::Verdict::Accepted => Applied::Accepted(current),
+        verdict::Verdict::Superseded => Applied::Superseded(current),
+        verdict::Verdict::Conflict => Applied::Conflict(current),
+        verdict::Verdict::Undecided => Applied::Undecided,
+        verdict::Verdict::Retry => return None,
+    })
+}
+
 impl<P: Platform> Service<P> {
     async fn apply_spec(
         &self,
@@ -67,17 +83,28 @@
         {
             return bad(&field.path, &field.problem.to_string());
         }
+        let before = config.entry(name).filter(|e| e.change.version == version);
+        let before = before.and_then(|e| e.envelope.as_ref());
         let change = uuid::Uuid::now_v7().to_string();
         let envelope = spec.map(|spec| object::Envelope {
             author: author.to_owned(),
             change: change.clone(),
+            earlier: before.map(|e| e.lineage()).unwrap_or_default(),
             spec,
         });
         let value = envelope.as_ref().and_then(|e| serde_json::to_vec(e).ok());
-        let result = match self.write(name, value.as_deref(), version).await {
+        let attempt = verdict::Attempt {
+            expected: version,
+            change: envelope.as_ref().map(|e| e.change.as_str()),
+            replaced: before.map(|e| e.change.as_str()),
+        };
+        let result = match self.write(name, value.as_deref(), &attempt).await {
             Applied::Accepted(change) => {
                 schema::apply_reply::Result::Accepted(self.entry_of(name, &change).await)
             }
+            Applied::Superseded(change) => {
+                schema::apply_reply::Result::Superseded(self.entry_of(name, &change).await)
+            }
             Applied::Conflict(change) => {
                 schema::apply_reply::Result::Conflict(self.entry_of(name, &change).await)
             }
@@ -95,29 +122,34 @@
         &self,
         name: &object::ObjectName,
         value: Option<&[u8]>,
-        version: u64,
+        attempt: &verdict::Attempt<'_>,
     ) -> Applied {
         let text = name.to_string();
-        let error = match self.platform.put(&text, value, version).await {
-            Ok(client::Written::Accepted(object)) => {
-                return Applied::Accepted(config_task::change_of(object));
-            }
-            Ok(client::Written::Conflict(object)) => {
-                return Applied::Conflict(config_task::change_of(object));
+        let mut is_repeat = false;
+        for _ in 0..WRITE_ATTEMPTS {
+            let error = match self.platform.put(&text, value, attempt.expected).await {
+                Ok(client::Written::Accepted(object)) => {
+                    return Applied::Accepted(config_task::change_of(object));
+                }
+                Ok(client::Written::Conflict(object)) => {
+                    let current = config_task::change_of(object);
+                    if is_repeat && let Some(applied) = applied_of(attempt, current.clone()) {
+                        return applied;
+                    }
+                    return Applied::Conflict(current);
+                }
+                Err(error) => error,
+            };
+            log::warn!("event=apply_in_doubt name={name} error={error}");
+            is_repeat |= !error.is_certain();
+            let Ok(object) = self.platform.get(&text).await else {
+                continue;
+            };
+            if let Some(applied) = applied_of(attempt, config_task::change_of(object)) {
+                return applied;
             }
-            Err(error) => error,
-        };
-        log::warn!("event=apply_in_doubt name={name} error={error}");
-        let Ok(object) = self.platform.get(&text).await else {
-            return Applied::Undecided;
-        };
-        let is_ours = object.version > version && value == Some(object.value.as_slice());
-        let change = config_task::change_of(object);
-        if is_ours {
-            Applied::Accepted(change)
-        } else {
-            Applied::Conflict(change)
         }
+        Applied::Undecided
     }
 
     /// Lets the instance itself know, and gives the entry back for the answer.
