Membership by heartbeat; a few elected instances call the platform

Cause: every instance read the platform's list each 2 s and kept a watch; 4,400 instances would make 2,200 reads a second out of 2,000. A dead instance stayed an owner for as long as the list named it, a paused one went on as an owner, and none could start in an outage.

Ruled out: judging the instances of other zones (a partition between zones would hold hundreds dead, and the refutations after it would fill every datagram); more watches (a waiting watch is a counted call).

An instance judges its own zone only, samples others, and compares digests of zones each minute and after a partition. A gap of 2 s in its own timer makes it rejoin: higher incarnation, no work as an owner (Refusal::Rejoining) until an ack of a later ping came and the configuration named there is held. fleet.rs owns the datagram socket at the peer's address; elect.rs chooses one lister and two watchers a zone, up to eight when the platform has answered nobody for long; the rest pull changes from peers (pull.rs). Settings have seeds; a stop announces itself first.

--- a/crates/cardamomhold_daemon/src/config.rs
+++ b/crates/cardamomhold_daemon/src/config.rs
@@ -1,19 +1,12 @@
-//! The task that owns the configuration: it watches the platform and publishes every change.
+//! The task that owns the configuration and publishes every change.
 
 use std::sync;
-use std::time;
 
 use cardamomhold_config::config;
-use cardamomhold_config::object;
 use cardamomhold_platform::client;
-use cardamomhold_platform::client::Platform;
-use cardamomhold_platform::client::Watch;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-/// Pause before a broken watch is started again.
-const RETRY: time::Duration = time::Duration::from_millis(250);
-
 /// Messages that wait for the task.
 const MAILBOX: usize = 1024;
 
@@ -44,13 +37,13 @@
     pub reachable: watch::Receiver<bool>,
 }
 
-/// Starts the task and the watch that feeds it.
-pub fn start<P: Platform>(platform: P) -> Handle {
+/// Starts the task.
+pub fn start() -> Handle {
     let (heard, mailbox) = mpsc::channel(MAILBOX);
     let publisher = watch::Sender::new(sync::Arc::new(config::Config::default()));
     let reachable = watch::Sender::new(false);
     let handle = Handle {
-        heard: heard.clone(),
+        heard,
         config: publisher.subscribe(),
         reachable: reachable.subscribe(),
     };
@@ -60,7 +53,6 @@
         reachable,
     };
     tokio::spawn(task.run(mailbox));
-    tokio::spawn(follow(platform, handle.clone()));
     handle
 }
 
@@ -113,49 +105,6 @@
     }
 }
 
-/// Follows the platform for as long as the task lives.
-async fn follow<P: Platform>(platform: P, handle: Handle) {
-    loop {
-        if let Err(error) = follow_once(&platform, &handle).await {
-            log::warn!("event=platform_lost error={error}");
-        }
-        if handle.heard.send(Heard::Reachable(false)).await.is_err() {
-            return;
-        }
-        tokio::time::sleep(RETRY).await;
-    }
-}
-
-async fn follow_once<P: Platform>(
-    platform: &P,
-    handle: &Handle,
-) -> Result<(), client::PlatformError> {
-    let since = handle.config.borrow().through();
-    let (objects, through) = platform.list(object::PREFIX, since).await?;
-    let changes = objects.into_iter().map(change_of).collect();
-    let ended = |_| client::PlatformError::Broken;
-    handle
-        .heard
-        .send(Heard::Batch { changes, through })
-        .await
-        .map_err(ended)?;
-    handle
-        .heard
-        .send(Heard::Reachable(true))
-        .await
-        .map_err(ended)?;
-    let mut watch = platform.watch(object::PREFIX, through).await?;
-    loop {
-        let change = change_of(watch.next().await?);
-        let through = change.version;
-        let heard = Heard::Batch {
-            changes: vec![change],
-            through,
-        };
-        handle.heard.send(heard).await.map_err(ended)?;
-    }
-}
-
 /// A change from an object of the platform.
 pub fn change_of(object: client::Object) -> config::Change {
     config::Change {
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -12,6 +12,7 @@
 use cardamomhold_proto::peer as peer_schema;
 use tokio::net;
 use tokio::sync::broadcast;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task;
 use tokio_stream::wrappers;
@@ -20,16 +21,21 @@
 use crate::clock;
 use crate::config;
 use crate::fleet as fleet_task;
+use crate::follow;
 use crate::http;
 use crate::metrics;
 use crate::operator;
 use crate::owner;
 use crate::peer;
+use crate::pull;
 use crate::settings;
 
 /// Cancel requests that wait for slow tasks.
 const CANCELS: usize = 256;
 
+/// Ports that are tried when any will do.
+const PORT_TRIES: u32 = 16;
+
 /// Why an instance did not start.
 #[derive(Debug)]
 pub enum StartError {
@@ -66,6 +72,7 @@
     metrics: SocketAddr,
     ready: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
+    fleet: fleet_task::Handle,
     callers: task::JoinHandle<task::JoinSet<()>>,
     services: task::JoinSet<()>,
 }
@@ -80,6 +87,27 @@
     Ok((listener, address))
 }
 
+/// Listens for streams and datagrams at the same address.
+async fn bind_peer(
+    address: SocketAddr,
+) -> Result<(net::TcpListener, SocketAddr, net::UdpSocket), StartError> {
+    let mut tries = 0;
+    loop {
+        let (listener, bound) = bind("peer", address).await?;
+        match net::UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((listener, bound, socket)),
+            // Another port may be free for both.
+            Err(_) if address.port() == 0 && tries < PORT_TRIES => tries += 1,
+            Err(error) => {
+                return Err(StartError::Listen {
+                    setting: "peer",
+                    error,
+                });
+            }
+        }
+    }
+}
+
 impl Daemon {
     /// Starts an instance.
     ///
@@ -90,7 +118,7 @@
             .map_err(|_| StartError::PlatformAddress)?;
         let metrics = metrics::Metrics::new().map_err(StartError::Metrics)?;
         let (callers_listener, listen) = bind("listen", settings.listen).await?;
-        let (peer_listener, peer) = bind("peer", settings.peer).await?;
+        let (peer_listener, peer, socket) = bind_peer(settings.peer).await?;
         let (metrics_listener, metrics_address) = bind("metrics", settings.metrics).await?;
         let own = fleet::Instance {
             name: settings.instance.clone(),
@@ -98,13 +126,32 @@
             address: peer.to_string(),
             state: fleet::InstanceState::Alive,
         };
-        let config = config::start(platform.clone());
-        let fleet = fleet_task::start(platform.clone(), own.clone());
+        let clock = clock::Clock::start();
+        let config = config::start();
+        let (pulls, wanted) = mpsc::channel(pull::MAILBOX);
+        let (fleet, fleet_run) = fleet_task::prepare(fleet_task::Setting {
+            platform: platform.clone(),
+            own: own.clone(),
+            seeds: settings.seeds.clone(),
+            socket,
+            clock,
+            config: config.clone(),
+            pulls,
+        });
+        let follower = follow::Follower {
+            platform: platform.clone(),
+            config: config.clone(),
+            fleet: fleet.clone(),
+            own: own.clone(),
+            clock,
+            has_seeds: !settings.seeds.is_empty(),
+        };
         let owner = owner::start(owner::Setting {
             instance: own.name.clone(),
             config: config.config.clone(),
-            fleet: fleet.clone(),
-            clock: clock::Clock::start(),
+            fleet: fleet.fleet.clone(),
+            standing: fleet.standing.clone(),
+            clock,
         });
         let (ready, ready_seen) = watch::channel(false);
         let (stopping, stopping_seen) = watch::channel(false);
@@ -113,7 +160,7 @@
             zone: own.zone.clone(),
             secret: token::TokenSecret::new(settings.token_secret.as_bytes()),
             config: config.config.clone(),
-            fleet: fleet.clone(),
+            fleet: fleet.fleet.clone(),
             owner: owner.clone(),
             peers: peer::start(),
             cancels: broadcast::Sender::new(CANCELS),
@@ -123,16 +170,20 @@
         let peers = peer::Service {
             owner: owner.clone(),
             config: config.config.clone(),
+            fleet: fleet.requests.clone(),
         };
         let operators = operator::Service {
             platform,
             config: config.clone(),
-            fleet,
+            fleet: fleet.fleet.clone(),
             owner,
             own,
         };
         let mut services = task::JoinSet::new();
         services.spawn(serve_peers(peer_listener, peers, operators));
+        services.spawn(fleet_run.run());
+        services.spawn(pull::run(wanted, config.clone()));
+        services.spawn(follower.run());
         services.spawn(http::run(metrics_listener, metrics, ready_seen));
         services.spawn(become_ready(config.config.clone(), ready.clone()));
         let callers = tokio::spawn(accept(callers_listener, context));
@@ -147,6 +198,7 @@
             metrics: metrics_address,
             ready,
             stopping,
+            fleet,
             callers,
             services,
         })
@@ -179,6 +231,7 @@
     /// Returns the number of connections that were still open when the time was over.
     pub async fn stop(mut self, grace: time::Duration) -> usize {
         self.ready.send_replace(false);
+        self.fleet.leave().await;
         self.stopping.send_replace(true);
         let mut left = 0;
         if let Ok(mut callers) = self.callers.await {
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -17,6 +17,7 @@
 
 use crate::clock;
 use crate::endpoint;
+use crate::fleet as fleet_task;
 use crate::group;
 use crate::lane;
 use crate::work;
@@ -55,6 +56,8 @@
     pub config: watch::Receiver<sync::Arc<config::Config>>,
     /// The fleet as it changes.
     pub fleet: watch::Receiver<sync::Arc<fleet::Fleet>>,
+    /// What the instance may do.
+    pub standing: watch::Receiver<fleet_task::Standing>,
     /// The clock.
     pub clock: clock::Clock,
 }
@@ -182,6 +185,10 @@
         config: &config::Config,
         ticket: &lane::Ticket,
     ) -> Result<work::Context, outcome::Refusal> {
+        let now = self.setting.clock.now();
+        if !self.setting.standing.borrow().is_member(now) {
+            return Err(outcome::Refusal::Rejoining);
+        }
         let spec = config
             .group(&ticket.group)
             .ok_or(outcome::Refusal::StaleView)?;
--- a/crates/cardamomhold_daemon/src/peer.rs
+++ b/crates/cardamomhold_daemon/src/peer.rs
@@ -14,11 +14,14 @@
 use cardamomhold_core::rank;
 use cardamomhold_proto::peer as schema;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers;
 use tonic::transport;
 
+use crate::fleet;
+use crate::gossip;
 use crate::lane;
 use crate::owner;
 
@@ -49,7 +52,8 @@
     forwards
 }
 
-type Client = schema::peer_client::PeerClient<transport::Channel>;
+/// A client of a peer's service.
+pub type Client = schema::peer_client::PeerClient<transport::Channel>;
 
 /// Opens connections lazily and keeps one for each address.
 async fn run(mut mailbox: mpsc::Receiver<Forward>) {
@@ -108,7 +112,8 @@
     }
 }
 
-async fn connect(address: &str) -> Option<Client> {
+/// Opens a connection to a peer; none when it can't be reached in time.
+pub async fn connect(address: &str) -> Option<Client> {
     let endpoint = transport::Endpoint::from_shared(format!("http://{address}")).ok()?;
     let endpoint = endpoint
         .connect_timeout(CONNECT_TIMEOUT)
@@ -163,6 +168,8 @@
     pub owner: mpsc::Sender<owner::Request>,
     /// The configuration that peers ask for.
     pub config: watch::Receiver<sync::Arc<config::Config>>,
+    /// The membership that peers compare with theirs.
+    pub fleet: mpsc::Sender<fleet::Request>,
 }
 
 #[tonic::async_trait]
@@ -201,15 +208,12 @@
     ) -> Result<tonic::Response<schema::ChangesReply>, tonic::Status> {
         let request = request.into_inner();
         let config = self.config.borrow().clone();
+        let page = config.page(request.since, request.limit as usize);
         let mut reply = schema::ChangesReply {
             changes: Vec::new(),
-            through: config.through(),
+            through: page.through,
         };
-        for change in config.since(request.since) {
-            if reply.changes.len() >= request.limit as usize {
-                reply.through = reply.changes.last().map_or(request.since, |c| c.version);
-                break;
-            }
+        for change in page.changes {
             reply.changes.push(schema::Change {
                 name: change.name.clone(),
                 value: Bytes::copy_from_slice(&change.value),
@@ -219,6 +223,21 @@
         }
         Ok(tonic::Response::new(reply))
     }
+
+    async fn members(
+        &self,
+        request: tonic::Request<schema::MembersRequest>,
+    ) -> Result<tonic::Response<schema::MembersReply>, tonic::Status> {
+        let digests = gossip::digests_from(request.get_ref());
+        let (reply, answer) = oneshot::channel();
+        let asked = self.fleet.send(fleet::Request::Members(digests, reply));
+        let stopping = || tonic::Status::unavailable("stopping");
+        asked.await.map_err(|_| stopping())?;
+        let rumors = answer.await.map_err(|_| stopping())?;
+        Ok(tonic::Response::new(schema::MembersReply {
+            rumors: rumors.iter().map(gossip::rumor_to).collect(),
+        }))
+    }
 }
 
 async fn feed(mut ups: tonic::Streaming<schema::Up>, lane: mpsc::Sender<lane::Up>) {
--- a/crates/cardamomhold_daemon/src/settings.rs
+++ b/crates/cardamomhold_daemon/src/settings.rs
@@ -24,6 +24,10 @@
     pub metrics: net::SocketAddr,
     /// Address of the platform's object API, `ip:port`.
     pub platform: net::SocketAddr,
+    /// Peer addresses of other instances, asked at the start; lets an instance start while
+    /// the platform is down.
+    #[serde(default)]
+    pub seeds: Vec<net::SocketAddr>,
     /// Secret that signs session tokens; the same on every instance.
     pub token_secret: String,
 }
--- a/crates/cardamomhold_fleet/src/fleet.rs
+++ b/crates/cardamomhold_fleet/src/fleet.rs
@@ -36,12 +36,32 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     instances: collections::BTreeMap<name::InstanceName, Instance>,
+    zones: collections::BTreeMap<name::ZoneName, collections::BTreeSet<name::InstanceName>>,
+    cut: collections::BTreeSet<name::ZoneName>,
 }
 
 impl Fleet {
     /// Takes an instance in, in place of what was known of it.
     pub fn insert(&mut self, instance: Instance) {
-        self.instances.insert(instance.name.clone(), instance);
+        let name = instance.name.clone();
+        if let Some(old) = self.instances.get(&name)
+            && let Some(zone) = self.zones.get_mut(&old.zone)
+        {
+            zone.remove(&name);
+        }
+        let zone = self.zones.entry(instance.zone.clone()).or_default();
+        zone.insert(name.clone());
+        self.instances.insert(name, instance);
+    }
+
+    /// Takes note that nobody in a zone can be reached from here.
+    pub fn cut(&mut self, zone: name::ZoneName) {
+        self.cut.insert(zone);
+    }
+
+    /// Whether nobody in a zone can be reached from here.
+    pub fn is_cut(&self, zone: &name::ZoneName) -> bool {
+        self.cut.contains(zone)
     }
 
     /// One instance.
@@ -54,16 +74,23 @@
         self.instances.values()
     }
 
+    /// The instances of a zone that may own endpoints.
+    pub fn serving<'a>(&'a self, zone: &name::ZoneName) -> impl Iterator<Item = &'a Instance> {
+        let names = self.zones.get(zone).into_iter().flatten();
+        let instances = names.filter_map(|n| self.instances.get(n));
+        instances.filter(|i| i.state <= InstanceState::Suspect)
+    }
+
     /// The owner of an endpoint: an instance in the endpoint's zone, or one anywhere
-    /// while its zone has none.
+    /// while its zone has none or is cut off from here.
     pub fn owner(&self, endpoint: &name::MemberName, zone: &name::ZoneName) -> Option<&Instance> {
-        let serving = || {
-            let serves = |i: &&Instance| i.state <= InstanceState::Suspect;
-            self.instances.values().filter(serves)
-        };
-        let near = serving().filter(|i| i.zone == *zone).map(|i| &i.name);
-        let chosen = owner::choose(endpoint, near)
-            .or_else(|| owner::choose(endpoint, serving().map(|i| &i.name)));
-        chosen.and_then(|name| self.instances.get(name))
+        if !self.is_cut(zone)
+            && let Some(name) = owner::choose(endpoint, self.serving(zone).map(|i| &i.name))
+        {
+            return self.instances.get(name);
+        }
+        let zones = self.zones.keys().filter(|z| !self.is_cut(z));
+        let anywhere = zones.flat_map(|z| self.serving(z)).map(|i| &i.name);
+        owner::choose(endpoint, anywhere).and_then(|name| self.instances.get(name))
     }
 }
--- a/crates/cardamomhold_fleet/src/lib.rs
+++ b/crates/cardamomhold_fleet/src/lib.rs
@@ -9,8 +9,16 @@
 //! assert_eq!(owner::choose(&endpoint, [&a]), Some(&a));
 //! ```
 
+pub mod elect;
 pub mod fleet;
+pub mod message;
 pub mod owner;
+pub mod probe;
+pub mod random;
+mod receive;
+pub mod roster;
+pub mod swim;
+pub mod timing;
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
--- /dev/null
+++ b/crates/cardamomhold_fleet/src/random.rs
@@ -0,0 +1,31 @@
+//! A seeded stream of numbers, so that the same seed gives the same decisions.
+
+use xxhash_rust::xxh3;
+
+/// The stream.
+#[derive(Debug, Clone, Copy)]
+pub struct Random {
+    seed: u64,
+    drawn: u64,
+}
+
+impl Random {
+    /// A stream of its own for each seed.
+    pub fn new(seed: u64) -> Self {
+        Self { seed, drawn: 0 }
+    }
+
+    /// A number below `bound`; zero when `bound` is zero.
+    pub fn below(&mut self, bound: usize) -> usize {
+        self.drawn += 1;
+        let number = xxh3::xxh3_64_with_seed(&self.drawn.to_le_bytes(), self.seed);
+        (number % bound.max(1) as u64) as usize
+    }
+
+    /// Brings a list into a random order.
+    pub fn shuffle<T>(&mut self, list: &mut [T]) {
+        for i in (1..list.len()).rev() {
+            list.swap(i, self.below(i + 1));
+        }
+    }
+}
--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -1,5 +1,6 @@
 //! A platform, a group of three members and an instance in each of three zones.
 
+use std::net;
 use std::time;
 
 use cardamomhold_core::name;
@@ -63,6 +64,16 @@
 
     /// Starts one instance and puts it on the platform's list.
     pub async fn start_instance(&self, name: &str, zone: &str) -> instance::Instance {
+        self.start_seeded(name, zone, Vec::new()).await
+    }
+
+    /// Starts one instance that knows peers.
+    pub async fn start_seeded(
+        &self,
+        name: &str,
+        zone: &str,
+        seeds: Vec<net::SocketAddr>,
+    ) -> instance::Instance {
         let any = "127.0.0.1:0".parse().expect("address");
         let settings = settings::Settings {
             instance: name::InstanceName::parse(name).expect("name"),
@@ -71,6 +82,7 @@
             peer: any,
             metrics: any,
             platform: self.platform.address(),
+            seeds,
             token_secret: "a secret for tests only".to_owned(),
         };
         let instance = instance::Instance::start(settings).await;
