--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -31,4 +31,6 @@
 pub mod pull;
 pub mod relay;
 pub mod settings;
+pub mod shutdown;
+pub mod stop;
 pub mod work;
--- a/crates/cardamomhold_fleet/src/probe.rs
+++ b/crates/cardamomhold_fleet/src/probe.rs
@@ -111,7 +111,8 @@
             self.probe.next_dead = now.after(timing::DEAD_PERIOD);
             self.try_dead(outputs);
             let remembered = timing::REMEMBER.as_micros() as u64;
-            self.roster.forget(Timestamp(now.0.saturating_sub(remembered)));
+            self.roster
+                .forget(Timestamp(now.0.saturating_sub(remembered)));
         }
     }
 
