Real instances: configuration everywhere, a paused owner, a handover

Cause: the membership and the spread of configuration were proved on the state machines only.

Proof, each seen to fail with its rule off: - no pulls: outage_keeps_config and peers_bring_changes wait in vain for the configuration - a lost answer taken for a conflict: operators_race, no operator accepted - everybody watches: peers_bring_changes "too many watches" - a stop that is not announced: leaving_hands_over, nobody is shown as leaving - the dead not buried: killed_is_replaced waits in vain for the heir - zones never cut off: paused_owner_rejoins waits in vain for another owner - an owner that does not ask for its standing: stale_refuses left NotRun(ConnectFailed), right NotRun(Rejoining) - rejoining without the configuration: rejoin_awaits_config left Some(..), right None - no comparison of memberships, the dead never pinged: views_settle - no bound on watchers in an outage: silence_adds_watchers A first form of peers_bring_changes and of rejoin_awaits_config passed with the rule off; both were made stricter.

Conclusion: partitions between zones are proved on the state machines only (cut_zone_keeps_owners, views_settle); the bed has no way to part two instances.

--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -1,1 +1,3 @@
 //! Benchmarks of the decisions, in virtual time.
+
+pub mod dissemination;
--- a/crates/cardamomhold_daemon/src/fleet.rs
+++ b/crates/cardamomhold_daemon/src/fleet.rs
@@ -31,6 +31,10 @@
 /// Instances of a zone that read the platform's list.
 const LISTERS: usize = 1;
 
+/// Least time between two publications of the fleet, for the making of one takes
+/// milliseconds with thousands of instances.
+const PUBLISH_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
 /// Messages that wait for the task.
 const MAILBOX: usize = 256;
 
@@ -148,6 +152,7 @@
         publisher,
         standing,
         next_list: now,
+        next_publish: now,
         join_interval: JOIN_INTERVAL,
     };
     (handle, task)
@@ -164,6 +169,7 @@
     publisher: watch::Sender<sync::Arc<fleet::Fleet>>,
     standing: watch::Sender<Standing>,
     next_list: Timestamp,
+    next_publish: Timestamp,
     join_interval: time::Duration,
 }
 
@@ -282,9 +288,11 @@
     }
 
     fn publish(&mut self) {
-        if self.swim.revision() == self.revision {
+        let now = self.setting.clock.now();
+        if self.swim.revision() == self.revision || now < self.next_publish {
             return;
         }
+        self.next_publish = now.after(PUBLISH_INTERVAL);
         self.revision = self.swim.revision();
         let fleet = self.swim.fleet();
         self.publisher.send_replace(sync::Arc::new(fleet));
--- a/crates/cardamomhold_daemon/src/follow.rs
+++ b/crates/cardamomhold_daemon/src/follow.rs
@@ -137,7 +137,9 @@
         let through = self.catch_up().await?;
         let mut watch = self.platform.watch(object::PREFIX, through).await?;
         let mut checks = tokio::time::interval(CHECK_INTERVAL);
+        let mut elections = tokio::time::interval(ELECT_INTERVAL);
         checks.reset();
+        elections.reset();
         loop {
             tokio::select! {
                 object = watch.next() => {
@@ -146,10 +148,12 @@
                     let changes = vec![change];
                     self.send(config::Heard::Batch { changes, through }).await?;
                 }
-                _ = checks.tick() => {
+                _ = elections.tick() => {
                     if !self.is_elected() {
                         return Ok(());
                     }
+                }
+                _ = checks.tick() => {
                     self.catch_up().await?;
                 }
             }
--- /dev/null
+++ b/crates/cardamomhold_daemon/tests/stale_owner.rs
@@ -0,0 +1,95 @@
+//! An owner that may have lost its place refuses as "not run".
+
+use std::sync;
+use std::time;
+
+use cardamomhold_config::config;
+use cardamomhold_core::name;
+use cardamomhold_core::outcome;
+use cardamomhold_core::position;
+use cardamomhold_core::rank;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_daemon::clock;
+use cardamomhold_daemon::fleet as fleet_task;
+use cardamomhold_daemon::lane;
+use cardamomhold_daemon::owner;
+use cardamomhold_daemon::stop;
+use cardamomhold_fleet::fleet;
+use tokio::sync::watch;
+
+fn group() -> config::Config {
+    let value = r#"{"author": "a", "change": "c", "spec": {"group": {
+        "members": [{"name": "m", "zone": "a", "address": "127.0.0.1:1"}],
+        "slots": 1, "connections": 10, "key_retention_s": 60}}}"#;
+    let mut config = config::Config::default();
+    config.merge(&config::Change {
+        name: "config/group/g".to_owned(),
+        value: value.as_bytes().into(),
+        version: 1,
+        removed: false,
+    });
+    config
+}
+
+fn ticket() -> lane::Ticket {
+    lane::Ticket {
+        group: name::GroupName::parse("g").expect("name"),
+        member: name::MemberName::parse("m").expect("name"),
+        term: position::Term(1),
+        rank: rank::Rank::Normal,
+        caller: name::CallerName::parse("kalkbok").expect("name"),
+        deadline: time::Duration::from_secs(5),
+        access: lane::Access::Write,
+        request_key: None,
+        begins: false,
+        seen: None,
+        setup: Vec::new(),
+    }
+}
+
+/// What an owner answers whose membership was last sure of itself until then.
+async fn answer(until: Option<Timestamp>) -> lane::Failure {
+    let (_config, config) = watch::channel(sync::Arc::new(group()));
+    let (_fleet, fleet) = watch::channel(sync::Arc::new(fleet::Fleet::default()));
+    let (_standing, standing) = watch::channel(fleet_task::Standing { until, heard: None });
+    let (_phase, phase) = watch::channel(stop::Phase::default());
+    let owner = owner::start(owner::Setting {
+        instance: name::InstanceName::parse("entry-a").expect("name"),
+        config,
+        fleet,
+        standing,
+        clock: clock::Clock::start(),
+        stop: stop::Stop::new(phase),
+    });
+    let (mut lane, end) = lane::pair();
+    let open = owner::Request::Open(Box::new(ticket()), end);
+    assert!(owner.send(open).await.is_ok());
+    let batch = lane::Batch {
+        frames: bytes::Bytes::from_static(b"Q\0\0\0\x0dSELECT 1\0"),
+        sync: true,
+    };
+    // A refusal may have ended the lane already.
+    let _ = lane.up.send(lane::Up::Batch(batch)).await;
+    match lane.down.recv().await {
+        Some(lane::Down::Failure(failure)) => failure,
+        other => panic!("no failure: {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn stale_refuses() {
+    let rejoining = lane::Failure::NotRun(outcome::Refusal::Rejoining);
+    assert_eq!(answer(None).await, rejoining);
+    // The membership's task did not run since.
+    assert_eq!(answer(Some(Timestamp(0))).await, rejoining);
+}
+
+#[tokio::test]
+async fn member_tries() {
+    // Nobody listens at the member's address: the owner got as far as to connect.
+    let failure = answer(Some(Timestamp::from_millis(60_000))).await;
+    assert_eq!(
+        failure,
+        lane::Failure::NotRun(outcome::Refusal::ConnectFailed)
+    );
+}
--- a/crates/cardamomhold_fleet/src/elect.rs
+++ b/crates/cardamomhold_fleet/src/elect.rs
@@ -28,7 +28,8 @@
 /// Whether an instance is one of the first `count` of its zone.
 pub fn is_elected(fleet: &fleet::Fleet, own: &fleet::Instance, count: usize) -> bool {
     let mine = weight(&own.name);
-    let others = fleet.serving(&own.zone).filter(|i| i.name != own.name);
+    let others = fleet.serving(&own.zone).iter();
+    let others = others.filter(|i| i.name != own.name);
     let better = others.filter(|i| weight(&i.name) > mine);
     better.take(count).count() < count
 }
--- a/crates/cardamomhold_fleet/src/fleet.rs
+++ b/crates/cardamomhold_fleet/src/fleet.rs
@@ -37,22 +37,24 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     instances: collections::BTreeMap<name::InstanceName, Instance>,
-    zones: collections::BTreeMap<name::ZoneName, collections::BTreeSet<name::InstanceName>>,
+    /// Those of each zone that may own endpoints.
+    zones: collections::BTreeMap<name::ZoneName, Vec<owner::Candidate>>,
     cut: collections::BTreeSet<name::ZoneName>,
 }
 
 impl Fleet {
     /// Takes an instance in, in place of what was known of it.
     pub fn insert(&mut self, instance: Instance) {
-        let name = instance.name.clone();
-        if let Some(old) = self.instances.get(&name)
+        if let Some(old) = self.instances.get(&instance.name)
             && let Some(zone) = self.zones.get_mut(&old.zone)
         {
-            zone.remove(&name);
+            zone.retain(|c| c.name != instance.name);
         }
-        let zone = self.zones.entry(instance.zone.clone()).or_default();
-        zone.insert(name.clone());
-        self.instances.insert(name, instance);
+        if instance.state <= InstanceState::Suspect {
+            let zone = self.zones.entry(instance.zone.clone()).or_default();
+            zone.push(owner::Candidate::new(&instance.name));
+        }
+        self.instances.insert(instance.name.clone(), instance);
     }
 
     /// Takes note that nobody in a zone can be reached from here.
@@ -76,10 +78,8 @@
     }
 
     /// The instances of a zone that may own endpoints.
-    pub fn serving<'a>(&'a self, zone: &name::ZoneName) -> impl Iterator<Item = &'a Instance> {
-        let names = self.zones.get(zone).into_iter().flatten();
-        let instances = names.filter_map(|n| self.instances.get(n));
-        instances.filter(|i| i.state <= InstanceState::Suspect)
+    pub fn serving(&self, zone: &name::ZoneName) -> &[owner::Candidate] {
+        self.zones.get(zone).map_or(&[], Vec::as_slice)
     }
 
     /// The fleet as it is once the instances at these addresses have left.
@@ -88,10 +88,14 @@
             return borrow::Cow::Borrowed(self);
         }
         let mut rest = self.clone();
-        for instance in rest.instances.values_mut() {
-            if addresses.contains(&instance.address) {
-                instance.state = InstanceState::Leaving;
+        for instance in self.instances.values() {
+            if !addresses.contains(&instance.address) {
+                continue;
             }
+            rest.insert(Instance {
+                state: InstanceState::Leaving,
+                ..instance.clone()
+            });
         }
         borrow::Cow::Owned(rest)
     }
@@ -100,12 +104,12 @@
     /// while its zone has none or is cut off from here.
     pub fn owner(&self, endpoint: &name::MemberName, zone: &name::ZoneName) -> Option<&Instance> {
         if !self.is_cut(zone)
-            && let Some(name) = owner::choose(endpoint, self.serving(zone).map(|i| &i.name))
+            && let Some(name) = owner::choose(endpoint, self.serving(zone))
         {
             return self.instances.get(name);
         }
         let zones = self.zones.keys().filter(|z| !self.is_cut(z));
-        let anywhere = zones.flat_map(|z| self.serving(z)).map(|i| &i.name);
+        let anywhere = zones.flat_map(|z| self.serving(z));
         owner::choose(endpoint, anywhere).and_then(|name| self.instances.get(name))
     }
 }
--- a/crates/cardamomhold_fleet/src/lib.rs
+++ b/crates/cardamomhold_fleet/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! let a = InstanceName::parse("a").unwrap();
 //! let endpoint = MemberName::parse("bookings-1").unwrap();
-//! assert_eq!(owner::choose(&endpoint, [&a]), Some(&a));
+//! let candidate = owner::Candidate::new(&a);
+//! assert_eq!(owner::choose(&endpoint, [&candidate]), Some(&a));
 //! ```
 
 pub mod elect;
--- a/crates/cardamomhold_fleet/src/probe.rs
+++ b/crates/cardamomhold_fleet/src/probe.rs
@@ -137,7 +137,12 @@
         waiting.has_helpers = true;
         let sequence = waiting.sequence;
         let target = waiting.target.clone();
-        for address in self.some(timing::HELPERS) {
+        let silent = self.roster.get(&target);
+        let silent = silent.map(|k| k.rumor.instance.address.clone());
+        for address in self.some(timing::HELPERS + 1) {
+            if Some(&address) == silent.as_ref() {
+                continue;
+            }
             let kind = message::Kind::PingRequest(target.clone());
             let request = self.message(kind, sequence);
             outputs.push(message::Output::Send(address, request));
--- a/crates/cardamomhold_fleet/src/roster.rs
+++ b/crates/cardamomhold_fleet/src/roster.rs
@@ -50,6 +50,11 @@
         true
     }
 
+    /// Passes nothing on of what is known so far.
+    pub fn settle(&mut self) {
+        self.queue.clear();
+    }
+
     /// Takes in what the platform's list says, if nothing better is known.
     pub fn hint(&mut self, instance: &fleet::Instance, now: Timestamp) {
         if self.known.contains_key(&instance.name) {
--- a/crates/cardamomhold_fleet/src/swim.rs
+++ b/crates/cardamomhold_fleet/src/swim.rs
@@ -253,6 +253,14 @@
         }
     }
 
+    /// Takes in a membership that needs no passing on, because everybody has it.
+    pub fn adopt(&mut self, rumors: &[message::Rumor], now: Timestamp) {
+        for rumor in rumors {
+            self.learn(rumor, now);
+        }
+        self.roster.settle();
+    }
+
     /// Takes in what a comparison of the whole membership brought.
     pub fn synced(&mut self, rumors: &[message::Rumor], now: Timestamp) {
         self.next_sync = now.after(timing::SYNC_PERIOD);
@@ -340,20 +348,21 @@
         }
     }
 
-    /// Addresses of some instances at random: of the own zone, else of others.
+    /// Addresses of some instances at random: of the own zone first, then of others.
     pub(crate) fn some(&mut self, count: usize) -> Vec<String> {
         let serving = self.roster.serving(&self.own.zone);
         let others = serving.filter(|i| i.name != self.own.name);
         let mut addresses: Vec<String> = others.map(|i| i.address.clone()).collect();
-        if addresses.is_empty() {
-            for zone in self.roster.zones() {
-                let serving = self.roster.serving(zone);
-                let others = serving.filter(|i| i.zone != self.own.zone);
-                addresses.extend(others.map(|i| i.address.clone()));
-            }
-        }
         self.random.shuffle(&mut addresses);
         addresses.truncate(count);
+        for _ in addresses.len()..count {
+            let Some(address) = self.any_remote() else {
+                break;
+            };
+            if !addresses.contains(&address) {
+                addresses.push(address);
+            }
+        }
         addresses
     }
 
--- a/crates/cardamomhold_fleet/tests/fleet_members.rs
+++ b/crates/cardamomhold_fleet/tests/fleet_members.rs
@@ -64,24 +64,28 @@
     }
 }
 
-#[test]
-fn old_ack_proves_nothing() {
-    let mut world = formed(3);
-    world.nodes[4].life = world::Life::Frozen;
-    world.run(5_000);
-    let now = world.now;
-    let ack = message::Message {
+/// An ack of an instance that holds the configuration up to a version.
+fn ack(sequence: u64, through: u64) -> message::Message {
+    message::Message {
         from: world::instance(1).name,
         incarnation: 1_000_000,
-        sequence: 1,
+        sequence,
         kind: message::Kind::Ack,
         rumors: Vec::new(),
-        through: 0,
+        through,
         heard: None,
         joining: false,
-    };
+    }
+}
+
+#[test]
+fn old_ack_proves_nothing() {
+    let mut world = formed(3);
+    world.nodes[4].life = world::Life::Frozen;
+    world.run(5_000);
+    let now = world.now;
     let node = &mut world.nodes[4].swim;
-    node.receive("1", &ack, now, &mut Vec::new());
+    node.receive("1", &ack(1, 0), now, &mut Vec::new());
     assert_eq!(node.valid_until(), None);
 }
 
@@ -90,18 +94,21 @@
     let mut world = formed(4);
     world.nodes[4].life = world::Life::Frozen;
     world.run(5_000);
-    for at in world.running() {
-        world.nodes[at].swim.set_through(7);
-    }
     let now = world.now;
     let node = &mut world.nodes[4].swim;
     let mut outputs = Vec::new();
     node.tick(now, &mut outputs);
+    let pings = outputs.iter().filter_map(|o| match o {
+        message::Output::Send(_, message) => Some(message.sequence),
+        _ => None,
+    });
+    let last = pings.max().expect("it pings");
+    // The ack is fresh, but the configuration that it names is not here yet.
+    node.receive("1", &ack(last, 7), now, &mut Vec::new());
     assert_eq!(node.valid_until(), None);
-    // The pull of the world is at once; the ack alone is not enough without it.
-    world.thaw(4);
-    world.run(2_000);
-    assert!(world.may_own(4));
+    node.set_through(7);
+    node.tick(now, &mut Vec::new());
+    assert!(node.valid_until().is_some_and(|until| until > now));
 }
 
 #[test]
@@ -233,8 +240,8 @@
     let running = world.running();
     for &viewer in &running {
         prop_assert!(world.may_own(viewer), "{viewer} does not rejoin");
-        for of in 0..COUNT {
-            let is_live = running.contains(&of) && !leaving[of];
+        for (of, is_leaving) in leaving.iter().enumerate() {
+            let is_live = running.contains(&of) && !is_leaving;
             // A zone without a living instance has nobody to judge it, but counts as cut off.
             let is_judged = running.iter().any(|r| world::zone(*r) == world::zone(of))
                 || !fleet_zone(&world, viewer, of);
--- /dev/null
+++ b/crates/cardamomhold_fleet/tests/platform_callers.rs
@@ -0,0 +1,62 @@
+//! Few instances call the platform, and others take over when it is silent.
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_fleet::elect;
+use cardamomhold_fleet::fleet;
+
+const COUNT: usize = 440;
+
+fn zone() -> Vec<fleet::Instance> {
+    let mut instances = Vec::new();
+    for at in 0..COUNT {
+        instances.push(fleet::Instance {
+            name: name::InstanceName::parse(&format!("i{at}")).expect("name"),
+            zone: name::ZoneName::parse("z").expect("name"),
+            address: at.to_string(),
+            state: fleet::InstanceState::Alive,
+        });
+    }
+    instances
+}
+
+fn elected(instances: &[fleet::Instance], count: usize) -> Vec<usize> {
+    let mut fleet = fleet::Fleet::default();
+    for instance in instances {
+        fleet.insert(instance.clone());
+    }
+    let is_elected = |at: &usize| elect::is_elected(&fleet, &instances[*at], count);
+    (0..COUNT).filter(is_elected).collect()
+}
+
+#[test]
+fn two_watch() {
+    let count = elect::watchers(Some(time::Duration::from_secs(1)));
+    assert_eq!(elected(&zone(), count).len(), 2);
+}
+
+#[test]
+fn silence_adds_watchers() {
+    let mut last = 0;
+    for seconds in [0, 15, 30, 45, 3_600] {
+        let count = elect::watchers(Some(time::Duration::from_secs(seconds)));
+        assert!(count >= last, "{count} after {seconds} s");
+        // A platform that is down is not called by everybody.
+        assert!(count <= 8, "{count} after {seconds} s");
+        last = count;
+    }
+    assert_eq!(last, 8);
+    assert_eq!(elect::watchers(None), 8);
+}
+
+#[test]
+fn gone_watcher_is_replaced() {
+    let mut instances = zone();
+    let before = elected(&instances, 2);
+    instances[before[0]].state = fleet::InstanceState::Dead;
+    let after = elected(&instances, 2);
+    let living = after.iter().filter(|at| **at != before[0]);
+    assert_eq!(living.count(), 2);
+    assert!(after.contains(&before[1]), "the other one stays");
+}
--- a/crates/cardamomhold_standin/src/platform.rs
+++ b/crates/cardamomhold_standin/src/platform.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin;
+use std::sync;
 use std::time;
 
 use cardamomhold_proto::platform as schema;
@@ -20,6 +21,8 @@
 pub struct Platform {
     commands: mpsc::UnboundedSender<store::Command>,
     state: watch::Receiver<store::State>,
+    /// Counts the service itself and each running watch.
+    watching: sync::Weak<()>,
     address: std::net::SocketAddr,
 }
 
@@ -32,9 +35,12 @@
         let listener = net::TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (commands, state) = store::start();
+        let token = sync::Arc::new(());
+        let watching = sync::Arc::downgrade(&token);
         let service = Service {
             commands: commands.clone(),
             state: state.clone(),
+            token,
         };
         let service = schema::platform_server::PlatformServer::new(service);
         let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
@@ -47,6 +53,7 @@
         Ok(Self {
             commands,
             state,
+            watching,
             address,
         })
     }
@@ -111,6 +118,11 @@
         self.tell(store::Command::LoseAnswers(count));
     }
 
+    /// Number of running watches.
+    pub fn watches(&self) -> usize {
+        self.watching.strong_count().saturating_sub(1)
+    }
+
     /// How often the platform was called so far.
     pub fn calls(&self) -> store::Calls {
         self.state.borrow().calls
@@ -121,6 +133,7 @@
 struct Service {
     commands: mpsc::UnboundedSender<store::Command>,
     state: watch::Receiver<store::State>,
+    token: sync::Arc<()>,
 }
 
 impl Service {
@@ -204,7 +217,9 @@
         let states = wrappers::WatchStream::new(self.state.clone());
         let mut since = request.since;
         let prefix = request.prefix;
+        let token = self.token.clone();
         let changes = states.map(move |state| {
+            let _running = &token;
             if state.is_down {
                 return vec![Err(tonic::Status::unavailable("the platform is down"))];
             }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod bed;
 pub mod instance;
 pub mod load;
+pub mod operate;
 pub mod soak;
--- /dev/null
+++ b/tests/src/operate.rs
@@ -0,0 +1,83 @@
+//! An operator of real instances.
+
+use std::net::SocketAddr;
+use std::time;
+
+use cardamomhold_proto::operator as schema;
+use tonic::transport;
+
+use crate::bed;
+
+/// A client of the operators' service.
+pub type Operator = schema::operator_client::OperatorClient<transport::Channel>;
+
+/// Pause between two looks at an instance.
+const LOOK: time::Duration = time::Duration::from_millis(50);
+
+/// Connects to an instance's peer address.
+pub async fn connect(peer: SocketAddr) -> Operator {
+    Operator::connect(format!("http://{peer}"))
+        .await
+        .expect("operator connects")
+}
+
+/// What an instance shows.
+pub async fn status(operator: &mut Operator) -> schema::StatusReply {
+    let reply = operator.status(schema::StatusRequest {}).await;
+    reply.expect("status").into_inner()
+}
+
+/// Waits until an instance shows what is wanted.
+pub async fn await_status(
+    operator: &mut Operator,
+    what: &str,
+    is_wanted: impl Fn(&schema::StatusReply) -> bool,
+) -> schema::StatusReply {
+    let deadline = tokio::time::Instant::now() + bed::PATIENCE;
+    loop {
+        let shown = status(operator).await;
+        if is_wanted(&shown) {
+            return shown;
+        }
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "no {what}: {shown:?}"
+        );
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Changes the kind of read `report` if its version is the expected one.
+pub async fn apply(
+    operator: &mut Operator,
+    author: &str,
+    version: u64,
+    staleness_ms: u64,
+) -> schema::apply_reply::Result {
+    let entry = schema::Entry {
+        kind: schema::Kind::ReadKind.into(),
+        name: "report".to_owned(),
+        version,
+        author: author.to_owned(),
+        spec: Some(schema::entry::Spec::ReadKind(schema::ReadKind {
+            staleness_ms,
+        })),
+        ..Default::default()
+    };
+    let request = schema::ApplyRequest { entry: Some(entry) };
+    let reply = operator.apply(request).await.expect("apply").into_inner();
+    reply.result.expect("result")
+}
+
+/// The kind of read `report` as an instance holds it: its version and its staleness.
+pub async fn report(operator: &mut Operator) -> (u64, u64) {
+    let request = schema::GetRequest {
+        kind: schema::Kind::ReadKind.into(),
+        name: "report".to_owned(),
+    };
+    let entry = operator.get(request).await.expect("get").into_inner();
+    match entry.spec {
+        Some(schema::entry::Spec::ReadKind(kind)) => (entry.version, kind.staleness_ms),
+        other => panic!("not a kind of read: {other:?}"),
+    }
+}
