--- a/crates/cardamomhold_config/src/object.rs
+++ b/crates/cardamomhold_config/src/object.rs
@@ -1,7 +1,6 @@
 //! The objects of the configuration and their form in the platform's store.
 
 use std::fmt;
-use std::iter;
 
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
@@ -11,9 +10,6 @@
 /// Prefix of every object of the configuration in the platform's store.
 pub const PREFIX: &str = "config/";
 
-/// Most earlier changes that an object names.
-pub const KEPT_CHANGES: usize = 8;
-
 /// Name of an object, typed by its kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum ObjectName {
@@ -177,6 +173,17 @@
     }
 }
 
+/// The content that an object has while its operators have not set it; none for objects
+/// that exist only once they are set.
+pub fn default_of(name: &ObjectName) -> Option<Spec> {
+    match name {
+        ObjectName::Rank(rank) => Some(Spec::Rank(RankRule::default_of(*rank))),
+        ObjectName::Caller(_) => Some(Spec::Caller(CallerRule::default())),
+        ObjectName::StopRule => Some(Spec::StopRule(StopRule::default())),
+        ObjectName::Group(_) | ObjectName::ReadKind(_) | ObjectName::Reign(_) => None,
+    }
+}
+
 /// The content of an object.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -203,19 +210,41 @@
     pub author: String,
     /// Identity of the change; tells after a lost answer whether it took effect.
     pub change: String,
-    /// Identities of the changes before it, the latest first, at most [`KEPT_CHANGES`]; tell
-    /// whether a change took effect that has been overwritten since.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub earlier: Vec<String>,
     /// The content.
     pub spec: Spec,
+    /// The changes before this one, the newest first; at most [`HISTORY`].
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<Past>,
+}
+
+/// Most earlier changes that an object keeps.
+pub const HISTORY: usize = 8;
+
+/// An earlier change of an object.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Past {
+    /// The object's version then.
+    pub version: u64,
+    /// Who made the change.
+    pub author: String,
+    /// Identity of the change.
+    pub change: String,
+    /// The content then.
+    pub spec: Spec,
 }
 
 impl Envelope {
-    /// The identities that the envelope's successor keeps.
-    pub fn lineage(&self) -> Vec<String> {
-        let own = iter::once(&self.change);
-        let all = own.chain(&self.earlier);
-        all.take(KEPT_CHANGES).cloned().collect()
+    /// The history of the change that follows this one, which has the given version.
+    pub fn history_after(&self, version: u64) -> Vec<Past> {
+        let last = Past {
+            version,
+            author: self.author.clone(),
+            change: self.change.clone(),
+            spec: self.spec.clone(),
+        };
+        let mut history = vec![last];
+        history.extend(self.history.iter().take(HISTORY - 1).cloned());
+        history
     }
 }
--- a/crates/cardamomhold_config/src/verdict.rs
+++ b/crates/cardamomhold_config/src/verdict.rs
@@ -14,8 +14,6 @@
     pub expected: config::Version,
     /// Identity of the change; none for a removal, which leaves no content to carry one.
     pub change: Option<&'a str>,
-    /// Identity of the change that was to be replaced; none where there was no object.
-    pub replaced: Option<&'a str>,
 }
 
 /// What the store's object says of an attempt.
@@ -38,22 +36,26 @@
     if current.version <= attempt.expected {
         return Verdict::Retry;
     }
-    let Some(change) = attempt.change else {
-        return Verdict::Undecided;
-    };
+    if current.removed {
+        // Removals are idempotent: the object is gone by this one or by an equal one.
+        return match attempt.change {
+            None => Verdict::Accepted,
+            Some(_) => Verdict::Undecided,
+        };
+    }
     let parsed = serde_json::from_slice::<object::Envelope>(&current.value);
     let Ok(envelope) = parsed else {
         return Verdict::Undecided;
     };
-    if envelope.change == change {
+    if attempt.change == Some(&envelope.change) {
         return Verdict::Accepted;
     }
-    for earlier in &envelope.earlier {
-        if earlier == change {
+    for past in &envelope.history {
+        if attempt.change == Some(&past.change) {
             return Verdict::Superseded;
         }
-        // Another change followed the one that was to be replaced.
-        if Some(earlier.as_str()) == attempt.replaced {
+        // Another change followed the version that was to be replaced.
+        if past.version <= attempt.expected {
             return Verdict::Conflict;
         }
     }
--- a/crates/cardamomhold_config/tests/config_spread.rs
+++ b/crates/cardamomhold_config/tests/config_spread.rs
@@ -85,7 +85,6 @@
     name: usize,
     expected: config::Version,
     change: String,
-    replaced: Option<String>,
     took_effect: bool,
 }
 
@@ -133,7 +132,9 @@
         let envelope = object::Envelope {
             author: format!("operator-{node}"),
             change: change.clone(),
-            earlier: before.as_ref().map(|e| e.lineage()).unwrap_or_default(),
+            history: before
+                .map(|e| e.history_after(expected))
+                .unwrap_or_default(),
             spec: object::Spec::ReadKind(object::ReadRule {
                 staleness_ms: self.writes,
             }),
@@ -145,7 +146,6 @@
                 name: at,
                 expected,
                 change,
-                replaced: before.map(|e| e.change),
                 took_effect: written.is_some(),
             });
             return;
@@ -279,7 +279,6 @@
             let attempt = verdict::Attempt {
                 expected: lost.expected,
                 change: Some(&lost.change),
-                replaced: lost.replaced.as_deref(),
             };
             let verdict = verdict::judge(&attempt, current);
             let is_true = match verdict {
@@ -398,7 +397,6 @@
     let attempt = verdict::Attempt {
         expected: 0,
         change: Some(&world.lost[0].change),
-        replaced: None,
     };
     let current = &world.store[NAMES[0]];
     assert_eq!(
@@ -417,7 +415,6 @@
     let attempt = verdict::Attempt {
         expected: 0,
         change: Some(&world.lost[0].change),
-        replaced: None,
     };
     let current = &world.store[NAMES[0]];
     // The change took effect, so that "conflict" would be wrong.
@@ -426,3 +423,25 @@
         verdict::Verdict::Undecided
     );
 }
+
+#[test]
+fn judges_removals() {
+    let attempt = verdict::Attempt {
+        expected: 1,
+        change: None,
+    };
+    let mut world = World::new();
+    world.write(0, 0, false);
+    let judged = |world: &World| verdict::judge(&attempt, &world.store[NAMES[0]]);
+    assert_eq!(judged(&world), verdict::Verdict::Retry);
+    let mut raced = World::new();
+    raced.write(0, 0, false);
+    raced.write(0, 0, false);
+    assert_eq!(judged(&raced), verdict::Verdict::Conflict);
+    let removed = world.put(NAMES[0], None, 1).expect("removed");
+    assert_eq!(judged(&world), verdict::Verdict::Accepted);
+    // Written anew since: nothing tells whose removal it was.
+    world.nodes[0].merge(&removed);
+    world.write(0, 0, false);
+    assert_eq!(judged(&world), verdict::Verdict::Undecided);
+}
--- a/crates/cardamomhold_daemon/src/peer.rs
+++ b/crates/cardamomhold_daemon/src/peer.rs
@@ -1,7 +1,9 @@
 //! The border between instances: the peer service and its client.
 
 use std::collections;
+use std::error;
 use std::fmt;
+use std::io;
 use std::pin;
 use std::sync;
 use std::time;
@@ -13,6 +15,7 @@
 use cardamomhold_core::position;
 use cardamomhold_core::rank;
 use cardamomhold_proto::peer as schema;
+use tokio::sync::broadcast;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -20,6 +23,7 @@
 use tokio_stream::wrappers;
 use tonic::transport;
 
+use crate::caller;
 use crate::fleet;
 use crate::gossip;
 use crate::lane;
@@ -137,8 +141,13 @@
     let lost = lane::Failure::Unknown(outcome::Doubt::OwnerLost);
     let mut downs = match client.open(ups).await {
         Ok(response) => response.into_inner(),
-        Err(_) => {
-            let _ = end.down.send(lane::Down::Failure(lost)).await;
+        Err(status) => {
+            let failure = if is_unsent(&status) {
+                lane::Failure::NotRun(outcome::Refusal::OwnerUnreachable)
+            } else {
+                lost
+            };
+            let _ = end.down.send(lane::Down::Failure(failure)).await;
             return false;
         }
     };
@@ -161,6 +170,33 @@
     }
 }
 
+/// Passes a cancel request on to the instance that serves the connection.
+pub async fn cancel(address: &str, target: caller::CancelTarget) {
+    let Some(mut client) = connect(address).await else {
+        return;
+    };
+    let request = schema::CancelRequest {
+        number: target.number,
+        secret: target.secret,
+    };
+    // A cancel request has no answer, whether it arrives or not.
+    let _ = tokio::time::timeout(CONNECT_TIMEOUT, client.cancel(request)).await;
+}
+
+/// Whether a call failed because its connection was refused, so that nothing was sent.
+fn is_unsent(status: &tonic::Status) -> bool {
+    let mut source = error::Error::source(status);
+    while let Some(cause) = source {
+        if let Some(cause) = cause.downcast_ref::<io::Error>()
+            && cause.kind() == io::ErrorKind::ConnectionRefused
+        {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 /// The peer service of an instance.
 #[derive(Debug)]
 pub struct Service {
@@ -170,6 +206,8 @@
     pub config: watch::Receiver<sync::Arc<config::Config>>,
     /// The membership that peers compare with theirs.
     pub fleet: mpsc::Sender<fleet::Request>,
+    /// Cancel requests of callers.
+    pub cancels: broadcast::Sender<caller::CancelTarget>,
 }
 
 #[tonic::async_trait]
@@ -202,6 +240,19 @@
         Ok(tonic::Response::new(Box::pin(downs)))
     }
 
+    async fn cancel(
+        &self,
+        request: tonic::Request<schema::CancelRequest>,
+    ) -> Result<tonic::Response<schema::CancelReply>, tonic::Status> {
+        let request = request.into_inner();
+        // Without a subscriber there is nothing to cancel.
+        let _ = self.cancels.send(caller::CancelTarget {
+            number: request.number,
+            secret: request.secret,
+        });
+        Ok(tonic::Response::new(schema::CancelReply {}))
+    }
+
     async fn changes(
         &self,
         request: tonic::Request<schema::ChangesRequest>,
@@ -246,6 +297,7 @@
             Some(schema::up::Kind::Batch(batch)) => lane::Up::Batch(lane::Batch {
                 frames: batch.frames,
                 sync: batch.sync,
+                answers: batch.answers,
             }),
             Some(schema::up::Kind::Cancel(_)) => lane::Up::Cancel,
             _ => return,
@@ -337,6 +389,7 @@
         lane::Up::Batch(batch) => schema::up::Kind::Batch(schema::Batch {
             frames: batch.frames,
             sync: batch.sync,
+            answers: batch.answers,
         }),
         lane::Up::Cancel => schema::up::Kind::Cancel(schema::Cancel {}),
     };
@@ -356,6 +409,7 @@
             schema::down::Kind::Ready(schema::Ready {
                 status: status.into(),
                 written,
+                rolled_back: ready.rolled_back,
             })
         }
         lane::Down::Failure(failure) => schema::down::Kind::Failure(failure_to(&failure)),
@@ -390,6 +444,7 @@
             lane::Down::Ready(lane::Ready {
                 status,
                 written: ready.written.map(place_from),
+                rolled_back: ready.rolled_back,
             })
         }
         schema::down::Kind::Failure(failure) => lane::Down::Failure(failure_from(failure)?),
--- a/crates/cardamomhold_daemon/tests/stale_owner.rs
+++ b/crates/cardamomhold_daemon/tests/stale_owner.rs
@@ -12,6 +12,7 @@
 use cardamomhold_daemon::clock;
 use cardamomhold_daemon::fleet as fleet_task;
 use cardamomhold_daemon::lane;
+use cardamomhold_daemon::metrics;
 use cardamomhold_daemon::owner;
 use cardamomhold_daemon::stop;
 use cardamomhold_fleet::fleet;
@@ -59,6 +60,7 @@
         fleet,
         standing,
         clock: clock::Clock::start(),
+        metrics: metrics::Metrics::new().expect("metrics"),
         stop: stop::Stop::new(phase),
     });
     let (mut lane, end) = lane::pair();
@@ -67,6 +69,7 @@
     let batch = lane::Batch {
         frames: bytes::Bytes::from_static(b"Q\0\0\0\x0dSELECT 1\0"),
         sync: true,
+        answers: 0,
     };
     // A refusal may have ended the lane already.
     let _ = lane.up.send(lane::Up::Batch(batch)).await;
--- a/crates/cardamomhold_fleet/src/lib.rs
+++ b/crates/cardamomhold_fleet/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod elect;
 pub mod fleet;
+pub mod mark;
 pub mod message;
 pub mod owner;
 pub mod probe;
--- a/crates/cardamomhold_standin/src/endpoint.rs
+++ b/crates/cardamomhold_standin/src/endpoint.rs
@@ -26,13 +26,17 @@
     pub faults: fault::Faults,
     /// Process numbers whose statement is to be cancelled.
     pub cancels: broadcast::Sender<i32>,
+    /// Rows of `STREAM` that were handed to a socket.
+    pub streamed: sync::Arc<atomic::AtomicU64>,
     slots: sync::Arc<tokio::sync::Semaphore>,
     open: sync::Arc<atomic::AtomicUsize>,
+    served: sync::Arc<atomic::AtomicUsize>,
 }
 
 impl Shared {
     /// Waits for a slot and the statement's time in it.
     pub async fn occupy(&self) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        self.served.fetch_add(1, atomic::Ordering::SeqCst);
         let permit = self.slots.clone().acquire_owned().await.ok();
         if !self.options.service.is_zero() {
             tokio::time::sleep(self.options.service).await;
@@ -55,6 +59,8 @@
     numbers: sync::Arc<atomic::AtomicU64>,
     open: sync::Arc<atomic::AtomicUsize>,
     peak: sync::Arc<atomic::AtomicUsize>,
+    streamed: sync::Arc<atomic::AtomicU64>,
+    served: sync::Arc<atomic::AtomicUsize>,
     state: State,
 }
 
@@ -139,6 +145,8 @@
             numbers: sync::Arc::default(),
             open: sync::Arc::default(),
             peak: sync::Arc::default(),
+            streamed: sync::Arc::default(),
+            served: sync::Arc::default(),
             state: State::Killed(None),
         };
         endpoint.launch(listener, kept)?;
@@ -158,8 +166,10 @@
             options: sync::Arc::new(self.options.clone()),
             faults: self.faults.clone(),
             cancels: broadcast::Sender::new(64),
+            streamed: self.streamed.clone(),
             slots: sync::Arc::new(tokio::sync::Semaphore::new(self.options.slots)),
             open: self.open.clone(),
+            served: self.served.clone(),
         };
         let accepting = accept(listener, shared, self.numbers.clone(), self.peak.clone());
         let listener = tokio::spawn(accepting);
@@ -229,6 +239,24 @@
         self.peak.load(atomic::Ordering::SeqCst)
     }
 
+    /// Rows of `STREAM` that were handed to a socket.
+    pub fn streamed(&self) -> u64 {
+        self.streamed.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Statements that have asked for a slot so far.
+    pub fn served(&self) -> usize {
+        self.served.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Makes the member ask for no new work, or for work again.
+    pub async fn set_leaving(&self, leaving: bool) {
+        if let Some(member) = self.member() {
+            let leave = |reply| member::Request::Leave(leaving, reply);
+            crate::replication::ask(member, leave).await;
+        }
+    }
+
     /// Lets every connection that is open now go silent for good.
     pub fn silence_open(&self) {
         let next = self.numbers.load(atomic::Ordering::SeqCst);
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod instance;
 pub mod load;
 pub mod operate;
+pub mod raw;
 pub mod soak;
