Merge membership by heartbeat beside the change of primary

Each instance's owner task takes both the fleet's standing and the calls of the groups' objects. Open after the merge: grace_ends_elsewhere fails.

--- a/crates/cardamomhold_fleet/src/lib.rs
+++ b/crates/cardamomhold_fleet/src/lib.rs
@@ -6,12 +6,21 @@
 //!
 //! let a = InstanceName::parse("a").unwrap();
 //! let endpoint = MemberName::parse("bookings-1").unwrap();
-//! assert_eq!(owner::choose(&endpoint, [&a]), Some(&a));
+//! let candidate = owner::Candidate::new(&a);
+//! assert_eq!(owner::choose(&endpoint, [&candidate]), Some(&a));
 //! ```
 
+pub mod elect;
 pub mod fleet;
 pub mod mark;
+pub mod message;
 pub mod owner;
+pub mod probe;
+pub mod random;
+mod receive;
+pub mod roster;
+pub mod swim;
+pub mod timing;
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -75,13 +75,25 @@
             peer: any,
             metrics: any,
             platform: self.platform.address(),
+            seeds: Vec::new(),
             token_secret: "a secret for tests only".to_owned(),
         }
     }
 
     /// Starts one instance and puts it on the platform's list.
     pub async fn start_instance(&self, name: &str, zone: &str) -> instance::Instance {
-        let settings = self.settings(name, zone);
+        self.start_seeded(name, zone, Vec::new()).await
+    }
+
+    /// Starts one instance that knows peers, and puts it on the platform's list.
+    pub async fn start_seeded(
+        &self,
+        name: &str,
+        zone: &str,
+        seeds: Vec<net::SocketAddr>,
+    ) -> instance::Instance {
+        let mut settings = self.settings(name, zone);
+        settings.seeds = seeds;
         let instance = instance::Instance::start(settings).await;
         self.platform
             .list_instance(name, zone, &instance.addresses.peer.to_string(), false);
