The bed waits until all instances agree on who is alive

Cause: grace_ends_elsewhere (left: 0, right: 1) and owner_killed keyed_runs_once (left "", right "08007") failed after the merge of membership by heartbeat. An instance that does not know the others yet owns every endpoint itself, so the transactions of these tests ran at the entry and not at the owner they stop or kill. Before, the platform's list named all instances at once.

Ruled out: a lane cut or kept by the stop itself (both tests pass with the views settled); the checks stay as they are.

Change: the bed starts its tests once each instance's own status shows the same instances alive.

--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -5,6 +5,8 @@
 
 use cardamomhold_core::name;
 use cardamomhold_daemon::settings;
+use cardamomhold_proto::operator;
+use cardamomhold_proto::operator::operator_client;
 use cardamomhold_standin::endpoint;
 use cardamomhold_standin::member;
 use cardamomhold_standin::platform;
@@ -162,6 +164,7 @@
     }
 
     async fn await_owners(&self) {
+        self.await_fleet().await;
         for at in 0..self.instances.len() {
             let deadline = tokio::time::Instant::now() + PATIENCE;
             loop {
@@ -180,6 +183,25 @@
         }
     }
 
+    /// Waits until every running instance takes the same ones to be alive, so that all
+    /// agree on each endpoint's owner.
+    pub async fn await_fleet(&self) {
+        let running = || self.instances.iter().filter(|i| i.is_running());
+        let mut expected: Vec<&str> = running().map(|i| i.name.as_str()).collect();
+        expected.sort_unstable();
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        for instance in running() {
+            while alive_at(instance).await != expected {
+                assert!(
+                    tokio::time::Instant::now() < deadline,
+                    "{} does not see {expected:?}",
+                    instance.name
+                );
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    }
+
     async fn try_connect(&self, at: usize, options: &str) -> Option<tokio_postgres::Client> {
         try_connect(self.instances[at].addresses.listen, options).await
     }
@@ -204,6 +226,22 @@
     }
 }
 
+/// The instances that one of them takes to be alive.
+async fn alive_at(instance: &instance::Instance) -> Vec<String> {
+    let address = format!("http://{}", instance.addresses.peer);
+    let Ok(mut client) = operator_client::OperatorClient::connect(address).await else {
+        return Vec::new();
+    };
+    let Ok(status) = client.status(operator::StatusRequest {}).await else {
+        return Vec::new();
+    };
+    let instances = status.into_inner().instances;
+    let alive = instances.into_iter().filter(|i| i.state == "alive");
+    let mut names: Vec<String> = alive.map(|i| i.name).collect();
+    names.sort_unstable();
+    names
+}
+
 async fn try_connect(address: net::SocketAddr, options: &str) -> Option<tokio_postgres::Client> {
     let mut config = tokio_postgres::Config::new();
     config
