--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -3,6 +3,7 @@
 //! The product's own state machines run before a modelled endpoint, at the sizes of the
 //! two users. Seeds are fixed, so each figure repeats exactly.
 
+pub mod dissemination;
 pub mod endpoint;
 pub mod failover;
 pub mod flood;
--- a/crates/cardamomhold_cli/src/failure.rs
+++ b/crates/cardamomhold_cli/src/failure.rs
@@ -16,6 +16,9 @@
 /// Exit code of a change that may or may not have taken effect.
 pub const EXIT_UNDECIDED: u8 = 5;
 
+/// Exit code of a change that took effect and was replaced by another one since.
+pub const EXIT_SUPERSEDED: u8 = 6;
+
 /// Why a command failed.
 #[derive(Debug)]
 pub enum Failure {
@@ -61,6 +64,15 @@
         /// Identity of the change.
         change: String,
     },
+    /// The change took effect, and another one has followed it.
+    Superseded {
+        /// What was changed.
+        object: String,
+        /// The current version.
+        current: u64,
+        /// Who made the current version.
+        author: String,
+    },
 }
 
 /// Both sides of a conflict.
@@ -92,6 +104,7 @@
             Self::Unreachable { .. } | Self::Refused(_) => EXIT_UNREACHABLE,
             Self::Conflict(_) => EXIT_CONFLICT,
             Self::Undecided { .. } => EXIT_UNDECIDED,
+            Self::Superseded { .. } => EXIT_SUPERSEDED,
         }
     }
 }
@@ -132,6 +145,15 @@
                 "{object}: undecided, the platform's answer did not come; look for change \
                  {change} in `cardamomhold history` before you repeat it"
             ),
+            Self::Superseded {
+                object,
+                current,
+                author,
+            } => write!(
+                f,
+                "{object}: took effect, and {author} has replaced it since with version {current}; \
+                 look at `cardamomhold history`"
+            ),
         }
     }
 }
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -22,11 +22,13 @@
 use crate::clock;
 use crate::config;
 use crate::fleet as fleet_task;
+use crate::follow;
 use crate::http;
 use crate::metrics;
 use crate::operator;
 use crate::owner;
 use crate::peer;
+use crate::pull;
 use crate::reigns;
 use crate::seats;
 use crate::settings;
@@ -36,6 +38,9 @@
 /// Cancel requests that wait for slow tasks.
 const CANCELS: usize = 256;
 
+/// Ports that are tried when any will do.
+const PORT_TRIES: u32 = 16;
+
 /// Why an instance did not start.
 #[derive(Debug)]
 pub enum StartError {
@@ -73,6 +78,7 @@
     ready: watch::Sender<bool>,
     phase: watch::Sender<stop::Phase>,
     config: config::Handle,
+    fleet: fleet_task::Handle,
     owner: mpsc::Sender<owner::Request>,
     callers: task::JoinHandle<task::JoinSet<()>>,
     peers: task::JoinHandle<()>,
@@ -89,6 +95,27 @@
     Ok((listener, address))
 }
 
+/// Listens for streams and datagrams at the same address.
+async fn bind_peer(
+    address: SocketAddr,
+) -> Result<(net::TcpListener, SocketAddr, net::UdpSocket), StartError> {
+    let mut tries = 0;
+    loop {
+        let (listener, bound) = bind("peer", address).await?;
+        match net::UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((listener, bound, socket)),
+            // Another port may be free for both.
+            Err(_) if address.port() == 0 && tries < PORT_TRIES => tries += 1,
+            Err(error) => {
+                return Err(StartError::Listen {
+                    setting: "peer",
+                    error,
+                });
+            }
+        }
+    }
+}
+
 impl Daemon {
     /// Starts an instance.
     ///
@@ -99,7 +126,7 @@
             .map_err(|_| StartError::PlatformAddress)?;
         let metrics = metrics::Metrics::new().map_err(StartError::Metrics)?;
         let (callers_listener, listen) = bind("listen", settings.listen).await?;
-        let (peer_listener, peer) = bind("peer", settings.peer).await?;
+        let (peer_listener, peer, socket) = bind_peer(settings.peer).await?;
         let (metrics_listener, metrics_address) = bind("metrics", settings.metrics).await?;
         let own = fleet::Instance {
             name: settings.instance.clone(),
@@ -107,16 +134,35 @@
             address: peer.to_string(),
             state: fleet::InstanceState::Alive,
         };
-        let config = config::start(platform.clone());
-        let fleet = fleet_task::start(platform.clone(), own.clone());
+        let clock = clock::Clock::start();
+        let config = config::start();
+        let (pulls, wanted) = mpsc::channel(pull::MAILBOX);
+        let (fleet, fleet_run) = fleet_task::prepare(fleet_task::Setting {
+            platform: platform.clone(),
+            own: own.clone(),
+            seeds: settings.seeds.clone(),
+            socket,
+            clock,
+            config: config.clone(),
+            pulls,
+        });
+        let follower = follow::Follower {
+            platform: platform.clone(),
+            config: config.clone(),
+            fleet: fleet.clone(),
+            own: own.clone(),
+            clock,
+            has_seeds: !settings.seeds.is_empty(),
+        };
         let reigns = reigns::start(platform.clone(), own.name.clone(), config.heard.clone());
         let phase = watch::Sender::new(stop::Phase::default());
         let stop = stop::Stop::new(phase.subscribe());
         let owner = owner::start(owner::Setting {
             instance: own.name.clone(),
             config: config.config.clone(),
-            fleet: fleet.clone(),
-            clock: clock::Clock::start(),
+            fleet: fleet.fleet.clone(),
+            standing: fleet.standing.clone(),
+            clock,
             reigns,
             metrics: metrics.clone(),
             stop: stop.clone(),
@@ -128,7 +174,7 @@
             zone: own.zone.clone(),
             secret: token::TokenSecret::new(settings.token_secret.as_bytes()),
             config: config.config.clone(),
-            fleet: fleet.clone(),
+            fleet: fleet.fleet.clone(),
             owner: owner.clone(),
             peers: peer::start(),
             cancels: cancels.clone(),
@@ -139,24 +185,28 @@
         let peers = peer::Service {
             owner: owner.clone(),
             config: config.config.clone(),
+            fleet: fleet.requests.clone(),
             cancels,
         };
         let sweep = sweep::Setting {
             instance: own.name.clone(),
             config: config.config.clone(),
-            fleet: fleet.clone(),
+            fleet: fleet.fleet.clone(),
             owner: owner.clone(),
         };
         let operators = operator::Service {
             platform,
             config: config.clone(),
-            fleet,
+            fleet: fleet.fleet.clone(),
             owner: owner.clone(),
             own,
         };
         let mut services = task::JoinSet::new();
         let ended = stop::Stop::new(phase.subscribe());
         let peers = tokio::spawn(serve_peers(peer_listener, peers, operators, ended));
+        services.spawn(fleet_run.run());
+        services.spawn(pull::run(wanted, config.clone()));
+        services.spawn(follower.run());
         services.spawn(http::run(metrics_listener, metrics, ready_seen));
         services.spawn(sweep::run(sweep));
         services.spawn(become_ready(config.config.clone(), ready.clone()));
@@ -173,6 +223,7 @@
             ready,
             phase,
             config,
+            fleet,
             owner,
             callers,
             peers,
@@ -215,7 +266,7 @@
     ///
     /// Returns the number of connections and lanes that were still open after that.
     pub async fn stop(mut self, grace: time::Duration) -> usize {
-        self.leave();
+        self.leave().await;
         let rule = self.config.config.borrow().stop_rule();
         tokio::time::sleep(time::Duration::from_millis(rule.notice_ms)).await;
         self.enter(stop::Phase::Draining);
@@ -237,9 +288,10 @@
     }
 
     /// Lets the balancer and the other instances know that this instance is going.
-    fn leave(&self) {
+    async fn leave(&self) {
         self.ready.send_replace(false);
         self.enter(stop::Phase::Leaving);
+        self.fleet.leave().await;
     }
 
     fn enter(&self, phase: stop::Phase) {
