The history of an object works beside the orders of a switchover

Cause: two changes met: writing without the operators' check got a function of its own, and the history read the configuration that only the check had. It did not compile ("expected value, found module `config`").

Change: the history reads the configuration itself.

--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -79,7 +79,7 @@
         version: u64,
     ) -> schema::ApplyReply {
         let change = uuid::Uuid::now_v7().to_string();
-        let history = self.history_before(&config, name, version).await;
+        let history = self.history_before(name, version).await;
         let envelope = spec.map(|spec| object::Envelope {
             author: author.to_owned(),
             change: change.clone(),
@@ -104,15 +104,11 @@
     }
 
     /// The history that the change of a version takes over.
-    async fn history_before(
-        &self,
-        config: &config::Config,
-        name: &object::ObjectName,
-        version: u64,
-    ) -> Vec<object::Past> {
+    async fn history_before(&self, name: &object::ObjectName, version: u64) -> Vec<object::Past> {
         if version == 0 {
             return Vec::new();
         }
+        let config = self.config.config.borrow().clone();
         if config.version(name) == version {
             let known = config.entry(name).and_then(|e| e.envelope.as_ref());
             return known.map(|e| e.history_after(version)).unwrap_or_default();
