--- a/crates/cardamomhold_cli/src/flags.rs
+++ b/crates/cardamomhold_cli/src/flags.rs
@@ -19,7 +19,8 @@
 
         /// Shows groups, members, instances and zones as the instance sees them.
         cmd status {
-            /// Waits until every group has a reachable primary and no member drains work.
+            /// Waits until every group has a reachable primary, no switchover is under way and
+            /// no draining member has work.
             optional --wait
         }
         /// Shows one object.
--- a/crates/cardamomhold_cli/src/status.rs
+++ b/crates/cardamomhold_cli/src/status.rs
@@ -7,15 +7,16 @@
 
 use crate::table;
 
-/// Whether every group has a reachable primary in its term, and nothing waits at a
-/// draining member.
+/// Whether every group has a reachable primary in its term and no switchover under way,
+/// and nothing waits at a draining member.
 pub fn is_settled(status: &schema::StatusReply) -> bool {
     status.groups.iter().all(|group| {
         let is_led = |m: &schema::MemberStatus| {
             m.name == group.primary && m.reachable && m.role == "primary" && m.term == group.term
         };
         let is_busy = |m: &schema::MemberStatus| m.draining && m.waiting + m.running > 0;
-        group.members.iter().any(is_led) && !group.members.iter().any(is_busy)
+        let is_still = group.wanted.is_empty();
+        is_still && group.members.iter().any(is_led) && !group.members.iter().any(is_busy)
     })
 }
 
@@ -92,14 +93,15 @@
     let mut rows = Vec::new();
     for group in &status.groups {
         let reachable = group.members.iter().filter(|m| m.reachable).count();
-        let primary = match group.primary.as_str() {
-            "" => "none",
-            name => name,
+        let primary = match (group.primary.as_str(), group.wanted.as_str()) {
+            ("", _) => "none".to_owned(),
+            (name, "") => name.to_owned(),
+            (name, wanted) => format!("{name} -> {wanted}"),
         };
         rows.push([
             group.name.clone(),
             group.term.to_string(),
-            primary.to_owned(),
+            primary,
             format!("{reachable}/{}", group.members.len()),
         ]);
     }
@@ -187,6 +189,7 @@
         }));
     }
     serde_json::json!({
-        "name": group.name, "term": group.term, "primary": group.primary, "members": members,
+        "name": group.name, "term": group.term, "primary": group.primary,
+        "wanted": group.wanted, "members": members,
     })
 }
--- a/crates/cardamomhold_cli/tests/human_tables.rs
+++ b/crates/cardamomhold_cli/tests/human_tables.rs
@@ -30,6 +30,7 @@
         term: 2,
         primary: "a".to_owned(),
         members,
+        ..Default::default()
     };
     schema::StatusReply {
         groups: vec![group],
@@ -49,6 +50,9 @@
     let mut gone = member("a", "primary");
     gone.reachable = false;
     assert!(!status::is_settled(&status_of(vec![gone])), "unreachable");
+    let mut changing = status_of(vec![member("a", "primary")]);
+    changing.groups[0].wanted = "b".to_owned();
+    assert!(!status::is_settled(&changing), "a switchover is under way");
     let mut busy = member("b", "replica");
     busy.draining = true;
     busy.running = 1;
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod metrics;
 pub mod monitor;
 pub mod operator;
+pub mod overview;
 pub mod owner;
 pub mod peer;
 pub mod plan;
--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -5,8 +5,6 @@
 use cardamomhold_config::object;
 use cardamomhold_core::name;
 use cardamomhold_fleet::fleet;
-use cardamomhold_group::spec;
-use cardamomhold_group::status;
 use cardamomhold_platform::client;
 use cardamomhold_platform::client::Platform;
 use cardamomhold_proto::entry;
@@ -15,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::config as config_task;
+use crate::overview;
 use crate::owner;
 use crate::switchover;
 
@@ -341,7 +340,7 @@
             for member in &spec.members {
                 let view = views.iter().find(|v| v.name == member.name);
                 let status = view.and_then(|v| v.status.as_ref());
-                let mut shown_member = member_to(member, status);
+                let mut shown_member = overview::member_to(member, status);
                 let owner = fleet.owner(&member.name, &member.zone);
                 shown_member.owner = owner.map(|o| o.name.to_string()).unwrap_or_default();
                 if let Some((_, endpoint)) = shown
@@ -358,6 +357,11 @@
             groups.push(schema::GroupStatus {
                 name: group.to_string(),
                 term: reign.as_ref().map(|r| r.term.0).unwrap_or_default(),
+                wanted: reign
+                    .as_ref()
+                    .and_then(|r| r.wanted.as_ref())
+                    .map(|w| w.to_string())
+                    .unwrap_or_default(),
                 primary: reign
                     .and_then(|r| r.primary)
                     .map(|p| p.to_string())
@@ -371,43 +375,7 @@
             config_version: config.through(),
             platform_reachable: *self.config.reachable.borrow(),
             groups,
-            instances: fleet.instances().map(instance_to).collect(),
+            instances: fleet.instances().map(overview::instance_to).collect(),
         }))
     }
 }
-
-fn instance_to(instance: &fleet::Instance) -> schema::InstanceStatus {
-    let state = match instance.state {
-        fleet::InstanceState::Alive => "alive",
-        fleet::InstanceState::Suspect => "suspect",
-        fleet::InstanceState::Leaving => "leaving",
-        fleet::InstanceState::Dead => "dead",
-    };
-    schema::InstanceStatus {
-        name: instance.name.to_string(),
-        zone: instance.zone.to_string(),
-        state: state.to_owned(),
-    }
-}
-
-fn member_to(
-    member: &spec::MemberSpec,
-    status: Option<&status::MemberStatus>,
-) -> schema::MemberStatus {
-    let role = match status.map(|s| s.role) {
-        Some(status::MemberRole::Primary) => "primary",
-        Some(status::MemberRole::Replica) => "replica",
-        None => "unknown",
-    };
-    schema::MemberStatus {
-        name: member.name.to_string(),
-        zone: member.zone.to_string(),
-        role: role.to_owned(),
-        term: status.map(|s| s.term.0).unwrap_or_default(),
-        received: status.map(|s| s.received.0).unwrap_or_default(),
-        applied: status.map(|s| s.applied.0).unwrap_or_default(),
-        reachable: status.is_some(),
-        draining: member.draining || status.is_some_and(|s| s.leaving),
-        ..Default::default()
-    }
-}
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/overview.rs
@@ -0,0 +1,44 @@
+//! The border between what an instance sees of the fleet and the operators' service.
+
+use cardamomhold_fleet::fleet;
+use cardamomhold_group::spec;
+use cardamomhold_group::status;
+use cardamomhold_proto::operator as schema;
+
+/// An instance as the service shows it.
+pub fn instance_to(instance: &fleet::Instance) -> schema::InstanceStatus {
+    let state = match instance.state {
+        fleet::InstanceState::Alive => "alive",
+        fleet::InstanceState::Suspect => "suspect",
+        fleet::InstanceState::Leaving => "leaving",
+        fleet::InstanceState::Dead => "dead",
+    };
+    schema::InstanceStatus {
+        name: instance.name.to_string(),
+        zone: instance.zone.to_string(),
+        state: state.to_owned(),
+    }
+}
+
+/// A member as the service shows it; `status` is none while it is out of reach.
+pub fn member_to(
+    member: &spec::MemberSpec,
+    status: Option<&status::MemberStatus>,
+) -> schema::MemberStatus {
+    let role = match status.map(|s| s.role) {
+        Some(status::MemberRole::Primary) => "primary",
+        Some(status::MemberRole::Replica) => "replica",
+        None => "unknown",
+    };
+    schema::MemberStatus {
+        name: member.name.to_string(),
+        zone: member.zone.to_string(),
+        role: role.to_owned(),
+        term: status.map(|s| s.term.0).unwrap_or_default(),
+        received: status.map(|s| s.received.0).unwrap_or_default(),
+        applied: status.map(|s| s.applied.0).unwrap_or_default(),
+        reachable: status.is_some(),
+        draining: member.draining || status.is_some_and(|s| s.leaving),
+        ..Default::default()
+    }
+}
--- a/tests/tests/operator_tool.rs
+++ b/tests/tests/operator_tool.rs
@@ -138,6 +138,19 @@
     run(&bed, 0, "status --wait").await.expect("settles");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn wait_sees_switchover() {
+    let bed = bed::Bed::start().await;
+    for member in ["bookings-b", "bookings-c", "bookings-a"] {
+        run(&bed, 0, &format!("switchover bookings {member}"))
+            .await
+            .expect("ordered");
+        let shown = run(&bed, 0, "--json status --wait").await.expect("settles");
+        let shown: serde_json::Value = serde_json::from_str(&shown).expect("json");
+        assert_eq!(shown["groups"][0]["primary"], member, "{shown}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn removed_comes_back() {
     let bed = bed::Bed::start().await;
