--- a/crates/cardamomhold_fleet/src/fleet.rs
+++ b/crates/cardamomhold_fleet/src/fleet.rs
@@ -37,14 +37,36 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     instances: collections::BTreeMap<name::InstanceName, Instance>,
+    /// Those of each zone that may own endpoints.
+    zones: collections::BTreeMap<name::ZoneName, Vec<owner::Candidate>>,
+    cut: collections::BTreeSet<name::ZoneName>,
 }
 
 impl Fleet {
     /// Takes an instance in, in place of what was known of it.
     pub fn insert(&mut self, instance: Instance) {
+        if let Some(old) = self.instances.get(&instance.name)
+            && let Some(zone) = self.zones.get_mut(&old.zone)
+        {
+            zone.retain(|c| c.name != instance.name);
+        }
+        if instance.state <= InstanceState::Suspect {
+            let zone = self.zones.entry(instance.zone.clone()).or_default();
+            zone.push(owner::Candidate::new(&instance.name));
+        }
         self.instances.insert(instance.name.clone(), instance);
     }
 
+    /// Takes note that nobody in a zone can be reached from here.
+    pub fn cut(&mut self, zone: name::ZoneName) {
+        self.cut.insert(zone);
+    }
+
+    /// Whether nobody in a zone can be reached from here.
+    pub fn is_cut(&self, zone: &name::ZoneName) -> bool {
+        self.cut.contains(zone)
+    }
+
     /// One instance.
     pub fn instance(&self, name: &str) -> Option<&Instance> {
         self.instances.get(name)
@@ -55,30 +77,39 @@
         self.instances.values()
     }
 
+    /// The instances of a zone that may own endpoints.
+    pub fn serving(&self, zone: &name::ZoneName) -> &[owner::Candidate] {
+        self.zones.get(zone).map_or(&[], Vec::as_slice)
+    }
+
     /// The fleet as it is once the instances at these addresses have left.
     pub fn without(&self, addresses: &[String]) -> borrow::Cow<'_, Self> {
         if addresses.is_empty() {
             return borrow::Cow::Borrowed(self);
         }
         let mut rest = self.clone();
-        for instance in rest.instances.values_mut() {
-            if addresses.contains(&instance.address) {
-                instance.state = InstanceState::Leaving;
+        for instance in self.instances.values() {
+            if !addresses.contains(&instance.address) {
+                continue;
             }
+            rest.insert(Instance {
+                state: InstanceState::Leaving,
+                ..instance.clone()
+            });
         }
         borrow::Cow::Owned(rest)
     }
 
     /// The owner of an endpoint: an instance in the endpoint's zone, or one anywhere
-    /// while its zone has none.
+    /// while its zone has none or is cut off from here.
     pub fn owner(&self, endpoint: &name::MemberName, zone: &name::ZoneName) -> Option<&Instance> {
-        let serving = || {
-            let serves = |i: &&Instance| i.state <= InstanceState::Suspect;
-            self.instances.values().filter(serves)
-        };
-        let near = serving().filter(|i| i.zone == *zone).map(|i| &i.name);
-        let chosen = owner::choose(endpoint, near)
-            .or_else(|| owner::choose(endpoint, serving().map(|i| &i.name)));
-        chosen.and_then(|name| self.instances.get(name))
+        if !self.is_cut(zone)
+            && let Some(name) = owner::choose(endpoint, self.serving(zone))
+        {
+            return self.instances.get(name);
+        }
+        let zones = self.zones.keys().filter(|z| !self.is_cut(z));
+        let anywhere = zones.flat_map(|z| self.serving(z));
+        owner::choose(endpoint, anywhere).and_then(|name| self.instances.get(name))
     }
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bed;
 pub mod instance;
 pub mod load;
+pub mod operate;
 pub mod raw;
 pub mod soak;
 pub mod writer;
