A probe whose caller thinks has been answered

Cause: a probe's transaction that pauses for its caller kept the breaker shut until it ended, up to the idle time of a transaction. Ruled out: probing with a statement of the proxy's own, which says nothing of the callers' statements. Change: a pause counts as the probe's answer. Before: breaker_trip's probe_may_pause printed "the endpoint has answered"; after: it passes. paused_jobs gets the new field of the limits.

--- a/crates/cardamomhold_queue/src/queue.rs
+++ b/crates/cardamomhold_queue/src/queue.rs
@@ -301,6 +301,10 @@
     pub fn pause(&mut self, now: Timestamp, id: job::JobId) {
         if let Some(mut run) = self.running.remove(&id) {
             run.held += now.since(run.since);
+            if std::mem::take(&mut run.is_probe) {
+                // Its caller has an answer to think about.
+                self.breaker.record(now, true, true);
+            }
             self.paused.insert(id, run);
         }
     }
--- a/crates/cardamomhold_queue/tests/breaker_trip.rs
+++ b/crates/cardamomhold_queue/tests/breaker_trip.rs
@@ -136,6 +136,17 @@
     assert!(bench.call(ANSWERED), "closed again");
 }
 
+#[test]
+fn probe_may_pause() {
+    let mut bench = Bench::new(RATIO);
+    bench.trip();
+    bench.pass(1_100);
+    let probe = bench.offer().expect("a probe");
+    assert_eq!(bench.queue.poll(bench.now), vec![Decision::Start(probe)]);
+    bench.queue.pause(bench.now, probe);
+    assert!(bench.call(ANSWERED), "the endpoint has answered");
+}
+
 #[test]
 fn waiting_are_told() {
     let mut bench = Bench::new(RATIO);
--- a/crates/cardamomhold_queue/tests/paused_jobs.rs
+++ b/crates/cardamomhold_queue/tests/paused_jobs.rs
@@ -16,6 +16,7 @@
         running: CONNECTIONS,
         ranks: [queue::RankLimits {
             waiting: 100,
+            target: std::time::Duration::from_secs(3_600),
             share_percent: 30,
         }; 3],
         trip: breaker::Trip::Never,
