--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -4,7 +4,9 @@
 //! two users. Seeds are fixed, so each figure repeats exactly.
 
 pub mod breaker;
+pub mod dissemination;
 pub mod endpoint;
+pub mod failover;
 pub mod flood;
 pub mod load;
 pub mod plain;
--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -3,6 +3,7 @@
 use std::process;
 
 use cardamomhold_bench::breaker;
+use cardamomhold_bench::failover;
 use cardamomhold_bench::flood;
 use cardamomhold_bench::report;
 use cardamomhold_bench::size;
@@ -34,6 +35,7 @@
     for size in &size::ALL {
         figures.extend(flood::measure(size, seed));
     }
+    figures.extend(failover::run(seed).iter().map(failover_figure));
     if flags.json {
         match serde_json::to_string_pretty(&figures) {
             Ok(text) => println!("{text}"),
@@ -48,3 +50,14 @@
         process::ExitCode::FAILURE
     }
 }
+
+/// The longest gap beside the one that a fixed timeout would give.
+fn failover_figure(gap: &failover::Gap) -> report::Figure {
+    report::Figure {
+        user: size::KALKVAGN.name,
+        measure: format!("gap in writes, primary {:?}, ms", gap.fault),
+        ours: gap.longest_ms as f64,
+        baseline: gap.baseline_ms as f64,
+        bound: report::Bound::Most(gap.bound_ms as f64),
+    }
+}
--- a/crates/cardamomhold_cli/src/commands.rs
+++ b/crates/cardamomhold_cli/src/commands.rs
@@ -366,6 +366,11 @@
             object: what.to_owned(),
             change: undecided.change,
         }),
+        Some(Reply::Superseded(current)) => Err(failure::Failure::Superseded {
+            object: what.to_owned(),
+            current: current.version,
+            author: current.author,
+        }),
         None => Err(failure::Failure::Refused(format!("{what}: empty answer"))),
     }
 }
