--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -2,6 +2,8 @@
 
 use std::process;
 
+use cardamomhold_bench::breaker;
+use cardamomhold_bench::failover;
 use cardamomhold_bench::flood;
 use cardamomhold_bench::report;
 use cardamomhold_bench::size;
@@ -12,6 +14,8 @@
         cmd bench {
             /// Prints JSON in place of a table.
             optional --json
+            /// Compares the breaker's rules in place of the figures.
+            optional --breaker
             /// Seed of the arrivals.
             optional --seed seed: u64
         }
@@ -21,10 +25,17 @@
 fn main() -> process::ExitCode {
     let flags = flags::Bench::from_env_or_exit();
     let seed = flags.seed.unwrap_or(flood::SEED);
+    if flags.breaker {
+        for size in &size::ALL {
+            println!("{}:\n\n{}", size.name, breaker::table(size, seed));
+        }
+        return process::ExitCode::SUCCESS;
+    }
     let mut figures = Vec::new();
     for size in &size::ALL {
         figures.extend(flood::measure(size, seed));
     }
+    figures.extend(failover::run(seed).iter().map(failover_figure));
     if flags.json {
         match serde_json::to_string_pretty(&figures) {
             Ok(text) => println!("{text}"),
@@ -39,3 +50,14 @@
         process::ExitCode::FAILURE
     }
 }
+
+/// The longest gap beside the one that a fixed timeout would give.
+fn failover_figure(gap: &failover::Gap) -> report::Figure {
+    report::Figure {
+        user: size::KALKVAGN.name,
+        measure: format!("gap in writes, primary {:?}, ms", gap.fault),
+        ours: gap.longest_ms as f64,
+        baseline: gap.baseline_ms as f64,
+        bound: report::Bound::Most(gap.bound_ms as f64),
+    }
+}
--- a/crates/cardamomhold_daemon/src/caller.rs
+++ b/crates/cardamomhold_daemon/src/caller.rs
@@ -10,6 +10,7 @@
 use cardamomhold_core::token;
 use cardamomhold_fleet::fleet;
 use cardamomhold_fleet::mark;
+use cardamomhold_queue::budget;
 use cardamomhold_session::session;
 use cardamomhold_wire::answer;
 use cardamomhold_wire::frame;
@@ -124,6 +125,7 @@
     pub(crate) cancels: broadcast::Receiver<CancelTarget>,
     pub(crate) own: CancelTarget,
     pub(crate) spread: usize,
+    pub(crate) budget: budget::Budget,
     pub(crate) shown_token: String,
 }
 
--- a/crates/cardamomhold_daemon/src/greet.rs
+++ b/crates/cardamomhold_daemon/src/greet.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use cardamomhold_core::name;
 use cardamomhold_fleet::mark;
+use cardamomhold_queue::budget;
 use cardamomhold_session::session;
 use cardamomhold_wire::answer;
 use cardamomhold_wire::frame;
@@ -169,6 +170,7 @@
         lane: None,
         own,
         spread: own.number as usize,
+        budget: budget::Budget::default(),
         shown_token: String::new(),
     };
     match admitted.take_options(startup) {
