Split the group's task from its handle and its passes

Change: group.rs keeps what others ask of the task, members.rs the task, pass.rs the leave for write transactions. No behaviour changes.

--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -78,6 +78,7 @@
         author: &str,
         version: u64,
     ) -> schema::ApplyReply {
+        let config = self.config.config.borrow().clone();
         let change = uuid::Uuid::now_v7().to_string();
         let history = self.history_before(&config, name, version).await;
         let envelope = spec.map(|spec| object::Envelope {
--- a/crates/cardamomhold_daemon/src/reigns.rs
+++ b/crates/cardamomhold_daemon/src/reigns.rs
@@ -98,6 +98,7 @@
         author: author.to_string(),
         change: uuid::Uuid::now_v7().to_string(),
         spec: object::Spec::Reign(reign),
+        history: Vec::new(),
     };
     let value = serde_json::to_vec(&envelope).map_err(|_| client::PlatformError::BadAnswer)?;
     match platform.put(name, Some(&value), expected).await? {
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -12,6 +12,7 @@
 use crate::group;
 use crate::lane;
 use crate::lease;
+use crate::pass;
 use crate::relay;
 use crate::stop;
 
@@ -73,7 +74,7 @@
 }
 
 /// Waits for the end of the term that a write was let in at.
-async fn await_end(replaced: Option<&mut group::Replaced>) {
+async fn await_end(replaced: Option<&mut pass::Replaced>) {
     match replaced {
         Some(replaced) => replaced.wait().await,
         None => std::future::pending().await,
@@ -83,7 +84,7 @@
 struct Work {
     context: Context,
     lease: lease::Lease,
-    pass: Option<group::Pass>,
+    pass: Option<pass::Pass>,
     is_between: bool,
     deadline: tokio::time::Instant,
     is_read: bool,
@@ -149,7 +150,7 @@
         ticket: &lane::Ticket,
         end: &mut lane::LaneEnd,
     ) -> Result<(), lane::Failure> {
-        let mut replaced = self.pass.as_ref().map(group::Pass::watch);
+        let mut replaced = self.pass.as_ref().map(pass::Pass::watch);
         let served = tokio::select! {
             biased;
             result = self.serve_all(ticket, end) => Some(result),
