Hold no write back for a target that is far behind

Cause: a draining primary with a lagging replica would have held writes for 500 ms every 6 s, for a target that could not become level in that time.

Ruled out: comparing log positions (under load the reports always differ a little).

--- a/crates/cardamomhold_group/src/change.rs
+++ b/crates/cardamomhold_group/src/change.rs
@@ -49,6 +49,9 @@
 /// Longest time that a planned change holds writes back before it starts.
 pub const HOLD_LIMIT: time::Duration = time::Duration::from_millis(500);
 
+/// Age of its data up to which a member is close enough to take over as planned.
+pub const MAX_LAG: time::Duration = time::Duration::from_millis(500);
+
 /// Shortest time that a planned change holds writes back: whoever else takes some for
 /// the primary, by another view of the fleet, hears of the change and ends them.
 pub const HOLD_SETTLE: time::Duration = time::Duration::from_millis(50);
--- a/crates/cardamomhold_group/src/step.rs
+++ b/crates/cardamomhold_group/src/step.rs
@@ -8,6 +8,7 @@
 use crate::choice;
 use crate::event;
 use crate::reign;
+use crate::status;
 
 impl change::Change {
     /// Whether a command may go to the member now; if so, takes note of it.
@@ -210,7 +211,10 @@
             if reign.wanted.as_ref().is_some_and(|w| w != name) {
                 continue;
             }
-            let report = member.up().filter(|r| r.term == reign.term);
+            // Writes are not held back for a member that can't be level soon.
+            let is_close =
+                |r: &&status::MemberStatus| r.term == reign.term && r.lag <= change::MAX_LAG;
+            let report = member.up().filter(is_close);
             best = best.max(report.map(|r| r.received));
         }
         best
