--- a/crates/cardamomhold_daemon/src/group.rs
+++ b/crates/cardamomhold_daemon/src/group.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::position;
 use cardamomhold_fleet::fleet;
 use cardamomhold_group::status;
+use cardamomhold_session::wait;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -201,4 +202,4 @@
 }
 
 /// Longest wait for a replica before a read goes to the primary.
-pub const FRESH_PATIENCE: time::Duration = time::Duration::from_millis(20);
+pub const FRESH_PATIENCE: time::Duration = wait::MAX_WAIT;
--- a/crates/cardamomhold_daemon/src/members.rs
+++ b/crates/cardamomhold_daemon/src/members.rs
@@ -1,6 +1,7 @@
 //! The task that owns what an instance knows of one group's members.
 
 use std::collections;
+use std::time;
 
 use cardamomhold_config::object;
 use cardamomhold_core::name;
@@ -10,6 +11,7 @@
 use cardamomhold_group::confirm;
 use cardamomhold_group::spec;
 use cardamomhold_group::status;
+use cardamomhold_session::wait;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -47,6 +49,7 @@
         monitors: collections::BTreeMap::new(),
         commits: Vec::new(),
         reads: Vec::new(),
+        paces: collections::BTreeMap::new(),
         key_table: None,
     };
     tokio::spawn(task.run(mailbox));
@@ -66,6 +69,7 @@
         group::Freshness,
         oneshot::Sender<Result<(), outcome::Refusal>>,
     )>,
+    paces: collections::BTreeMap<name::MemberName, wait::Pace>,
     key_table: Option<position::Term>,
 }
 
@@ -192,14 +196,7 @@
                 self.driver.answered(&controlled);
             }
             group::Request::Stored(stored) => self.driver.stored(stored.as_ref()),
-            group::Request::AwaitFresh { fresh, reply } => {
-                if self.is_leaving(&fresh.member) {
-                    // Whoever asked may have stopped waiting.
-                    let _ = reply.send(Err(outcome::Refusal::EndpointLeaving));
-                    return;
-                }
-                self.reads.push((fresh, reply));
-            }
+            group::Request::AwaitFresh { fresh, reply } => self.take_read(fresh, reply),
             group::Request::Members(reply) => {
                 // Whoever asked may have stopped waiting.
                 let _ = reply.send(self.view());
@@ -224,6 +221,8 @@
         let now = tokio::time::Instant::now();
         self.seen.insert(member.clone(), Some(now));
         self.confirmations.observe(member, status);
+        let pace = self.paces.entry(member.clone()).or_default();
+        pace.observe(self.setting.clock.now(), status.received, status.applied);
         self.prepare_keys(member, status);
     }
 
@@ -284,6 +283,25 @@
         self.reads = reads;
     }
 
+    /// Lets a read wait only where the replica takes work and is likely to be in time.
+    fn take_read(
+        &mut self,
+        fresh: group::Freshness,
+        reply: oneshot::Sender<Result<(), outcome::Refusal>>,
+    ) {
+        // Whoever asked may have stopped waiting.
+        if self.is_leaving(&fresh.member) {
+            let _ = reply.send(Err(outcome::Refusal::EndpointLeaving));
+            return;
+        }
+        match self.wait_for(&fresh) {
+            wait::Wait::Primary => {
+                let _ = reply.send(Err(outcome::Refusal::ReplicaBehind));
+            }
+            wait::Wait::Ready | wait::Wait::AtMost(_) => self.reads.push((fresh, reply)),
+        }
+    }
+
     /// Whether a member is to get no new work: its operators or the member itself say so.
     fn is_leaving(&self, member: &name::MemberName) -> bool {
         let declared = self.spec.as_ref().and_then(|s| s.member(member));
@@ -292,18 +310,31 @@
     }
 
     fn is_fresh(&self, fresh: &group::Freshness) -> bool {
+        self.wait_for(fresh) == wait::Wait::Ready
+    }
+
+    fn delay(&self, member: &name::MemberName) -> time::Duration {
+        let pace = self.paces.get(member).copied().unwrap_or_default();
+        pace.delay(self.setting.clock.now())
+    }
+
+    fn wait_for(&self, fresh: &group::Freshness) -> wait::Wait {
         let Some(Some(at)) = self.seen.get(&fresh.member) else {
-            return false;
+            return wait::Wait::Primary;
         };
         let Some(status) = self.confirmations.report(fresh.member.as_str()) else {
-            return false;
+            return wait::Wait::Primary;
         };
-        if status.lag + at.elapsed() > fresh.staleness {
-            return false;
-        }
-        fresh
-            .seen
-            .is_none_or(|seen| seen.is_held(status.term, status.applied))
+        let distance = wait::Distance {
+            is_missing: fresh
+                .seen
+                .is_some_and(|seen| !seen.is_held(status.term, status.applied)),
+            delay: self.delay(&fresh.member),
+            silence: status.silence + at.elapsed(),
+            lag: status.lag + at.elapsed(),
+            staleness: fresh.staleness,
+        };
+        wait::decide(distance, wait::MAX_WAIT * 2)
     }
 
     fn view(&self) -> Vec<group::MemberView> {
--- a/crates/cardamomhold_queue/tests/paused_jobs.rs
+++ b/crates/cardamomhold_queue/tests/paused_jobs.rs
@@ -1,5 +1,7 @@
 //! Jobs that pause leave their place to others, and their connections bound the rest.
 
+use std::time;
+
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
 use cardamomhold_core::time::Timestamp;
@@ -17,6 +19,7 @@
         ranks: [queue::RankLimits {
             waiting: 100,
             share_percent: 30,
+            target: time::Duration::from_secs(3_600),
         }; 3],
         trip: breaker::Trip::Never,
     })
