--- a/crates/cardamomhold_group/src/confirm.rs
+++ b/crates/cardamomhold_group/src/confirm.rs
@@ -28,8 +28,15 @@
         }
     }
 
-    /// Takes a member's latest report.
+    /// Takes a member's report, unless a later one overtook it.
+    ///
+    /// What a member held in a term it goes on to hold until it is fenced at a later one.
     pub fn observe(&mut self, member: &name::MemberName, report: &status::MemberStatus) {
+        let age = |r: &status::MemberStatus| (r.fenced, r.term, r.received);
+        let known = self.reports.get(member);
+        if known.is_some_and(|known| age(report) < age(known)) {
+            return;
+        }
         self.reports.insert(member.clone(), report.clone());
     }
 
--- a/crates/cardamomhold_standin/src/member.rs
+++ b/crates/cardamomhold_standin/src/member.rs
@@ -428,22 +428,24 @@
         self.joined = Some(first);
         let now = time::Instant::now();
         let end = self.log.end();
+        let term = self.term_at(end, term);
         self.publisher.send_modify(|p| {
+            p.status.term = term;
             p.status.received = end;
             p.heard = now;
         });
-        self.take_term(term);
     }
 
-    /// Takes a followed term on once everything before the term's start is here.
+    /// The term of a log that ends here: the followed one once everything before that
+    /// term's start is here.
     ///
     /// Before that the log may lack confirmed entries of older terms, and must not count
     /// as one of the new term.
-    fn take_term(&mut self, term: position::Term) {
-        let end = self.log.end();
+    fn term_at(&self, end: position::LogPosition, followed: position::Term) -> position::Term {
         if self.joined.is_some_and(|first| end >= first) {
-            self.publisher.send_modify(|p| p.status.term = term);
+            return followed;
         }
+        self.status().term
     }
 
     fn rebuild(&mut self) {
@@ -477,14 +479,16 @@
         }
         let end = self.log.end();
         let is_caught_up = self.pending.is_empty();
+        let term = self.term_at(end, term);
+        // Whoever waits for the log to move must see its term at the same moment.
         self.publisher.send_modify(|p| {
+            p.status.term = term;
             p.status.received = end;
             p.heard = taken;
             if is_caught_up {
                 p.fresh = taken;
             }
         });
-        self.take_term(term);
     }
 
     fn apply_due(&mut self) {
