Bytes of control messages; the platform's list is read more rarely in a large fleet

Cause: the bytes of a fetch and of a status poll were not known, and the list of 4,400 instances each 10 s is 22 KB/s for the one that reads it.

--- a/crates/cardamomhold_daemon/src/fleet.rs
+++ b/crates/cardamomhold_daemon/src/fleet.rs
@@ -25,6 +25,9 @@
 /// Time between two reads of the platform's list by the instance that a zone elected.
 const LIST_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
+/// Further time between two reads for each instance on the list, which bounds the bytes.
+const LIST_PER_INSTANCE: time::Duration = time::Duration::from_millis(100);
+
 /// First pause between two reads of the list while nobody is known; doubles each time.
 const JOIN_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
@@ -304,7 +307,8 @@
             return;
         }
         let pause = if self.swim.is_joined() {
-            LIST_INTERVAL
+            let count = self.swim.roster().len() as u32;
+            LIST_INTERVAL.max(LIST_PER_INSTANCE * count)
         } else {
             self.join_interval = (self.join_interval * 2).min(LIST_INTERVAL);
             self.join_interval
