--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -29,9 +29,11 @@
 use crate::owner;
 use crate::peer;
 use crate::pull;
+use crate::reigns;
 use crate::seats;
 use crate::settings;
 use crate::stop;
+use crate::sweep;
 
 /// Cancel requests that wait for slow tasks.
 const CANCELS: usize = 256;
@@ -152,6 +154,7 @@
             clock,
             has_seeds: !settings.seeds.is_empty(),
         };
+        let reigns = reigns::start(platform.clone(), own.name.clone(), config.heard.clone());
         let phase = watch::Sender::new(stop::Phase::default());
         let stop = stop::Stop::new(phase.subscribe());
         let owner = owner::start(owner::Setting {
@@ -160,6 +163,7 @@
             fleet: fleet.fleet.clone(),
             standing: fleet.standing.clone(),
             clock,
+            reigns,
             metrics: metrics.clone(),
             stop: stop.clone(),
         });
@@ -184,6 +188,12 @@
             fleet: fleet.requests.clone(),
             cancels,
         };
+        let sweep = sweep::Setting {
+            instance: own.name.clone(),
+            config: config.config.clone(),
+            fleet: fleet.fleet.clone(),
+            owner: owner.clone(),
+        };
         let operators = operator::Service {
             platform,
             config: config.clone(),
@@ -198,6 +208,7 @@
         services.spawn(pull::run(wanted, config.clone()));
         services.spawn(follower.run());
         services.spawn(http::run(metrics_listener, metrics, ready_seen));
+        services.spawn(sweep::run(sweep));
         services.spawn(become_ready(config.config.clone(), ready.clone()));
         let callers = tokio::spawn(accept(callers_listener, context));
         log::info!(
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -23,6 +23,7 @@
 use crate::group;
 use crate::lane;
 use crate::metrics;
+use crate::reigns;
 use crate::stop;
 use crate::work;
 
@@ -80,6 +81,8 @@
     pub standing: watch::Receiver<fleet_task::Standing>,
     /// The clock.
     pub clock: clock::Clock,
+    /// The task that calls the platform for the groups' reigns.
+    pub reigns: mpsc::Sender<reigns::Call>,
     /// Where the endpoints' load is shown.
     pub metrics: metrics::Metrics,
     /// How far the instance's end has come.
@@ -184,6 +187,9 @@
                 group: group.clone(),
                 instance: setting.instance.clone(),
                 config: setting.config.clone(),
+                fleet: setting.fleet.clone(),
+                clock: setting.clock,
+                reigns: setting.reigns.clone(),
             })
         });
         handle.clone()
@@ -320,6 +326,7 @@
         queue::RankLimits {
             share_percent: rule.share_percent,
             waiting: rule.queue as usize,
+            target: time::Duration::from_millis(rule.target_ms),
         }
     });
     endpoint::Bounds {
--- a/crates/cardamomhold_daemon/tests/stale_owner.rs
+++ b/crates/cardamomhold_daemon/tests/stale_owner.rs
@@ -60,6 +60,7 @@
         fleet,
         standing,
         clock: clock::Clock::start(),
+        reigns: tokio::sync::mpsc::channel(1).0,
         metrics: metrics::Metrics::new().expect("metrics"),
         stop: stop::Stop::new(phase),
     });
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod operate;
 pub mod raw;
 pub mod soak;
+pub mod writer;
