A newcomer owns nothing before it knows who else there is

An instance started with a fleet of itself, published the platform's list up to 250 ms later, and owned every endpoint until then; the transaction ran at the wrong owner. Ruled out: the stop itself (owner_keeps_lanes passed), the test (its owner is fixed by the zones).

Change: the fleet is empty and the standing withheld until the platform's list or a peer's membership has come, or 4 s have passed; both are published at once. The time between two publications grows with the fleet, 60 us for each instance.

--- a/crates/cardamomhold_daemon/src/fleet.rs
+++ b/crates/cardamomhold_daemon/src/fleet.rs
@@ -34,9 +34,9 @@
 /// Instances of a zone that read the platform's list.
 const LISTERS: usize = 1;
 
-/// Least time between two publications of the fleet, for the making of one takes
-/// milliseconds with thousands of instances.
-const PUBLISH_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Least time between two publications of the fleet for each instance in it, for the making
+/// of one takes milliseconds with thousands of instances.
+const PUBLISH_PER_INSTANCE: time::Duration = time::Duration::from_micros(60);
 
 /// Messages that wait for the task.
 const MAILBOX: usize = 256;
@@ -248,9 +248,13 @@
                 self.swim.set_heard(now);
                 let listed: Vec<_> = listed.into_iter().map(instance_of).collect();
                 self.swim.hint(&listed, now);
+                self.publish();
             }
             Request::Listed(None) => {}
-            Request::Synced(rumors) => self.swim.synced(&rumors, now),
+            Request::Synced(rumors) => {
+                self.swim.synced(&rumors, now);
+                self.publish();
+            }
             Request::Members(digests, reply) => {
                 // Whoever asked may have stopped waiting.
                 let _ = reply.send(self.swim.roster().differing(&digests));
@@ -295,7 +299,8 @@
         if self.swim.revision() == self.revision || now < self.next_publish {
             return;
         }
-        self.next_publish = now.after(PUBLISH_INTERVAL);
+        let count = self.swim.roster().len() as u32;
+        self.next_publish = now.after(PUBLISH_PER_INSTANCE * count);
         self.revision = self.swim.revision();
         let fleet = self.swim.fleet();
         self.publisher.send_replace(sync::Arc::new(fleet));
--- a/crates/cardamomhold_fleet/src/swim.rs
+++ b/crates/cardamomhold_fleet/src/swim.rs
@@ -64,6 +64,10 @@
     next_join: Timestamp,
     next_sync: Timestamp,
     pub(crate) is_urgent: bool,
+    /// Whether anybody has told who else there is; until then the instance owns nothing, for
+    /// alone in its own view it would own everything.
+    is_settled: bool,
+    started: Timestamp,
     pub(crate) revision: u64,
 }
 
@@ -88,6 +92,8 @@
             next_join: now,
             next_sync: now,
             is_urgent: true,
+            is_settled: false,
+            started: now,
             revision: 0,
         };
         swim.state_own(now);
@@ -99,6 +105,7 @@
         for instance in listed {
             self.roster.hint(instance, now);
         }
+        self.settle();
         self.next_join = now;
     }
 
@@ -130,6 +137,7 @@
     pub fn valid_until(&self) -> Option<Timestamp> {
         match self.rejoin {
             Some(_) => None,
+            None if !self.is_settled => None,
             None => Some(self.last_tick.after(timing::STALE_AFTER)),
         }
     }
@@ -139,9 +147,12 @@
         self.revision + self.roster.revision()
     }
 
-    /// The fleet as it is known here.
+    /// The fleet as it is known here; empty before anybody has told who there is.
     pub fn fleet(&self) -> fleet::Fleet {
         let mut fleet = fleet::Fleet::default();
+        if !self.is_settled {
+            return fleet;
+        }
         for known in self.roster.all() {
             fleet.insert(known.rumor.instance.clone());
         }
@@ -169,6 +180,9 @@
     /// Moves on in time; to be called every [`timing::TICK`].
     pub fn tick(&mut self, now: Timestamp, outputs: &mut Vec<message::Output>) {
         self.wake(now);
+        if now.since(self.started) >= timing::REJOIN_LIMIT {
+            self.settle();
+        }
         self.settle_rejoin(now, outputs);
         self.run_probe(now, outputs);
         if now >= self.next_join && !self.is_joined() {
@@ -259,6 +273,7 @@
             self.learn(rumor, now);
         }
         self.roster.settle();
+        self.settle();
     }
 
     /// Takes in what a comparison of the whole membership brought.
@@ -267,6 +282,14 @@
         for rumor in rumors {
             self.learn(rumor, now);
         }
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        if !self.is_settled {
+            self.is_settled = true;
+            self.revision += 1;
+        }
     }
 
     /// Takes in what is said of an instance.
--- a/crates/cardamomhold_fleet/tests/fleet_members.rs
+++ b/crates/cardamomhold_fleet/tests/fleet_members.rs
@@ -37,6 +37,33 @@
     }
 }
 
+#[test]
+fn newcomer_owns_nothing() {
+    let mut world = formed(8);
+    world.restart(4);
+    // It knows of nobody yet, and would own every endpoint.
+    assert_eq!(world.owner(4, "e1", 0), None);
+    assert!(!world.may_own(4));
+    world.run(3_000);
+    assert_eq!(world.owner(4, "e1", 0), world.owner(1, "e1", 0));
+    assert!(world.may_own(4));
+}
+
+#[test]
+fn lonely_goes_on() {
+    let mut world = formed(9);
+    world.restart(4);
+    for at in 0..COUNT {
+        if at != 4 {
+            world.nodes[at].life = world::Life::Killed;
+        }
+    }
+    world.run(10_000);
+    assert!(world.may_own(4));
+    let own = world::instance(4).name;
+    assert_eq!(world.owner(4, "e1", 0), Some(own));
+}
+
 #[test]
 fn dead_leaves_owners() {
     let mut world = formed(2);
