--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -96,6 +96,7 @@
     ) -> schema::ApplyReply {
         let config = self.config.config.borrow().clone();
         let change = uuid::Uuid::now_v7().to_string();
+        let config = self.config.config.borrow().clone();
         let history = self.history_before(&config, name, version).await;
         let envelope = spec.map(|spec| object::Envelope {
             author: author.to_owned(),
--- a/crates/cardamomhold_daemon/tests/stale_owner.rs
+++ b/crates/cardamomhold_daemon/tests/stale_owner.rs
@@ -16,6 +16,7 @@
 use cardamomhold_daemon::owner;
 use cardamomhold_daemon::stop;
 use cardamomhold_fleet::fleet;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 fn group() -> config::Config {
@@ -54,13 +55,14 @@
     let (_fleet, fleet) = watch::channel(sync::Arc::new(fleet::Fleet::default()));
     let (_standing, standing) = watch::channel(fleet_task::Standing { until, heard: None });
     let (_phase, phase) = watch::channel(stop::Phase::default());
+    let (reigns, _calls) = mpsc::channel(1);
     let owner = owner::start(owner::Setting {
         instance: name::InstanceName::parse("entry-a").expect("name"),
         config,
         fleet,
         standing,
         clock: clock::Clock::start(),
-        reigns: tokio::sync::mpsc::channel(1).0,
+        reigns,
         metrics: metrics::Metrics::new().expect("metrics"),
         stop: stop::Stop::new(phase),
     });
