Measure the share of reads that replicas serve

Change: benches/src/reads.rs runs route::choose and wait::decide in virtual time at both users' sizes: 20,000 writes, a read a write, one in four straight after its session's own write; healthy replicas take 2 ms a write.

--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod flood;
 pub mod load;
 pub mod plain;
+pub mod reads;
 pub mod report;
 pub mod size;
--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -5,6 +5,7 @@
 use cardamomhold_bench::breaker;
 use cardamomhold_bench::failover;
 use cardamomhold_bench::flood;
+use cardamomhold_bench::reads;
 use cardamomhold_bench::report;
 use cardamomhold_bench::size;
 
@@ -33,6 +34,7 @@
     }
     let mut figures = Vec::new();
     for size in &size::ALL {
+        figures.extend(reads::measure(size, seed));
         figures.extend(flood::measure(size, seed));
     }
     figures.extend(failover::run(seed).iter().map(failover_figure));
