--- a/crates/cardamomhold_daemon/src/lease.rs
+++ b/crates/cardamomhold_daemon/src/lease.rs
@@ -93,8 +93,9 @@
         if self.quiet_since.is_some_and(|at| at.elapsed() < QUIET) {
             return true;
         }
-        let answer = tokio::time::timeout(CHECK_TIMEOUT, connection.reset()).await;
-        matches!(answer, Ok(Ok(())))
+        let reset = connection.query(connection::RESET_QUERY);
+        let answer = tokio::time::timeout(CHECK_TIMEOUT, reset).await;
+        matches!(answer, Ok(Ok(_)))
     }
 
     /// The connection.
@@ -140,14 +141,13 @@
     }
 
     /// Ends the transaction and hands the connection back, without its session state.
-    ///
-    /// After a read the connection is made read-only again at once, so that the next read
-    /// need not wait for that.
-    pub async fn give_back(mut self, is_read: bool) {
+    pub async fn give_back(mut self) {
         self.finish();
-        let cleaning = clean(self.connection(), is_read);
-        let cleaned = tokio::time::timeout(connection::OPEN_TIMEOUT, cleaning).await;
-        let is_clean = matches!(cleaned, Ok(Ok(())));
+        let reset = self.connection().query(connection::RESET_QUERY);
+        let is_clean = matches!(
+            tokio::time::timeout(connection::OPEN_TIMEOUT, reset).await,
+            Ok(Ok(_))
+        );
         if is_clean && let Some(connection) = self.connection.take() {
             tell(&self.requests, endpoint::Request::Return(connection));
         }
@@ -182,17 +182,6 @@
     }
 }
 
-async fn clean(
-    connection: &mut connection::Connection,
-    is_read: bool,
-) -> Result<(), connection::ConnectionError> {
-    connection.reset().await?;
-    if is_read {
-        connection.restrict().await?;
-    }
-    Ok(())
-}
-
 /// Sends without waiting; a full mailbox gets the request a little later.
 pub(crate) fn tell(requests: &mpsc::Sender<endpoint::Request>, request: endpoint::Request) {
     if let Err(mpsc::error::TrySendError::Full(request)) = requests.try_send(request) {
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -14,6 +14,8 @@
 use crate::relay;
 use crate::stop;
 
+const READ_ONLY_SETTING: &str = "SET default_transaction_read_only = on";
+
 /// Creates the table of request keys in a group.
 pub const KEY_TABLE: &str = "CREATE TABLE IF NOT EXISTS cardamomhold_request_key \
      (request_key TEXT PRIMARY KEY, tag TEXT NOT NULL)";
@@ -134,7 +136,7 @@
         let result = served.unwrap_or_else(|| Err(self.cut_off()));
         // After anything else the connection's state is in doubt, and it is closed.
         if matches!(result, Ok(()) | Err(lane::Failure::Ran { .. })) {
-            self.lease.give_back(self.is_read).await;
+            self.lease.give_back().await;
         }
         result
     }
@@ -253,35 +255,15 @@
 
     /// Brings the connection to the session's settings.
     async fn set_up(&mut self, ticket: &lane::Ticket) -> Result<(), lane::Failure> {
-        if !self.is_read {
-            self.set_access(ticket).await?;
-        }
         for statement in &ticket.setup {
             self.run_own(statement).await?;
         }
         if self.is_read {
-            self.set_access(ticket).await?;
+            self.run_own(READ_ONLY_SETTING).await?;
         }
         Ok(())
     }
 
-    /// Makes the connection read-only for reads, and only for them.
-    async fn set_access(&mut self, ticket: &lane::Ticket) -> Result<(), lane::Failure> {
-        let deadline = self.deadline;
-        let connection = self.lease.connection();
-        let changing = match (self.is_read, connection.is_read_only()) {
-            // A setting of the session may have undone it.
-            (true, true) if ticket.setup.is_empty() => return Ok(()),
-            (false, false) => return Ok(()),
-            (true, _) => tokio::time::timeout_at(deadline, connection.restrict()).await,
-            (false, true) => tokio::time::timeout_at(deadline, connection.reset()).await,
-        };
-        match changing {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) | Err(_) => Err(lane::Failure::NotRun(outcome::Refusal::ConnectFailed)),
-        }
-    }
-
     /// Runs a statement of the proxy's own before anything of the caller's.
     async fn run_own(&mut self, statement: &str) -> Result<(), lane::Failure> {
         let answer = self.query(statement).await;
@@ -379,8 +361,6 @@
             Ok(Ok(position)) if position.term == ticket.term => position,
             _ => return Err(unconfirmed),
         };
-        // The endpoint has done its part; others may run while its replicas confirm.
-        self.lease.pause();
         let confirmed = self
             .context
             .group
--- a/crates/cardamomhold_endpoint/src/connection.rs
+++ b/crates/cardamomhold_endpoint/src/connection.rs
@@ -25,9 +25,6 @@
 /// Brings a connection back to a fresh state.
 pub const RESET_QUERY: &str = "DISCARD ALL";
 
-/// Lets every transaction on a connection be read-only unless it says otherwise.
-const READ_ONLY_QUERY: &str = "SET default_transaction_read_only = on";
-
 /// Why a connection can't be used.
 #[derive(Debug)]
 pub enum ConnectionError {
@@ -94,7 +91,6 @@
     address: String,
     pid: i32,
     secret: startup::SecretKey,
-    is_read_only: bool,
 }
 
 impl Connection {
@@ -122,7 +118,6 @@
             address: login.address.clone(),
             pid: 0,
             secret: startup::SecretKey::default(),
-            is_read_only: false,
         };
         let mut out = BytesMut::new();
         answer::put(&mut out, &startup_of(login));
@@ -222,31 +217,6 @@
         Ok(position::Position::new(term, log))
     }
 
-    /// Brings the connection back to a fresh state.
-    ///
-    /// # Errors
-    /// [`ConnectionError`] when the connection can't be used any more.
-    pub async fn reset(&mut self) -> Result<(), ConnectionError> {
-        self.query(RESET_QUERY).await?;
-        self.is_read_only = false;
-        Ok(())
-    }
-
-    /// Lets the connection's transactions be read-only until it is reset.
-    ///
-    /// # Errors
-    /// [`ConnectionError`] when the endpoint does not take the setting.
-    pub async fn restrict(&mut self) -> Result<(), ConnectionError> {
-        self.query(READ_ONLY_QUERY).await?;
-        self.is_read_only = true;
-        Ok(())
-    }
-
-    /// Whether the connection's transactions are read-only.
-    pub fn is_read_only(&self) -> bool {
-        self.is_read_only
-    }
-
     /// What a cancel request for this connection needs.
     pub fn cancel_key(&self) -> CancelKey {
         CancelKey {
