Split the files that had grown large

Cause: the stand-in's session (880 lines) and member (529) and the daemon's peer (467) each held several jobs.

Change: the session keeps the protocol; execute.rs runs statements, command.rs the members' own commands, rows.rs encodes values. replica.rs is a member's part in replication. border.rs maps lanes to the peers' schema. Code moved, no behaviour changed.

--- /dev/null
+++ b/crates/cardamomhold_daemon/src/border.rs
@@ -0,0 +1,170 @@
+//! Between a lane's messages and the types of the peers' schema.
+
+use std::fmt;
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::outcome;
+use cardamomhold_core::position;
+use cardamomhold_core::rank;
+use cardamomhold_proto::peer as schema;
+
+use crate::lane;
+
+/// A peer's message does not have the expected form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadMessage;
+
+impl fmt::Display for BadMessage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("message of a peer does not have the expected form")
+    }
+}
+
+impl std::error::Error for BadMessage {}
+
+fn place_to(position: position::Position) -> schema::Place {
+    schema::Place {
+        term: position.term.0,
+        log: position.log.0,
+    }
+}
+
+fn place_from(place: schema::Place) -> position::Position {
+    position::Position::new(position::Term(place.term), position::LogPosition(place.log))
+}
+
+pub(crate) fn ticket_to(ticket: &lane::Ticket) -> schema::Ticket {
+    let staleness = match ticket.access {
+        lane::Access::ReadReplica(staleness) => Some(staleness.as_millis() as u64),
+        lane::Access::Write | lane::Access::ReadPrimary => None,
+    };
+    schema::Ticket {
+        group: ticket.group.to_string(),
+        member: ticket.member.to_string(),
+        term: ticket.term.0,
+        rank: ticket.rank.index() as u32,
+        caller: ticket.caller.to_string(),
+        at_replica: staleness.is_some(),
+        staleness_ms: staleness.unwrap_or_default(),
+        request_key: ticket
+            .request_key
+            .map(|k| k.to_string())
+            .unwrap_or_default(),
+        begins: ticket.begins,
+        deadline_us: ticket.deadline.as_micros() as u64,
+        seen: ticket.seen.map(place_to),
+        read_only: ticket.access.is_read(),
+        setup: ticket.setup.clone(),
+    }
+}
+
+pub(crate) fn ticket_from(ticket: &schema::Ticket) -> Result<lane::Ticket, BadMessage> {
+    let access = match (ticket.read_only, ticket.at_replica) {
+        (false, false) => lane::Access::Write,
+        (true, false) => lane::Access::ReadPrimary,
+        (true, true) => lane::Access::ReadReplica(time::Duration::from_millis(ticket.staleness_ms)),
+        (false, true) => return Err(BadMessage),
+    };
+    let request_key = match ticket.request_key.as_str() {
+        "" => None,
+        text => Some(text.parse().map_err(|_| BadMessage)?),
+    };
+    Ok(lane::Ticket {
+        group: name::GroupName::parse(&ticket.group).map_err(|_| BadMessage)?,
+        member: name::MemberName::parse(&ticket.member).map_err(|_| BadMessage)?,
+        term: position::Term(ticket.term),
+        rank: *rank::Rank::ALL
+            .get(ticket.rank as usize)
+            .ok_or(BadMessage)?,
+        caller: name::CallerName::parse(&ticket.caller).map_err(|_| BadMessage)?,
+        deadline: time::Duration::from_micros(ticket.deadline_us),
+        access,
+        request_key,
+        begins: ticket.begins,
+        seen: ticket.seen.map(place_from),
+        setup: ticket.setup.clone(),
+    })
+}
+
+pub(crate) fn up_to(up: lane::Up) -> schema::Up {
+    let kind = match up {
+        lane::Up::Batch(batch) => schema::up::Kind::Batch(schema::Batch {
+            frames: batch.frames,
+            sync: batch.sync,
+            answers: batch.answers,
+        }),
+        lane::Up::Cancel => schema::up::Kind::Cancel(schema::Cancel {}),
+    };
+    schema::Up { kind: Some(kind) }
+}
+
+pub(crate) fn down_to(down: lane::Down) -> schema::Down {
+    let kind = match down {
+        lane::Down::Frames(frames) => schema::down::Kind::Frames(schema::Frames { frames }),
+        lane::Down::Ready(ready) => {
+            let status = match ready.status {
+                lane::Status::Idle => schema::Status::Idle,
+                lane::Status::Transaction => schema::Status::Transaction,
+                lane::Status::Failed => schema::Status::Failed,
+            };
+            let written = ready.written.map(place_to);
+            schema::down::Kind::Ready(schema::Ready {
+                status: status.into(),
+                written,
+                rolled_back: ready.rolled_back,
+            })
+        }
+        lane::Down::Failure(failure) => schema::down::Kind::Failure(failure_to(&failure)),
+    };
+    schema::Down { kind: Some(kind) }
+}
+
+fn failure_to(failure: &lane::Failure) -> schema::Failure {
+    let outcome = match failure {
+        lane::Failure::NotRun(refusal) => schema::failure::Outcome::NotRun(refusal.code()),
+        lane::Failure::Unknown(doubt) => schema::failure::Outcome::Unknown(doubt.code()),
+        lane::Failure::Ran { tag, written } => schema::failure::Outcome::Ran(schema::Repeat {
+            tag: tag.clone(),
+            written: Some(place_to(*written)),
+        }),
+    };
+    schema::Failure {
+        outcome: Some(outcome),
+    }
+}
+
+pub(crate) fn down_from(down: schema::Down) -> Option<lane::Down> {
+    Some(match down.kind? {
+        schema::down::Kind::Frames(frames) => lane::Down::Frames(frames.frames),
+        schema::down::Kind::Ready(ready) => {
+            let status = match ready.status() {
+                schema::Status::Idle => lane::Status::Idle,
+                schema::Status::Transaction => lane::Status::Transaction,
+                schema::Status::Failed => lane::Status::Failed,
+                schema::Status::Unspecified => return None,
+            };
+            lane::Down::Ready(lane::Ready {
+                status,
+                written: ready.written.map(place_from),
+                rolled_back: ready.rolled_back,
+            })
+        }
+        schema::down::Kind::Failure(failure) => lane::Down::Failure(failure_from(failure)?),
+    })
+}
+
+fn failure_from(failure: schema::Failure) -> Option<lane::Failure> {
+    Some(match failure.outcome? {
+        schema::failure::Outcome::NotRun(code) => {
+            lane::Failure::NotRun(outcome::Refusal::from_code(code)?)
+        }
+        schema::failure::Outcome::Unknown(code) => {
+            lane::Failure::Unknown(outcome::Doubt::from_code(code)?)
+        }
+        schema::failure::Outcome::Ran(repeat) => lane::Failure::Ran {
+            tag: repeat.tag,
+            written: place_from(repeat.written?),
+        },
+    })
+}
--- a/crates/cardamomhold_daemon/src/gossip.rs
+++ b/crates/cardamomhold_daemon/src/gossip.rs
@@ -9,6 +9,7 @@
 use cardamomhold_proto::peer as schema;
 use prost::Message;
 
+use crate::border;
 use crate::peer;
 
 /// Longest accepted datagram, in bytes.
@@ -48,20 +49,20 @@
 /// Decodes a datagram.
 ///
 /// # Errors
-/// [`peer::BadMessage`] when it does not have the expected form.
-pub fn decode(datagram: &[u8]) -> Result<message::Message, peer::BadMessage> {
-    let gossip = schema::Gossip::decode(datagram).map_err(|_| peer::BadMessage)?;
+/// [`border::BadMessage`] when it does not have the expected form.
+pub fn decode(datagram: &[u8]) -> Result<message::Message, border::BadMessage> {
+    let gossip = schema::Gossip::decode(datagram).map_err(|_| border::BadMessage)?;
     let kind = match gossip.kind() {
         schema::GossipKind::Ping => message::Kind::Ping,
         schema::GossipKind::Ack => message::Kind::Ack,
         schema::GossipKind::PingRequest => message::Kind::PingRequest(
-            name::InstanceName::parse(&gossip.target).map_err(|_| peer::BadMessage)?,
+            name::InstanceName::parse(&gossip.target).map_err(|_| border::BadMessage)?,
         ),
-        schema::GossipKind::Unspecified => return Err(peer::BadMessage),
+        schema::GossipKind::Unspecified => return Err(border::BadMessage),
     };
     let heard = gossip.heard_ms.checked_sub(1);
     Ok(message::Message {
-        from: name::InstanceName::parse(&gossip.from).map_err(|_| peer::BadMessage)?,
+        from: name::InstanceName::parse(&gossip.from).map_err(|_| border::BadMessage)?,
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
         kind,
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod attempt;
 pub mod batch;
+pub mod border;
 pub mod caller;
 pub mod change;
 pub mod clock;
--- a/crates/cardamomhold_standin/src/lib.rs
+++ b/crates/cardamomhold_standin/src/lib.rs
@@ -12,13 +12,17 @@
 //! assert!(faults.is_frozen());
 //! ```
 
+mod command;
 pub mod endpoint;
 pub mod engine;
+mod execute;
 pub mod fault;
 pub mod follow;
 pub mod log;
 pub mod member;
 pub mod platform;
+mod replica;
 pub mod replication;
+mod rows;
 pub mod session;
 pub mod store;
--- a/crates/cardamomhold_standin/src/member.rs
+++ b/crates/cardamomhold_standin/src/member.rs
@@ -10,7 +10,6 @@
 use tokio::sync::watch;
 
 use crate::engine;
-use crate::follow;
 use crate::log;
 
 /// How a member behaves.
@@ -132,24 +131,24 @@
 }
 
 #[derive(Debug)]
-struct Pending {
-    due: tokio::time::Instant,
-    taken: time::Instant,
-    entry: log::Entry,
+pub(crate) struct Pending {
+    pub(crate) due: tokio::time::Instant,
+    pub(crate) taken: time::Instant,
+    pub(crate) entry: log::Entry,
 }
 
-struct Member {
-    options: Options,
-    engine: engine::Engine,
-    log: log::Log,
-    pending: collections::VecDeque<Pending>,
-    publisher: watch::Sender<Published>,
-    follower: Option<tokio::task::JoinHandle<()>>,
+pub(crate) struct Member {
+    pub(crate) options: Options,
+    pub(crate) engine: engine::Engine,
+    pub(crate) log: log::Log,
+    pub(crate) pending: collections::VecDeque<Pending>,
+    pub(crate) publisher: watch::Sender<Published>,
+    pub(crate) follower: Option<tokio::task::JoinHandle<()>>,
     /// Where the followed term starts, once its stream has begun.
-    joined: Option<position::LogPosition>,
+    pub(crate) joined: Option<position::LogPosition>,
     /// Number of the latest order to follow.
-    stream: u64,
-    requests: mpsc::WeakSender<Request>,
+    pub(crate) stream: u64,
+    pub(crate) requests: mpsc::WeakSender<Request>,
 }
 
 /// Starts a member's task with the log that it kept.
@@ -294,11 +293,11 @@
         }
     }
 
-    fn status(&self) -> status::MemberStatus {
+    pub(crate) fn status(&self) -> status::MemberStatus {
         self.publisher.borrow().status.clone()
     }
 
-    fn is_primary(&self) -> bool {
+    pub(crate) fn is_primary(&self) -> bool {
         self.publisher.borrow().status.role == status::MemberRole::Primary
     }
 
@@ -341,184 +340,6 @@
             p.status.applied = end;
         });
     }
-
-    fn fence(&mut self, term: position::Term) -> bool {
-        let status = self.status();
-        if term < status.fenced {
-            return false;
-        }
-        if status.term < term {
-            self.stop_following();
-            self.publisher.send_modify(|p| {
-                p.status.role = status::MemberRole::Replica;
-                p.status.fenced = term;
-            });
-        }
-        true
-    }
-
-    fn promote(&mut self, term: position::Term) -> bool {
-        let status = self.status();
-        if status.role == status::MemberRole::Primary && status.term == term {
-            return true;
-        }
-        if status.fenced != term || status.term >= term {
-            return false;
-        }
-        self.stop_following();
-        self.apply_all();
-        let now = time::Instant::now();
-        self.publisher.send_modify(|p| {
-            p.status.role = status::MemberRole::Primary;
-            p.status.term = term;
-            p.heard = now;
-            p.fresh = now;
-        });
-        true
-    }
-
-    fn follow(&mut self, term: position::Term, address: String) -> bool {
-        let status = self.status();
-        if term < status.fenced || term < status.term {
-            return false;
-        }
-        if status.role == status::MemberRole::Primary && status.term == term {
-            return false;
-        }
-        self.stop_following();
-        self.publisher.send_modify(|p| {
-            p.status.role = status::MemberRole::Replica;
-            p.status.fenced = term;
-        });
-        let Some(requests) = self.requests.upgrade() else {
-            return false;
-        };
-        self.stream += 1;
-        let target = follow::Target {
-            stream: self.stream,
-            term,
-            address,
-            group: self.options.group.clone(),
-            name: self.options.name.clone(),
-        };
-        self.follower = Some(tokio::spawn(follow::run(target, requests.downgrade())));
-        true
-    }
-
-    fn stop_following(&mut self) {
-        if let Some(task) = self.follower.take() {
-            task.abort();
-        }
-        self.joined = None;
-    }
-
-    fn joined(
-        &mut self,
-        term: position::Term,
-        at: position::LogPosition,
-        first: position::LogPosition,
-    ) {
-        if term != self.status().fenced || self.is_primary() {
-            return;
-        }
-        if at < self.log.end() {
-            self.log.truncate(at);
-            self.rebuild();
-        }
-        self.joined = Some(first);
-        let now = time::Instant::now();
-        let end = self.log.end();
-        let term = self.term_at(end, term);
-        self.publisher.send_modify(|p| {
-            p.status.term = term;
-            p.status.received = end;
-            p.heard = now;
-        });
-    }
-
-    /// The term of a log that ends here: the followed one once everything before that
-    /// term's start is here.
-    ///
-    /// Before that the log may lack confirmed entries of older terms, and must not count
-    /// as one of the new term.
-    fn term_at(&self, end: position::LogPosition, followed: position::Term) -> position::Term {
-        if self.joined.is_some_and(|first| end >= first) {
-            return followed;
-        }
-        self.status().term
-    }
-
-    fn rebuild(&mut self) {
-        self.pending.clear();
-        let Ok(fresh) = engine::Engine::new() else {
-            return;
-        };
-        self.engine = fresh;
-        for entry in self.log.after(position::LogPosition(0)) {
-            if let Err(error) = self.engine.commit(&entry.statements) {
-                ::log::error!(
-                    "event=replay_failed member={} error=\"{error}\"",
-                    self.options.name
-                );
-            }
-        }
-        let end = self.log.end();
-        self.publisher.send_modify(|p| p.status.applied = end);
-    }
-
-    fn received(&mut self, term: position::Term, entries: Vec<log::Entry>) {
-        let is_stale = self.joined.is_none() || term != self.status().fenced;
-        if is_stale || self.is_primary() {
-            return;
-        }
-        let taken = time::Instant::now();
-        let due = tokio::time::Instant::now() + self.options.apply_lag;
-        for entry in entries {
-            self.log.append(entry.clone());
-            self.pending.push_back(Pending { due, taken, entry });
-        }
-        let end = self.log.end();
-        let is_caught_up = self.pending.is_empty();
-        let term = self.term_at(end, term);
-        // Whoever waits for the log to move must see its term at the same moment.
-        self.publisher.send_modify(|p| {
-            p.status.term = term;
-            p.status.received = end;
-            p.heard = taken;
-            if is_caught_up {
-                p.fresh = taken;
-            }
-        });
-    }
-
-    fn apply_due(&mut self) {
-        let now = tokio::time::Instant::now();
-        while self.pending.front().is_some_and(|p| p.due <= now) {
-            self.apply_next();
-        }
-    }
-
-    fn apply_all(&mut self) {
-        while !self.pending.is_empty() {
-            self.apply_next();
-        }
-    }
-
-    fn apply_next(&mut self) {
-        let Some(pending) = self.pending.pop_front() else {
-            return;
-        };
-        if let Err(error) = self.engine.commit(&pending.entry.statements) {
-            ::log::error!(
-                "event=apply_failed member={} error=\"{error}\"",
-                self.options.name
-            );
-        }
-        self.publisher.send_modify(|p| {
-            p.status.applied.0 += 1;
-            p.fresh = pending.taken;
-        });
-    }
 }
 
 async fn sleep_until(due: Option<tokio::time::Instant>) {
