Smaller modules: outcomes of work, operators' changes, outgoing messages

Change: settle.rs holds doubt and confirmation; apply.rs the conditional changes; outgoing.rs the messages of membership; extended.rs binding and describing. Connection::is_replica asks for the role at the edge.

--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert!(error.to_string().contains("colour"));
 //! ```
 
+mod apply;
 pub mod attempt;
 pub mod batch;
 pub mod border;
@@ -46,6 +47,7 @@
 pub mod relay;
 pub mod seats;
 pub mod settings;
+mod settle;
 pub mod shutdown;
 pub mod stop;
 pub mod sweep;
--- /dev/null
+++ b/crates/cardamomhold_daemon/src/settle.rs
@@ -0,0 +1,75 @@
+//! How the outcome of a lane's work becomes certain: confirmation, or doubt.
+
+use cardamomhold_core::outcome;
+use cardamomhold_core::position;
+use cardamomhold_endpoint::connection;
+
+use crate::lane;
+use crate::relay;
+use crate::work::Work;
+
+impl Work {
+    /// What becomes of a transaction when its term is over: nothing that is still under
+    /// way can be confirmed.
+    pub(crate) fn cut_off(&self) -> lane::Failure {
+        if self.is_between {
+            return lane::Failure::NotRun(outcome::Refusal::NoPrimary);
+        }
+        self.doubt(&connection::ConnectionError::Closed.into())
+    }
+
+    /// Whether the member has been replaced as primary; if it can't say so, it has not.
+    pub(crate) async fn is_replica(&mut self) -> bool {
+        let asking = self.lease.connection().is_replica();
+        let answer = tokio::time::timeout_at(self.deadline, asking).await;
+        matches!(answer, Ok(Ok(true)))
+    }
+
+    /// The failure for an error after which the outcome may be unknown.
+    pub(crate) fn doubt(&self, error: &relay::RelayError) -> lane::Failure {
+        if !self.may_have_run || (self.is_read && !self.progress.forwarded) {
+            return lane::Failure::NotRun(outcome::Refusal::ConnectFailed);
+        }
+        lane::Failure::Unknown(match error {
+            relay::RelayError::Connection(connection::ConnectionError::Timeout) => {
+                outcome::Doubt::DeadlinePassed
+            }
+            _ => outcome::Doubt::ConnectionLost,
+        })
+    }
+
+    /// Waits until what was committed is confirmed, and returns its position.
+    pub(crate) async fn confirm(
+        &mut self,
+        ticket: &lane::Ticket,
+        status: lane::Status,
+        ended: &relay::Ended,
+    ) -> Result<Option<position::Position>, lane::Failure> {
+        if self.is_read || status != lane::Status::Idle {
+            return Ok(None);
+        }
+        if ended.failed && !ended.is_commit_held {
+            return Ok(None);
+        }
+        self.confirmed_position(ticket).await.map(Some)
+    }
+
+    pub(crate) async fn confirmed_position(
+        &mut self,
+        ticket: &lane::Ticket,
+    ) -> Result<position::Position, lane::Failure> {
+        let unconfirmed = lane::Failure::Unknown(outcome::Doubt::Unconfirmed);
+        let asking = self.lease.connection().position();
+        let position = match tokio::time::timeout_at(self.deadline, asking).await {
+            Ok(Ok(position)) if position.term == ticket.term => position,
+            _ => return Err(unconfirmed),
+        };
+        let confirmed = self
+            .context
+            .group
+            .confirm(&ticket.member, position, self.deadline)
+            .await;
+        confirmed.map_err(|_| unconfirmed)?;
+        Ok(position)
+    }
+}
--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use cardamomhold_core::outcome;
-use cardamomhold_core::position;
 use cardamomhold_endpoint::connection;
 
 use crate::endpoint;
@@ -20,12 +19,6 @@
 pub const KEY_TABLE: &str = "CREATE TABLE IF NOT EXISTS cardamomhold_request_key \
      (request_key TEXT PRIMARY KEY, tag TEXT NOT NULL)";
 
-/// Asks a member at once for its status, whose first column is its role.
-const ROLE_QUERY: &str = "MEMBER STATUS AFTER 0 0 WAIT 0";
-
-/// Role of a member that takes no writes.
-const REPLICA: &str = "replica";
-
 const ROLLBACK_TAG: &str = "ROLLBACK";
 
 /// What the work needs besides its lane.
@@ -68,13 +61,13 @@
 /// The work of one lane.
 pub struct Work {
     pub(crate) context: Context,
-    lease: lease::Lease,
-    pass: Option<pass::Pass>,
-    is_between: bool,
-    deadline: tokio::time::Instant,
-    is_read: bool,
+    pub(crate) lease: lease::Lease,
+    pub(crate) pass: Option<pass::Pass>,
+    pub(crate) is_between: bool,
+    pub(crate) deadline: tokio::time::Instant,
+    pub(crate) is_read: bool,
     pub(crate) may_have_run: bool,
-    is_synced: bool,
+    pub(crate) is_synced: bool,
     pub(crate) progress: relay::Progress,
 }
 
@@ -214,23 +207,6 @@
         }
     }
 
-    /// What becomes of a transaction when its term is over: nothing that is still under
-    /// way can be confirmed.
-    fn cut_off(&self) -> lane::Failure {
-        if self.is_between {
-            return lane::Failure::NotRun(outcome::Refusal::NoPrimary);
-        }
-        self.doubt(&connection::ConnectionError::Closed.into())
-    }
-
-    /// Whether the member has been replaced as primary; if it can't say so, it has not.
-    async fn is_replica(&mut self) -> bool {
-        match self.query(ROLE_QUERY).await {
-            Ok(Some(row)) => row.text(0) == Some(REPLICA),
-            Ok(None) | Err(_) => false,
-        }
-    }
-
     /// Answers a batch that ends with a flush; its transaction goes on.
     async fn answer_flush(
         &mut self,
@@ -322,54 +298,6 @@
         result.map_err(|error| self.doubt(&error))
     }
 
-    /// The failure for an error after which the outcome may be unknown.
-    pub(crate) fn doubt(&self, error: &relay::RelayError) -> lane::Failure {
-        if !self.may_have_run || (self.is_read && !self.progress.forwarded) {
-            return lane::Failure::NotRun(outcome::Refusal::ConnectFailed);
-        }
-        lane::Failure::Unknown(match error {
-            relay::RelayError::Connection(connection::ConnectionError::Timeout) => {
-                outcome::Doubt::DeadlinePassed
-            }
-            _ => outcome::Doubt::ConnectionLost,
-        })
-    }
-
-    /// Waits until what was committed is confirmed, and returns its position.
-    async fn confirm(
-        &mut self,
-        ticket: &lane::Ticket,
-        status: lane::Status,
-        ended: &relay::Ended,
-    ) -> Result<Option<position::Position>, lane::Failure> {
-        if self.is_read || status != lane::Status::Idle {
-            return Ok(None);
-        }
-        if ended.failed && !ended.is_commit_held {
-            return Ok(None);
-        }
-        self.confirmed_position(ticket).await.map(Some)
-    }
-
-    pub(crate) async fn confirmed_position(
-        &mut self,
-        ticket: &lane::Ticket,
-    ) -> Result<position::Position, lane::Failure> {
-        let unconfirmed = lane::Failure::Unknown(outcome::Doubt::Unconfirmed);
-        let asking = self.lease.connection().position();
-        let position = match tokio::time::timeout_at(self.deadline, asking).await {
-            Ok(Ok(position)) if position.term == ticket.term => position,
-            _ => return Err(unconfirmed),
-        };
-        let confirmed = self
-            .context
-            .group
-            .confirm(&ticket.member, position, self.deadline)
-            .await;
-        confirmed.map_err(|_| unconfirmed)?;
-        Ok(position)
-    }
-
     async fn next_batch(&mut self, end: &mut lane::LaneEnd, status: lane::Status) -> Next {
         let patience = match status {
             lane::Status::Idle => None,
--- a/crates/cardamomhold_endpoint/src/connection.rs
+++ b/crates/cardamomhold_endpoint/src/connection.rs
@@ -22,6 +22,12 @@
 /// Asks for the position that everything committed so far lies below.
 pub const POSITION_QUERY: &str = "MEMBER POSITION";
 
+/// Asks a member at once for its status, whose first column is its role.
+const ROLE_QUERY: &str = "MEMBER STATUS AFTER 0 0 WAIT 0";
+
+/// Role of a member that takes no writes.
+const REPLICA: &str = "replica";
+
 /// Brings a connection back to a fresh state.
 pub const RESET_QUERY: &str = "DISCARD ALL";
 
@@ -217,6 +223,16 @@
         Ok(position::Position::new(term, log))
     }
 
+    /// Whether the member has been replaced as primary.
+    ///
+    /// # Errors
+    /// [`ConnectionError`] when the member can't say so.
+    pub async fn is_replica(&mut self) -> Result<bool, ConnectionError> {
+        let row = self.query(ROLE_QUERY).await?;
+        let row = row.ok_or(ConnectionError::BadAnswer)?;
+        Ok(row.text(0) == Some(REPLICA))
+    }
+
     /// What a cancel request for this connection needs.
     pub fn cancel_key(&self) -> CancelKey {
         CancelKey {
--- a/crates/cardamomhold_fleet/src/lib.rs
+++ b/crates/cardamomhold_fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod mark;
 pub mod message;
+mod outgoing;
 pub mod owner;
 pub mod probe;
 pub mod random;
--- a/crates/cardamomhold_standin/src/lib.rs
+++ b/crates/cardamomhold_standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod endpoint;
 pub mod engine;
 mod execute;
+mod extended;
 pub mod fault;
 pub mod follow;
 pub mod log;
