--- a/crates/cardamomhold_daemon/src/work.rs
+++ b/crates/cardamomhold_daemon/src/work.rs
@@ -68,7 +68,6 @@
     pub(crate) is_read: bool,
     pub(crate) may_have_run: bool,
     pub(crate) is_synced: bool,
-    is_restricted: bool,
     pub(crate) progress: relay::Progress,
 }
 
@@ -112,7 +111,6 @@
             is_read,
             may_have_run: false,
             is_synced: true,
-            is_restricted: false,
             progress: relay::Progress::default(),
         })
     }
@@ -167,7 +165,11 @@
             self.is_synced = batch.sync;
             self.is_between = false;
             self.lease.ask();
-            self.send_batch(&batch).await?;
+            self.lease
+                .connection()
+                .send(&batch.frames)
+                .await
+                .map_err(|e| self.doubt(&e.into()))?;
             let mode = relay::Mode {
                 answers: (!batch.sync).then_some(batch.answers),
                 holds: wraps && batch.sync,
@@ -232,26 +234,10 @@
         for statement in &ticket.setup {
             self.run_own(statement).await?;
         }
-        Ok(())
-    }
-
-    /// Sends a batch; the first one of a read goes right behind the setting that makes the
-    /// connection read-only, so that it costs no round trip of its own.
-    async fn send_batch(&mut self, batch: &lane::Batch) -> Result<(), lane::Failure> {
-        let is_first_read = self.is_read && !std::mem::replace(&mut self.is_restricted, true);
-        let connection = self.lease.connection();
-        if !is_first_read {
-            let sent = connection.send(&batch.frames).await;
-            return sent.map_err(|e| self.doubt(&e.into()));
-        }
-        let sending = connection.send_behind(READ_ONLY_SETTING, &batch.frames);
-        sending.await.map_err(|e| self.doubt(&e.into()))?;
-        let restricting = self.lease.connection().answer();
-        match tokio::time::timeout_at(self.deadline, restricting).await {
-            Ok(Ok(_)) => Ok(()),
-            // The batch may have run without the restriction.
-            Ok(Err(_)) | Err(_) => Err(lane::Failure::Unknown(outcome::Doubt::ConnectionLost)),
+        if self.is_read {
+            self.run_own(READ_ONLY_SETTING).await?;
         }
+        Ok(())
     }
 
     /// Runs a statement of the proxy's own before anything of the caller's.
--- a/crates/cardamomhold_endpoint/src/connection.rs
+++ b/crates/cardamomhold_endpoint/src/connection.rs
@@ -184,28 +184,9 @@
     /// [`ConnectionError`] when the connection fails or the query does. The connection
     /// stays usable only after [`ConnectionError::Failed`].
     pub async fn query(&mut self, text: &str) -> Result<Option<Row>, ConnectionError> {
-        self.send_behind(text, &[]).await?;
-        self.answer().await
-    }
-
-    /// Sends a simple query and encoded messages behind it, in one go.
-    ///
-    /// The query's answer comes first; [`Connection::answer`] takes it.
-    ///
-    /// # Errors
-    /// [`ConnectionError::Frame`] when the socket fails; some bytes may have left.
-    pub async fn send_behind(&mut self, text: &str, bytes: &[u8]) -> Result<(), ConnectionError> {
         let mut out = BytesMut::new();
         answer::put(&mut out, &simplequery::Query::new(text.to_owned()));
-        out.extend_from_slice(bytes);
-        self.send(&out).await
-    }
-
-    /// The first row of the answer to a query that was sent.
-    ///
-    /// # Errors
-    /// As [`Connection::query`].
-    pub async fn answer(&mut self) -> Result<Option<Row>, ConnectionError> {
+        self.send(&out).await?;
         let mut row = None;
         let mut failure = None;
         loop {
