--- a/benches/src/failover/act.rs
+++ b/benches/src/failover/act.rs
@@ -5,7 +5,7 @@
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_group::detect;
 use cardamomhold_group::event;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::status;
 
 /// What a driver hears.
@@ -14,8 +14,8 @@
     Report(usize, status::MemberStatus),
     Lost(usize, detect::Reach),
     Answered(usize, Option<status::MemberStatus>),
-    Stored(reign::Reign, u64),
-    Watched(reign::Reign, u64),
+    Stored(leadership::Leadership, u64),
+    Watched(leadership::Leadership, u64),
 }
 
 /// What happens at a moment.
--- a/benches/src/failover/world.rs
+++ b/benches/src/failover/world.rs
@@ -9,7 +9,7 @@
 use cardamomhold_group::change;
 use cardamomhold_group::detect;
 use cardamomhold_group::event;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::spec;
 use cardamomhold_group::status;
 use rand::RngExt;
@@ -55,7 +55,7 @@
     members: Vec<Member>,
     drivers: Vec<change::Change>,
     reports: Vec<Vec<Option<status::MemberStatus>>>,
-    reign: reign::Reign,
+    leadership: leadership::Leadership,
     version: u64,
     queue: collections::BinaryHeap<act::Due>,
     next: u64,
@@ -138,7 +138,7 @@
             members,
             drivers,
             reports: vec![vec![None; ZONES]; ZONES],
-            reign: reign::Reign::first(name_of(0)?),
+            leadership: leadership::Leadership::first(name_of(0)?),
             version: 1,
             queue: collections::BinaryHeap::new(),
             next: 0,
@@ -149,7 +149,7 @@
 
     fn seed(&mut self, rng: &mut rand_pcg::Pcg64Mcg) {
         for d in 0..ZONES {
-            let watched = act::Note::Watched(self.reign.clone(), self.version);
+            let watched = act::Note::Watched(self.leadership.clone(), self.version);
             self.push(time::Duration::ZERO, act::Act::Note(d, watched));
             for m in 0..ZONES {
                 let phase = rng.random_range(0..STATUS_WAIT.as_micros() as u64);
@@ -225,7 +225,7 @@
             }
             failover::Fault::Partitioned => {}
             failover::Fault::SwitchedOver => {
-                self.reign.wanted = name_of(1);
+                self.leadership.wanted = name_of(1);
                 self.publish();
             }
         }
@@ -234,7 +234,7 @@
     fn publish(&mut self) {
         self.version += 1;
         for d in 0..ZONES {
-            let watched = act::Note::Watched(self.reign.clone(), self.version);
+            let watched = act::Note::Watched(self.leadership.clone(), self.version);
             self.push(WAY, act::Act::Note(d, watched));
         }
     }
@@ -258,13 +258,25 @@
         let now = self.now;
         let driver = &mut self.drivers[d];
         match note {
-            act::Note::Watched(reign, version) => {
-                let reign = &reign;
-                driver.observe(now, event::Event::Reign { reign, version });
+            act::Note::Watched(leadership, version) => {
+                let leadership = &leadership;
+                driver.observe(
+                    now,
+                    event::Event::Leadership {
+                        leadership,
+                        version,
+                    },
+                );
             }
-            act::Note::Stored(reign, version) => {
-                let reign = &reign;
-                driver.observe(now, event::Event::Reign { reign, version });
+            act::Note::Stored(leadership, version) => {
+                let leadership = &leadership;
+                driver.observe(
+                    now,
+                    event::Event::Leadership {
+                        leadership,
+                        version,
+                    },
+                );
                 driver.observe(now, event::Event::Stored);
             }
             act::Note::Lost(m, reach) => {
@@ -366,13 +378,16 @@
     }
 
     fn call(&mut self, d: usize, command: &event::Command) {
-        if let event::Command::Write { reign, expected } = command
+        if let event::Command::Write {
+            leadership,
+            expected,
+        } = command
             && *expected == self.version
         {
-            self.reign = reign.clone();
+            self.leadership = leadership.clone();
             self.publish();
         }
-        let stored = act::Note::Stored(self.reign.clone(), self.version);
+        let stored = act::Note::Stored(self.leadership.clone(), self.version);
         self.push(STORE + WAY, act::Act::Note(d, stored));
     }
 
--- a/crates/cardamomhold_cli/src/failure.rs
+++ b/crates/cardamomhold_cli/src/failure.rs
@@ -114,7 +114,7 @@
         match self {
             Self::UnknownKind(kind) => write!(
                 f,
-                "{kind}: no such kind; use group, rank, read-kind, caller, stop-rule or reign"
+                "{kind}: no such kind; use group, rank, read-kind, caller, stop-rule or leadership"
             ),
             Self::NameNeeded(kind) => {
                 write!(
--- a/crates/cardamomhold_cli/src/flags.rs
+++ b/crates/cardamomhold_cli/src/flags.rs
@@ -6,7 +6,7 @@
 xflags::xflags! {
     /// Drives a fleet of cardamomhold instances through any one of them.
     ///
-    /// Kinds of objects: group, rank, read-kind, caller, stop-rule, reign (read only).
+    /// Kinds of objects: group, rank, read-kind, caller, stop-rule, leadership (read only).
     /// Exit codes: 0 done, 2 bad usage or refused field, 3 unreachable,
     /// 4 conflict with another change, 5 undecided.
     cmd cardamomhold {
--- a/crates/cardamomhold_cli/src/json.rs
+++ b/crates/cardamomhold_cli/src/json.rs
@@ -21,7 +21,7 @@
         "read-kind" => schema::Kind::ReadKind,
         "caller" => schema::Kind::Caller,
         "stop-rule" => schema::Kind::StopRule,
-        "reign" => schema::Kind::Reign,
+        "leadership" => schema::Kind::Leadership,
         _ => return None,
     })
 }
@@ -34,7 +34,7 @@
         schema::Kind::ReadKind => "read-kind",
         schema::Kind::Caller => "caller",
         schema::Kind::StopRule => "stop-rule",
-        schema::Kind::Reign => "reign",
+        schema::Kind::Leadership => "leadership",
         schema::Kind::Unspecified => "unknown",
     }
 }
@@ -79,7 +79,7 @@
     fn check_name(&self) -> Result<(), failure::Failure> {
         let name = &self.name;
         let problem = match self.kind {
-            schema::Kind::Group | schema::Kind::Reign => {
+            schema::Kind::Group | schema::Kind::Leadership => {
                 name::GroupName::parse(name).err().map(|e| e.to_string())
             }
             schema::Kind::Rank => name.parse::<rank::Rank>().err().map(|e| e.to_string()),
@@ -101,11 +101,11 @@
 
 /// The content of an entry; null when it has none.
 pub fn content(entry: &schema::Entry) -> Value {
-    let Some(schema::entry::Spec::Reign(reign)) = &entry.spec else {
+    let Some(schema::entry::Spec::Leadership(leadership)) = &entry.spec else {
         let spec = entry::spec_from(entry).ok();
         return spec.map(|s| inner(&s)).unwrap_or_default();
     };
-    serde_json::json!({"term": reign.term, "primary": reign.primary, "wanted": reign.wanted})
+    serde_json::json!({"term": leadership.term, "primary": leadership.primary, "wanted": leadership.wanted})
 }
 
 /// The content without the tag of its kind.
@@ -116,7 +116,7 @@
         object::Spec::ReadKind(spec) => serde_json::to_value(spec),
         object::Spec::Caller(spec) => serde_json::to_value(spec),
         object::Spec::StopRule(spec) => serde_json::to_value(spec),
-        object::Spec::Reign(spec) => serde_json::to_value(spec),
+        object::Spec::Leadership(spec) => serde_json::to_value(spec),
     };
     result.unwrap_or_default()
 }
@@ -146,7 +146,7 @@
         schema::Kind::ReadKind => object::Spec::ReadKind(typed(value)?),
         schema::Kind::Caller => object::Spec::Caller(typed(value)?),
         schema::Kind::StopRule => object::Spec::StopRule(typed(value)?),
-        schema::Kind::Reign | schema::Kind::Unspecified => {
+        schema::Kind::Leadership | schema::Kind::Unspecified => {
             return Err(failure::Failure::Field {
                 path: "kind".to_owned(),
                 problem: "is changed by the system only; order a switchover instead".to_owned(),
--- a/crates/cardamomhold_cli/tests/command_line.rs
+++ b/crates/cardamomhold_cli/tests/command_line.rs
@@ -78,7 +78,7 @@
             json!({"members": [{"name": "a b", "zone": "a", "address": "x"}]}),
             "members[0].name",
         ),
-        (schema::Kind::Reign, json!({"term": 1}), "kind"),
+        (schema::Kind::Leadership, json!({"term": 1}), "kind"),
     ] {
         let refused = json::parse_content(kind, content).expect_err(path);
         assert!(
--- a/crates/cardamomhold_config/src/check.rs
+++ b/crates/cardamomhold_config/src/check.rs
@@ -114,7 +114,7 @@
             range("grace_ms", rule.grace_ms, 0, 600_000)?;
             range("idle_ms", rule.idle_ms, 100, 3_600_000)
         }
-        (object::ObjectName::Reign(_), _) => Err(bad("kind", Problem::NotForOperators)),
+        (object::ObjectName::Leadership(_), _) => Err(bad("kind", Problem::NotForOperators)),
         _ => Err(bad("spec", Problem::WrongKind)),
     }
 }
--- a/crates/cardamomhold_config/src/config.rs
+++ b/crates/cardamomhold_config/src/config.rs
@@ -5,7 +5,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::spec;
 
 use crate::object;
@@ -193,15 +193,15 @@
         }
     }
 
-    /// A group's term and primary; the first reign while no promotion has written one.
-    pub fn reign(&self, name: &name::GroupName) -> Option<reign::Reign> {
-        if let Some(object::Spec::Reign(reign)) =
-            self.spec(&object::ObjectName::Reign(name.clone()))
+    /// A group's term and primary; the first leadership while no promotion has written one.
+    pub fn leadership(&self, name: &name::GroupName) -> Option<leadership::Leadership> {
+        if let Some(object::Spec::Leadership(leadership)) =
+            self.spec(&object::ObjectName::Leadership(name.clone()))
         {
-            return Some(reign.clone());
+            return Some(leadership.clone());
         }
         let first = self.group(name)?.members.first()?;
-        Some(reign::Reign::first(first.name.clone()))
+        Some(leadership::Leadership::first(first.name.clone()))
     }
 
     /// The rule of a rank.
--- a/crates/cardamomhold_config/src/object.rs
+++ b/crates/cardamomhold_config/src/object.rs
@@ -4,7 +4,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::spec;
 
 /// Prefix of every object of the configuration in the platform's store.
@@ -24,7 +24,7 @@
     /// The rules for draining and stopping.
     StopRule,
     /// A group's term and primary.
-    Reign(name::GroupName),
+    Leadership(name::GroupName),
 }
 
 /// The text is no name of an object.
@@ -58,7 +58,7 @@
                 name::CallerName::parse(name).map_err(|_| ObjectNameError)?,
             )),
             "stop_rule" if name == "default" => Ok(Self::StopRule),
-            "reign" => Ok(Self::Reign(group()?)),
+            "leadership" => Ok(Self::Leadership(group()?)),
             _ => Err(ObjectNameError),
         }
     }
@@ -72,7 +72,7 @@
             Self::ReadKind(name) => write!(f, "{PREFIX}read_kind/{name}"),
             Self::Caller(name) => write!(f, "{PREFIX}caller/{name}"),
             Self::StopRule => write!(f, "{PREFIX}stop_rule/default"),
-            Self::Reign(name) => write!(f, "{PREFIX}reign/{name}"),
+            Self::Leadership(name) => write!(f, "{PREFIX}leadership/{name}"),
         }
     }
 }
@@ -180,7 +180,7 @@
         ObjectName::Rank(rank) => Some(Spec::Rank(RankRule::default_of(*rank))),
         ObjectName::Caller(_) => Some(Spec::Caller(CallerRule::default())),
         ObjectName::StopRule => Some(Spec::StopRule(StopRule::default())),
-        ObjectName::Group(_) | ObjectName::ReadKind(_) | ObjectName::Reign(_) => None,
+        ObjectName::Group(_) | ObjectName::ReadKind(_) | ObjectName::Leadership(_) => None,
     }
 }
 
@@ -199,7 +199,7 @@
     /// Of the rules for draining and stopping.
     StopRule(StopRule),
     /// Of a group's term and primary.
-    Reign(reign::Reign),
+    Leadership(leadership::Leadership),
 }
 
 /// An object's content with the mark of the change that wrote it.
--- a/crates/cardamomhold_core/src/position.rs
+++ b/crates/cardamomhold_core/src/position.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// The number of a primary's reign; each promotion raises it by one.
+/// The number of a primary's leadership; each promotion raises it by one.
 #[derive(
     Debug,
     Clone,
--- a/crates/cardamomhold_daemon/src/change.rs
+++ b/crates/cardamomhold_daemon/src/change.rs
@@ -15,7 +15,7 @@
 use cardamomhold_group::change;
 use cardamomhold_group::detect;
 use cardamomhold_group::event;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::spec;
 use cardamomhold_group::status;
 use tokio::sync::mpsc;
@@ -24,7 +24,7 @@
 use crate::clock;
 use crate::endpoint;
 use crate::group;
-use crate::reigns;
+use crate::leaderships;
 
 /// The end of a command to a member.
 #[derive(Debug)]
@@ -47,7 +47,7 @@
     /// The clock.
     pub clock: clock::Clock,
     /// The task that calls the platform.
-    pub reigns: mpsc::Sender<reigns::Call>,
+    pub leaderships: mpsc::Sender<leaderships::Call>,
 }
 
 /// A group's driver of changes with its hands.
@@ -80,25 +80,28 @@
     pub fn reshape(
         &mut self,
         spec: Option<&spec::GroupSpec>,
-        reign: Option<&reign::Reign>,
+        leadership: Option<&leadership::Leadership>,
         version: u64,
     ) {
         if let Some(spec) = spec {
             self.change.reshape(spec);
         }
         self.spec = spec.cloned();
-        if let Some(reign) = reign {
-            self.take_reign(reign, version);
+        if let Some(leadership) = leadership {
+            self.take_leadership(leadership, version);
         }
         self.take_place();
     }
 
-    fn take_reign(&mut self, reign: &reign::Reign, version: u64) {
+    fn take_leadership(&mut self, leadership: &leadership::Leadership, version: u64) {
         let before = self.change.serving().map(|(_, term)| term);
-        self.observe(event::Event::Reign { reign, version });
+        self.observe(event::Event::Leadership {
+            leadership,
+            version,
+        });
         let is_raised = self.term.send_if_modified(|term| {
-            let is_raised = reign.term > *term;
-            *term = reign.term.max(*term);
+            let is_raised = leadership.term > *term;
+            *term = leadership.term.max(*term);
             is_raised
         });
         let after = self.change.serving().map(|(_, term)| term);
@@ -159,13 +162,13 @@
     }
 
     /// Takes the platform's answer; none when the call failed or the answer was lost.
-    pub fn stored(&mut self, stored: Option<&reigns::Stored>) {
+    pub fn stored(&mut self, stored: Option<&leaderships::Stored>) {
         let Some(stored) = stored else {
             self.observe(event::Event::StoreLost);
             return;
         };
-        if let Some(reign) = &stored.reign {
-            self.take_reign(reign, stored.version);
+        if let Some(leadership) = &stored.leadership {
+            self.take_leadership(leadership, stored.version);
         }
         self.observe(event::Event::Stored);
     }
@@ -197,9 +200,15 @@
 
     fn carry_out(&self, command: event::Command) {
         match command {
-            event::Command::Read => self.call(reigns::Act::Read),
-            event::Command::Write { reign, expected } => {
-                self.call(reigns::Act::Write { reign, expected });
+            event::Command::Read => self.call(leaderships::Act::Read),
+            event::Command::Write {
+                leadership,
+                expected,
+            } => {
+                self.call(leaderships::Act::Write {
+                    leadership,
+                    expected,
+                });
             }
             event::Command::Fence { member, term } => self.control(member, Step::Fence(term)),
             event::Command::Promote { member, term } => self.control(member, Step::Promote(term)),
@@ -217,15 +226,15 @@
         }
     }
 
-    fn call(&self, act: reigns::Act) {
-        let call = reigns::Call {
+    fn call(&self, act: leaderships::Act) {
+        let call = leaderships::Call {
             group: self.setting.group.clone(),
             act,
             reply: self.requests.clone(),
         };
-        let reigns = self.setting.reigns.clone();
+        let leaderships = self.setting.leaderships.clone();
         // When the task has ended, the instance is stopping and the answer is not missed.
-        tokio::spawn(async move { reigns.send(call).await });
+        tokio::spawn(async move { leaderships.send(call).await });
     }
 
     fn probe_all(&self) {
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -24,12 +24,12 @@
 use crate::fleet as fleet_task;
 use crate::follow;
 use crate::http;
+use crate::leaderships;
 use crate::metrics;
 use crate::operator;
 use crate::owner;
 use crate::peer;
 use crate::pull;
-use crate::reigns;
 use crate::seats;
 use crate::settings;
 use crate::stop;
@@ -154,7 +154,8 @@
             clock,
             has_seeds: !settings.seeds.is_empty(),
         };
-        let reigns = reigns::start(platform.clone(), own.name.clone(), config.heard.clone());
+        let leaderships =
+            leaderships::start(platform.clone(), own.name.clone(), config.heard.clone());
         let phase = watch::Sender::new(stop::Phase::default());
         let stop = stop::Stop::new(phase.subscribe());
         let owner = owner::start(owner::Setting {
@@ -163,7 +164,7 @@
             fleet: fleet.fleet.clone(),
             standing: fleet.standing.clone(),
             clock,
-            reigns,
+            leaderships,
             metrics: metrics.clone(),
             stop: stop.clone(),
         });
--- a/crates/cardamomhold_daemon/src/group.rs
+++ b/crates/cardamomhold_daemon/src/group.rs
@@ -16,10 +16,10 @@
 
 use crate::change;
 use crate::clock;
+use crate::leaderships;
 use crate::members;
 use crate::monitor;
 use crate::pass;
-use crate::reigns;
 
 /// Messages that wait for the task.
 const MAILBOX: usize = 1024;
@@ -59,7 +59,7 @@
     /// A command of a change of primary has ended.
     Controlled(change::Controlled),
     /// A call of the platform has ended; none when the answer was lost.
-    Stored(Option<reigns::Stored>),
+    Stored(Option<leaderships::Stored>),
     /// Shows the members.
     Members(oneshot::Sender<Vec<MemberView>>),
 }
@@ -104,7 +104,7 @@
     /// The clock.
     pub clock: clock::Clock,
     /// The task that calls the platform.
-    pub reigns: mpsc::Sender<reigns::Call>,
+    pub leaderships: mpsc::Sender<leaderships::Call>,
 }
 
 /// Starts the task; it ends when its last handle is dropped or the group is removed.
--- a/crates/cardamomhold_daemon/src/reigns.rs
+++ b/crates/cardamomhold_daemon/src/leaderships.rs
@@ -1,8 +1,8 @@
-//! The task that reads and writes the groups' reigns at the platform.
+//! The task that reads and writes the groups' leaderships at the platform.
 
 use cardamomhold_config::object;
 use cardamomhold_core::name;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_platform::client;
 use cardamomhold_platform::client::Platform;
 use tokio::sync::mpsc;
@@ -27,22 +27,22 @@
 /// What a call does.
 #[derive(Debug)]
 pub enum Act {
-    /// Reads the reign.
+    /// Reads the leadership.
     Read,
     /// Writes it if its version is the expected one.
     Write {
         /// The new content.
-        reign: reign::Reign,
+        leadership: leadership::Leadership,
         /// The expected version.
         expected: u64,
     },
 }
 
-/// The reign as it stands at the platform.
+/// The leadership as it stands at the platform.
 #[derive(Debug)]
 pub struct Stored {
     /// Its content; none when nobody has written it.
-    pub reign: Option<reign::Reign>,
+    pub leadership: Option<leadership::Leadership>,
     /// Its version.
     pub version: u64,
 }
@@ -69,15 +69,21 @@
     heard: mpsc::Sender<config::Heard>,
     call: Call,
 ) {
-    let name = object::ObjectName::Reign(call.group.clone()).to_string();
+    let name = object::ObjectName::Leadership(call.group.clone()).to_string();
     let answer = match call.act {
         Act::Read => platform.get(&name).await,
-        Act::Write { reign, expected } => write(&platform, &author, &name, reign, expected).await,
+        Act::Write {
+            leadership,
+            expected,
+        } => write(&platform, &author, &name, leadership, expected).await,
     };
     let stored = match answer {
         Ok(object) => Some(publish(object, &heard).await),
         Err(error) => {
-            log::warn!("event=reign_call_failed group={} error={error}", call.group);
+            log::warn!(
+                "event=leadership_call_failed group={} error={error}",
+                call.group
+            );
             None
         }
     };
@@ -91,13 +97,13 @@
     platform: &P,
     author: &name::InstanceName,
     name: &str,
-    reign: reign::Reign,
+    leadership: leadership::Leadership,
     expected: u64,
 ) -> Result<client::Object, client::PlatformError> {
     let envelope = object::Envelope {
         author: author.to_string(),
         change: uuid::Uuid::now_v7().to_string(),
-        spec: object::Spec::Reign(reign),
+        spec: object::Spec::Leadership(leadership),
         // The instances log every change of primary; the object keeps the last one only.
         history: Vec::new(),
     };
@@ -111,8 +117,8 @@
 async fn publish(object: client::Object, heard: &mpsc::Sender<config::Heard>) -> Stored {
     let change = config::change_of(object);
     let envelope = serde_json::from_slice::<object::Envelope>(&change.value).ok();
-    let reign = match envelope.map(|e| e.spec) {
-        Some(object::Spec::Reign(reign)) if !change.removed => Some(reign),
+    let leadership = match envelope.map(|e| e.spec) {
+        Some(object::Spec::Leadership(leadership)) if !change.removed => Some(leadership),
         _ => None,
     };
     let version = change.version;
@@ -120,5 +126,8 @@
         // The watch brings the change too, should the task have ended.
         let _ = heard.send(config::Heard::Change(change)).await;
     }
-    Stored { reign, version }
+    Stored {
+        leadership,
+        version,
+    }
 }
--- a/crates/cardamomhold_daemon/src/members.rs
+++ b/crates/cardamomhold_daemon/src/members.rs
@@ -34,7 +34,7 @@
             instance: setting.instance.clone(),
             fleet: setting.fleet.clone(),
             clock: setting.clock,
-            reigns: setting.reigns.clone(),
+            leaderships: setting.leaderships.clone(),
         },
         requests.clone(),
     );
@@ -121,15 +121,15 @@
     fn reshape(&mut self) {
         let config = self.setting.config.borrow().clone();
         let spec = config.group(&self.setting.group).cloned();
-        let reign = config.reign(&self.setting.group);
+        let leadership = config.leadership(&self.setting.group);
         if spec != self.spec {
             self.watch_members(spec.as_ref());
             self.spec = spec;
         }
-        let name = object::ObjectName::Reign(self.setting.group.clone());
+        let name = object::ObjectName::Leadership(self.setting.group.clone());
         let version = config.version(&name);
         self.driver
-            .reshape(self.spec.as_ref(), reign.as_ref(), version);
+            .reshape(self.spec.as_ref(), leadership.as_ref(), version);
     }
 
     fn watch_members(&mut self, spec: Option<&spec::GroupSpec>) {
--- a/crates/cardamomhold_daemon/src/operator.rs
+++ b/crates/cardamomhold_daemon/src/operator.rs
@@ -117,7 +117,7 @@
         let Some(name) = entry::name_from(request.kind(), &request.name) else {
             return Ok(tonic::Response::new(bad("name", "not a name of this kind")));
         };
-        if matches!(name, object::ObjectName::Reign(_)) {
+        if matches!(name, object::ObjectName::Leadership(_)) {
             return Ok(tonic::Response::new(bad(
                 "kind",
                 &check::Problem::NotForOperators.to_string(),
@@ -173,14 +173,14 @@
         let group = name::GroupName::parse(&request.group).map_err(|_| missing("group"))?;
         let config = self.config.config.borrow().clone();
         let spec = config.group(&group).ok_or_else(|| missing("group"))?;
-        let reign = config.reign(&group).ok_or_else(|| missing("group"))?;
-        let wanted = match switchover::order(spec, &reign, &request.member) {
+        let leadership = config.leadership(&group).ok_or_else(|| missing("group"))?;
+        let wanted = match switchover::order(spec, &leadership, &request.member) {
             Ok(wanted) => wanted,
             Err(error) => return Ok(tonic::Response::new(bad("member", error.as_str()))),
         };
-        let name = object::ObjectName::Reign(group);
+        let name = object::ObjectName::Leadership(group);
         let version = config.version(&name);
-        let spec = object::Spec::Reign(wanted);
+        let spec = object::Spec::Leadership(wanted);
         let reply = self
             .write_spec(&name, Some(spec), &request.author, version)
             .await;
@@ -202,7 +202,7 @@
         let fleet = self.fleet.borrow().clone();
         let mut groups = Vec::new();
         for (group, spec) in config.groups() {
-            let reign = config.reign(group);
+            let leadership = config.leadership(group);
             let views = match shown.groups.iter().find(|(name, _)| name == group) {
                 Some((_, handle)) => handle.members().await,
                 None => Vec::new(),
@@ -227,13 +227,13 @@
             }
             groups.push(schema::GroupStatus {
                 name: group.to_string(),
-                term: reign.as_ref().map(|r| r.term.0).unwrap_or_default(),
-                wanted: reign
+                term: leadership.as_ref().map(|r| r.term.0).unwrap_or_default(),
+                wanted: leadership
                     .as_ref()
                     .and_then(|r| r.wanted.as_ref())
                     .map(|w| w.to_string())
                     .unwrap_or_default(),
-                primary: reign
+                primary: leadership
                     .and_then(|r| r.primary)
                     .map(|p| p.to_string())
                     .unwrap_or_default(),
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -22,8 +22,8 @@
 use crate::fleet as fleet_task;
 use crate::group;
 use crate::lane;
+use crate::leaderships;
 use crate::metrics;
-use crate::reigns;
 use crate::stop;
 use crate::work;
 
@@ -81,8 +81,8 @@
     pub standing: watch::Receiver<fleet_task::Standing>,
     /// The clock.
     pub clock: clock::Clock,
-    /// The task that calls the platform for the groups' reigns.
-    pub reigns: mpsc::Sender<reigns::Call>,
+    /// The task that calls the platform for the groups' leaderships.
+    pub leaderships: mpsc::Sender<leaderships::Call>,
     /// Where the endpoints' load is shown.
     pub metrics: metrics::Metrics,
     /// How far the instance's end has come.
@@ -189,7 +189,7 @@
                 config: setting.config.clone(),
                 fleet: setting.fleet.clone(),
                 clock: setting.clock,
-                reigns: setting.reigns.clone(),
+                leaderships: setting.leaderships.clone(),
             })
         });
         handle.clone()
@@ -274,7 +274,7 @@
             .member(&ticket.member)
             .ok_or(outcome::Refusal::StaleView)?;
         let term = config
-            .reign(&ticket.group)
+            .leadership(&ticket.group)
             .map(|r| r.term)
             .unwrap_or_default();
         if !ticket.access.is_read() && ticket.term < term {
--- a/crates/cardamomhold_daemon/src/plan.rs
+++ b/crates/cardamomhold_daemon/src/plan.rs
@@ -46,15 +46,15 @@
         let spec = config
             .group(&self.group)
             .ok_or(outcome::Refusal::UnknownGroup)?;
-        let reign = config
-            .reign(&self.group)
+        let leadership = config
+            .leadership(&self.group)
             .ok_or(outcome::Refusal::UnknownGroup)?;
         let kind = self.kind_of(batch.class(), &config);
         let seen = self.session.token.position(self.group.as_str());
-        let replicas = self.replicas(spec, reign.primary.as_ref(), retry);
+        let replicas = self.replicas(spec, leadership.primary.as_ref(), retry);
         let view = route::View {
-            term: reign.term,
-            primary: reign.primary.as_ref(),
+            term: leadership.term,
+            primary: leadership.primary.as_ref(),
             replicas: &replicas,
         };
         self.spread = self.spread.wrapping_add(1);
@@ -69,7 +69,7 @@
         let ticket = lane::Ticket {
             group: self.group.clone(),
             member: member.clone(),
-            term: reign.term,
+            term: leadership.term,
             rank: self.session.rank,
             caller: self.caller.clone(),
             deadline,
--- a/crates/cardamomhold_daemon/src/sweep.rs
+++ b/crates/cardamomhold_daemon/src/sweep.rs
@@ -106,10 +106,10 @@
     };
     let mut sweeps = Vec::new();
     for (group, spec) in config.groups() {
-        let Some(reign) = config.reign(group) else {
+        let Some(leadership) = config.leadership(group) else {
             continue;
         };
-        let Some(member) = reign.primary.as_ref().and_then(|p| spec.member(p)) else {
+        let Some(member) = leadership.primary.as_ref().and_then(|p| spec.member(p)) else {
             continue;
         };
         let owner = fleet.owner(&member.name, &member.zone);
@@ -119,7 +119,7 @@
         let ticket = lane::Ticket {
             group: group.clone(),
             member: member.name.clone(),
-            term: reign.term,
+            term: leadership.term,
             rank: rank::Rank::Bulk,
             caller: caller.clone(),
             deadline: DEADLINE,
--- a/crates/cardamomhold_daemon/src/switchover.rs
+++ b/crates/cardamomhold_daemon/src/switchover.rs
@@ -1,7 +1,7 @@
 //! Which member a planned change of primary goes to.
 
 use cardamomhold_core::name;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::spec;
 
 /// Why a planned change is not accepted.
@@ -32,16 +32,19 @@
     }
 }
 
-/// The reign that asks for the change; without a name any other member will do.
+/// The leadership that asks for the change; without a name any other member will do.
 ///
 /// # Errors
 /// [`SwitchoverError`] when the named member can't take over.
 pub fn order(
     spec: &spec::GroupSpec,
-    reign: &reign::Reign,
+    leadership: &leadership::Leadership,
     member: &str,
-) -> Result<reign::Reign, SwitchoverError> {
-    let primary = reign.primary.as_ref().ok_or(SwitchoverError::Changing)?;
+) -> Result<leadership::Leadership, SwitchoverError> {
+    let primary = leadership
+        .primary
+        .as_ref()
+        .ok_or(SwitchoverError::Changing)?;
     let wanted = if member.is_empty() {
         let mut others = spec.members.iter().filter(|m| m.name != *primary);
         let found = others.find(|m| !m.draining);
@@ -49,9 +52,9 @@
     } else {
         named(spec, primary, member)?
     };
-    Ok(reign::Reign {
+    Ok(leadership::Leadership {
         wanted: Some(wanted.name.clone()),
-        ..reign.clone()
+        ..leadership.clone()
     })
 }
 
--- a/crates/cardamomhold_daemon/tests/stale_owner.rs
+++ b/crates/cardamomhold_daemon/tests/stale_owner.rs
@@ -55,14 +55,14 @@
     let (_fleet, fleet) = watch::channel(sync::Arc::new(fleet::Fleet::default()));
     let (_standing, standing) = watch::channel(fleet_task::Standing { until, heard: None });
     let (_phase, phase) = watch::channel(stop::Phase::default());
-    let (reigns, _calls) = mpsc::channel(1);
+    let (leaderships, _calls) = mpsc::channel(1);
     let owner = owner::start(owner::Setting {
         instance: name::InstanceName::parse("entry-a").expect("name"),
         config,
         fleet,
         standing,
         clock: clock::Clock::start(),
-        reigns,
+        leaderships,
         metrics: metrics::Metrics::new().expect("metrics"),
         stop: stop::Stop::new(phase),
     });
--- a/crates/cardamomhold_group/src/change.rs
+++ b/crates/cardamomhold_group/src/change.rs
@@ -15,7 +15,7 @@
 
 use crate::detect;
 use crate::event;
-use crate::reign;
+use crate::leadership;
 use crate::spec;
 use crate::status;
 
@@ -112,7 +112,7 @@
 pub struct Change {
     pub(crate) majority: usize,
     pub(crate) members: collections::BTreeMap<name::MemberName, Member>,
-    pub(crate) reign: Option<reign::Reign>,
+    pub(crate) leadership: Option<leadership::Leadership>,
     pub(crate) version: u64,
     pub(crate) place: event::Place,
     pub(crate) writers: usize,
@@ -140,7 +140,10 @@
     /// Takes an event in.
     pub fn observe(&mut self, now: Timestamp, event: event::Event<'_>) {
         match event {
-            event::Event::Reign { reign, version } => self.take_reign(reign, version),
+            event::Event::Leadership {
+                leadership,
+                version,
+            } => self.take_leadership(leadership, version),
             event::Event::Report { member, status } => self.take_report(now, member, status),
             event::Event::Lost { member, reach } => self.lose(member, reach),
             event::Event::Answered { member, done } => {
@@ -174,14 +177,18 @@
         }
     }
 
-    fn take_reign(&mut self, reign: &reign::Reign, version: u64) {
-        if self.reign.is_some() && version <= self.version {
+    fn take_leadership(&mut self, leadership: &leadership::Leadership, version: u64) {
+        if self.leadership.is_some() && version <= self.version {
             return;
         }
-        if self.reign.as_ref().is_some_and(|r| r.term != reign.term) {
+        if self
+            .leadership
+            .as_ref()
+            .is_some_and(|r| r.term != leadership.term)
+        {
             self.held = None;
         }
-        self.reign = Some(reign.clone());
+        self.leadership = Some(leadership.clone());
         self.version = version;
     }
 
@@ -215,16 +222,19 @@
 
     /// The primary that takes writes now; none while a change is under way.
     pub fn serving(&self) -> Option<(&name::MemberName, position::Term)> {
-        let reign = self.reign.as_ref()?;
+        let leadership = self.leadership.as_ref()?;
         if self.is_holding {
             return None;
         }
-        reign.primary.as_ref().map(|primary| (primary, reign.term))
+        leadership
+            .primary
+            .as_ref()
+            .map(|primary| (primary, leadership.term))
     }
 
-    /// The primary of the newest known reign, whether or not it takes writes now.
+    /// The primary of the newest known leadership, whether or not it takes writes now.
     pub fn primary(&self) -> Option<&name::MemberName> {
-        self.reign.as_ref()?.primary.as_ref()
+        self.leadership.as_ref()?.primary.as_ref()
     }
 
     /// When to poll again though nothing has happened; none while all is well.
@@ -245,35 +255,35 @@
 
     /// Decides what to do now.
     pub fn poll(&mut self, now: Timestamp) -> Vec<event::Command> {
-        let Some(reign) = self.reign.clone() else {
+        let Some(leadership) = self.leadership.clone() else {
             return Vec::new();
         };
-        let duty = self.find_duty(now, &reign);
+        let duty = self.find_duty(now, &leadership);
         if duty != Some(Duty::HandOver) {
             self.held = None;
         }
         self.hold(now);
         self.duty = match (duty, self.duty) {
             (None, _) => None,
-            (Some(new), Some((old, term, since))) if old == new && term == reign.term => {
+            (Some(new), Some((old, term, since))) if old == new && term == leadership.term => {
                 Some((new, term, since))
             }
-            (Some(new), _) => Some((new, reign.term, now)),
+            (Some(new), _) => Some((new, leadership.term, now)),
         };
         let Some((duty, _, since)) = self.duty else {
             return Vec::new();
         };
-        if now < since.after(self.delay(duty, reign.term)) {
-            return self.look_on(now, duty, &reign);
+        if now < since.after(self.delay(duty, leadership.term)) {
+            return self.look_on(now, duty, &leadership);
         }
         match duty {
             Duty::Refresh => self.read(now),
             Duty::Suspect => self.probe(now),
-            Duty::Replace => self.start(now, &reign),
-            Duty::Choose => self.choose(now, &reign),
-            Duty::Promote => self.promote(now, &reign),
-            Duty::Follow => self.lead(now, &reign),
-            Duty::HandOver => self.hand_over(now, &reign),
+            Duty::Replace => self.start(now, &leadership),
+            Duty::Choose => self.choose(now, &leadership),
+            Duty::Promote => self.promote(now, &leadership),
+            Duty::Follow => self.lead(now, &leadership),
+            Duty::HandOver => self.hand_over(now, &leadership),
         }
     }
 
@@ -291,29 +301,29 @@
         }
     }
 
-    fn find_duty(&mut self, now: Timestamp, reign: &reign::Reign) -> Option<Duty> {
+    fn find_duty(&mut self, now: Timestamp, leadership: &leadership::Leadership) -> Option<Duty> {
         let reports = self.members.values().filter_map(Member::up);
         let newest = reports.map(|s| s.term.max(s.fenced)).max();
-        if self.must_read || newest.is_some_and(|term| term > reign.term) {
+        if self.must_read || newest.is_some_and(|term| term > leadership.term) {
             return Some(Duty::Refresh);
         }
-        let Some(primary) = &reign.primary else {
+        let Some(primary) = &leadership.primary else {
             return Some(Duty::Choose);
         };
-        if self.is_lost(now, primary, reign.term) {
+        if self.is_lost(now, primary, leadership.term) {
             return Some(Duty::Replace);
         }
         let reach = self.members.get(primary).map(|m| m.reach);
         let report = self.members.get(primary).and_then(Member::up);
         match report {
-            Some(report) if report.is_primary_of(reign.term) => {
-                if self.has_target(reign, primary) {
+            Some(report) if report.is_primary_of(leadership.term) => {
+                if self.has_target(leadership, primary) {
                     return Some(Duty::HandOver);
                 }
-                let is_led = self.strays(reign.term, primary).is_empty();
+                let is_led = self.strays(leadership.term, primary).is_empty();
                 (!is_led).then_some(Duty::Follow)
             }
-            Some(report) if report.fenced == reign.term && report.term < reign.term => {
+            Some(report) if report.fenced == leadership.term && report.term < leadership.term => {
                 Some(Duty::Promote)
             }
             Some(_) => Some(Duty::Suspect),
--- a/crates/cardamomhold_group/src/event.rs
+++ b/crates/cardamomhold_group/src/event.rs
@@ -6,16 +6,16 @@
 use cardamomhold_core::position;
 
 use crate::detect;
-use crate::reign;
+use crate::leadership;
 use crate::status;
 
 /// What the driver is told.
 #[derive(Debug, Clone, Copy)]
 pub enum Event<'a> {
     /// The group's object as someone read it.
-    Reign {
+    Leadership {
         /// Its content.
-        reign: &'a reign::Reign,
+        leadership: &'a leadership::Leadership,
         /// Its version; zero while nobody has written it.
         version: u64,
     },
@@ -65,7 +65,7 @@
     /// Write the group's object if its version is the expected one.
     Write {
         /// The new content.
-        reign: reign::Reign,
+        leadership: leadership::Leadership,
         /// The expected version.
         expected: u64,
     },
@@ -104,9 +104,12 @@
 impl fmt::Display for Command {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Write { reign, expected } => {
-                let primary = reign.primary.as_ref().map_or("none", |p| p.as_str());
-                let term = reign.term;
+            Self::Write {
+                leadership,
+                expected,
+            } => {
+                let primary = leadership.primary.as_ref().map_or("none", |p| p.as_str());
+                let term = leadership.term;
                 write!(
                     f,
                     "step=write term={term} primary={primary} expected={expected}"
--- a/crates/cardamomhold_group/src/reign.rs
+++ b/crates/cardamomhold_group/src/leadership.rs
@@ -6,7 +6,7 @@
 /// The group's object in the platform's store. Its term only ever rises.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Reign {
+pub struct Leadership {
     /// The current term.
     pub term: position::Term,
     /// The term's primary; none while the members are being fenced.
@@ -16,8 +16,8 @@
     pub wanted: Option<name::MemberName>,
 }
 
-impl Reign {
-    /// The reign that a new group starts with.
+impl Leadership {
+    /// The leadership that a new group starts with.
     pub fn first(primary: name::MemberName) -> Self {
         Self {
             term: position::Term(1),
--- a/crates/cardamomhold_group/src/lib.rs
+++ b/crates/cardamomhold_group/src/lib.rs
@@ -5,10 +5,10 @@
 //!
 //! ```
 //! use cardamomhold_core::prelude::*;
-//! use cardamomhold_group::reign;
+//! use cardamomhold_group::leadership;
 //!
-//! let reign = reign::Reign::first(MemberName::parse("bookings-1").unwrap());
-//! assert_eq!(reign.term, Term(1));
+//! let leadership = leadership::Leadership::first(MemberName::parse("bookings-1").unwrap());
+//! assert_eq!(leadership.term, Term(1));
 //! ```
 
 pub mod change;
@@ -16,7 +16,7 @@
 pub mod confirm;
 pub mod detect;
 pub mod event;
-pub mod reign;
+pub mod leadership;
 pub mod spec;
 pub mod status;
 mod step;
@@ -24,7 +24,7 @@
 /// The types that users of the aggregate need most.
 pub mod prelude {
     pub use crate::confirm::Confirmations;
-    pub use crate::reign::Reign;
+    pub use crate::leadership::Leadership;
     pub use crate::spec::{GroupSpec, MemberSpec};
     pub use crate::status::{MemberRole, MemberStatus};
 }
--- a/crates/cardamomhold_group/src/step.rs
+++ b/crates/cardamomhold_group/src/step.rs
@@ -7,7 +7,7 @@
 use crate::change;
 use crate::choice;
 use crate::event;
-use crate::reign;
+use crate::leadership;
 use crate::status;
 
 impl change::Change {
@@ -40,12 +40,19 @@
         vec![event::Command::Read]
     }
 
-    pub(crate) fn write(&mut self, now: Timestamp, reign: reign::Reign) -> Vec<event::Command> {
+    pub(crate) fn write(
+        &mut self,
+        now: Timestamp,
+        leadership: leadership::Leadership,
+    ) -> Vec<event::Command> {
         if !self.may_call(now) {
             return Vec::new();
         }
         let expected = self.version;
-        vec![event::Command::Write { reign, expected }]
+        vec![event::Command::Write {
+            leadership,
+            expected,
+        }]
     }
 
     /// What an instance does that leaves a duty to another one for now: it looks whether
@@ -54,9 +61,9 @@
         &mut self,
         now: Timestamp,
         duty: change::Duty,
-        reign: &reign::Reign,
+        leadership: &leadership::Leadership,
     ) -> Vec<event::Command> {
-        match &reign.primary {
+        match &leadership.primary {
             Some(primary) if duty == change::Duty::Promote => {
                 self.probe_each(now, [primary.clone()])
             }
@@ -88,11 +95,15 @@
         commands
     }
 
-    pub(crate) fn start(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
-        let next = reign::Reign {
-            term: reign.term.next(),
+    pub(crate) fn start(
+        &mut self,
+        now: Timestamp,
+        leadership: &leadership::Leadership,
+    ) -> Vec<event::Command> {
+        let next = leadership::Leadership {
+            term: leadership.term.next(),
             primary: None,
-            wanted: reign.wanted.clone(),
+            wanted: leadership.wanted.clone(),
         };
         let term = next.term;
         let commands = self.write(now, next);
@@ -102,13 +113,17 @@
         commands
     }
 
-    pub(crate) fn choose(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
+    pub(crate) fn choose(
+        &mut self,
+        now: Timestamp,
+        leadership: &leadership::Leadership,
+    ) -> Vec<event::Command> {
         let mut frozen = Vec::new();
         for (name, member) in &self.members {
             let Some(report) = member.up() else {
                 continue;
             };
-            if report.fenced == reign.term && report.term < reign.term {
+            if report.fenced == leadership.term && report.term < leadership.term {
                 frozen.push(choice::Frozen {
                     member: name,
                     held: position::Position::new(report.term, report.received),
@@ -116,19 +131,19 @@
                 });
             }
         }
-        let wanted = reign.wanted.as_ref();
+        let wanted = leadership.wanted.as_ref();
         let chosen = choice::choose(&frozen, self.majority, wanted);
         let is_early =
             wanted.is_some() && chosen != wanted && self.spent(now) < change::WANTED_WAIT;
         if let Some(chosen) = chosen.filter(|_| !is_early) {
-            let next = reign::Reign {
-                term: reign.term,
+            let next = leadership::Leadership {
+                term: leadership.term,
                 primary: Some(chosen.clone()),
                 wanted: None,
             };
             return self.write(now, next);
         }
-        self.fence(now, reign.term)
+        self.fence(now, leadership.term)
     }
 
     fn fence(&mut self, now: Timestamp, term: position::Term) -> Vec<event::Command> {
@@ -146,9 +161,13 @@
         commands
     }
 
-    pub(crate) fn promote(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
-        let term = reign.term;
-        match &reign.primary {
+    pub(crate) fn promote(
+        &mut self,
+        now: Timestamp,
+        leadership: &leadership::Leadership,
+    ) -> Vec<event::Command> {
+        let term = leadership.term;
+        match &leadership.primary {
             Some(member) if self.may_ask(now, member) => {
                 let member = member.clone();
                 vec![event::Command::Promote { member, term }]
@@ -157,25 +176,30 @@
         }
     }
 
-    pub(crate) fn lead(&mut self, now: Timestamp, reign: &reign::Reign) -> Vec<event::Command> {
+    pub(crate) fn lead(
+        &mut self,
+        now: Timestamp,
+        leadership: &leadership::Leadership,
+    ) -> Vec<event::Command> {
         let mut commands = Vec::new();
-        let Some(primary) = &reign.primary else {
+        let Some(primary) = &leadership.primary else {
             return commands;
         };
-        for member in self.strays(reign.term, primary) {
+        for member in self.strays(leadership.term, primary) {
             let led = self.members.get(&member).map(|m| m.led);
-            let is_led = led
-                .is_some_and(|(term, at)| term == reign.term && now < at.after(change::ASK_RETRY));
+            let is_led = led.is_some_and(|(term, at)| {
+                term == leadership.term && now < at.after(change::ASK_RETRY)
+            });
             // Each order starts the stream anew, so it gets time to take effect.
             if is_led || !self.may_ask(now, &member) {
                 continue;
             }
             if let Some(member) = self.members.get_mut(&member) {
-                member.led = (reign.term, now);
+                member.led = (leadership.term, now);
             }
             commands.push(event::Command::Follow {
                 member,
-                term: reign.term,
+                term: leadership.term,
                 primary: primary.clone(),
             });
         }
@@ -183,37 +207,41 @@
     }
 
     /// Whether a planned change is asked for and another member could take over.
-    pub(crate) fn has_target(&self, reign: &reign::Reign, primary: &name::MemberName) -> bool {
+    pub(crate) fn has_target(
+        &self,
+        leadership: &leadership::Leadership,
+        primary: &name::MemberName,
+    ) -> bool {
         let Some(current) = self.members.get(primary) else {
             return false;
         };
-        if reign.wanted.as_ref() == Some(primary) {
+        if leadership.wanted.as_ref() == Some(primary) {
             return false;
         }
-        if reign.wanted.is_none() && current.is_welcome() {
+        if leadership.wanted.is_none() && current.is_welcome() {
             return false;
         }
-        self.target(reign, primary).is_some()
+        self.target(leadership, primary).is_some()
     }
 
     /// The member that is to take over, the one that is furthest unless one is named.
     fn target(
         &self,
-        reign: &reign::Reign,
+        leadership: &leadership::Leadership,
         primary: &name::MemberName,
     ) -> Option<position::LogPosition> {
-        let strays = self.strays(reign.term, primary);
+        let strays = self.strays(leadership.term, primary);
         let mut best = None;
         for (name, member) in &self.members {
             if name == primary || !member.is_welcome() || strays.contains(name) {
                 continue;
             }
-            if reign.wanted.as_ref().is_some_and(|w| w != name) {
+            if leadership.wanted.as_ref().is_some_and(|w| w != name) {
                 continue;
             }
             // Writes are not held back for a member that can't be level soon.
             let is_close =
-                |r: &&status::MemberStatus| r.term == reign.term && r.lag <= change::MAX_LAG;
+                |r: &&status::MemberStatus| r.term == leadership.term && r.lag <= change::MAX_LAG;
             let report = member.up().filter(is_close);
             best = best.max(report.map(|r| r.received));
         }
@@ -229,9 +257,9 @@
     pub(crate) fn hand_over(
         &mut self,
         now: Timestamp,
-        reign: &reign::Reign,
+        leadership: &leadership::Leadership,
     ) -> Vec<event::Command> {
-        let mut commands = self.lead(now, reign);
+        let mut commands = self.lead(now, leadership);
         let held = *self.held.get_or_insert(now);
         self.hold(now);
         let waited = now.since(held);
@@ -243,9 +271,9 @@
         }
         let is_quiet = self.writers == 0 || waited >= change::HOLD_GRACE;
         let settled = held.after(change::HOLD_SETTLE);
-        let is_settled = now >= settled && self.is_level(settled.max(self.quiet), reign);
+        let is_settled = now >= settled && self.is_level(settled.max(self.quiet), leadership);
         if is_quiet && is_settled {
-            commands.extend(self.start(now, reign));
+            commands.extend(self.start(now, leadership));
             return commands;
         }
         commands.extend(self.probe(now));
@@ -253,12 +281,12 @@
     }
 
     /// Whether the target holds all that the primary reported after `since`.
-    fn is_level(&self, since: Timestamp, reign: &reign::Reign) -> bool {
-        let Some(primary) = &reign.primary else {
+    fn is_level(&self, since: Timestamp, leadership: &leadership::Leadership) -> bool {
+        let Some(primary) = &leadership.primary else {
             return false;
         };
         let current = self.members.get(primary).filter(|m| m.at > since);
         let end = current.and_then(change::Member::up).map(|r| r.received);
-        end.is_some() && end <= self.target(reign, primary)
+        end.is_some() && end <= self.target(leadership, primary)
     }
 }
--- a/crates/cardamomhold_group/tests/hand_over.rs
+++ b/crates/cardamomhold_group/tests/hand_over.rs
@@ -7,7 +7,7 @@
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_group::change;
 use cardamomhold_group::event;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::spec;
 use cardamomhold_group::status;
 
@@ -50,9 +50,9 @@
         connections: 50,
         key_retention_s: 60,
     });
-    let reign = reign::Reign {
+    let leadership = leadership::Leadership {
         wanted: Some(name_of(1)),
-        ..reign::Reign::first(name_of(0))
+        ..leadership::Leadership::first(name_of(0))
     };
     let place = event::Place {
         rank: 2,
@@ -61,8 +61,8 @@
     let events = [
         event::Event::Place(place),
         event::Event::Writers(writers),
-        event::Event::Reign {
-            reign: &reign,
+        event::Event::Leadership {
+            leadership: &leadership,
             version: 1,
         },
     ];
--- a/crates/cardamomhold_group/tests/world/mod.rs
+++ b/crates/cardamomhold_group/tests/world/mod.rs
@@ -15,7 +15,7 @@
 use cardamomhold_group::confirm;
 use cardamomhold_group::detect;
 use cardamomhold_group::event;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use cardamomhold_group::spec;
 use cardamomhold_group::status;
 
@@ -70,7 +70,7 @@
     Reply(usize, usize, Option<status::MemberStatus>),
     Probed(usize, usize, Option<status::MemberStatus>),
     ToStore(usize, event::Command),
-    Stored(usize, Option<(reign::Reign, u64)>),
+    Stored(usize, Option<(leadership::Leadership, u64)>),
 }
 
 struct Driver {
@@ -126,7 +126,7 @@
             members: (0..count).map(|at| member::Member::new(at == 0)).collect(),
             drivers: Vec::new(),
             store: store::Store {
-                reign: reign::Reign::first(name_of(0)),
+                leadership: leadership::Leadership::first(name_of(0)),
                 version: 0,
                 is_down: false,
                 lost_answers: 0,
@@ -225,10 +225,10 @@
     }
 
     fn want(&mut self, m: usize) {
-        let mut reign = self.store.reign.clone();
-        reign.wanted = Some(name_of(m));
+        let mut leadership = self.store.leadership.clone();
+        leadership.wanted = Some(name_of(m));
         let version = self.store.version;
-        self.store.write(&reign, version);
+        self.store.write(&leadership, version);
     }
 
     /// A stretch in which everything that can go on does so, in order.
@@ -258,8 +258,8 @@
         if self.drivers[d].paused {
             return Ok(());
         }
-        if let store::Answer::Object(reign, version) = self.store.read() {
-            self.see_reign(d, &reign, version);
+        if let store::Answer::Object(leadership, version) = self.store.read() {
+            self.see_leadership(d, &leadership, version);
         }
         for m in 0..self.members.len() {
             let status = self.reaches(d, m).then(|| self.members[m].status(self.now));
@@ -268,8 +268,11 @@
         Ok(())
     }
 
-    fn see_reign(&mut self, d: usize, reign: &reign::Reign, version: u64) {
-        let event = event::Event::Reign { reign, version };
+    fn see_leadership(&mut self, d: usize, leadership: &leadership::Leadership, version: u64) {
+        let event = event::Event::Leadership {
+            leadership,
+            version,
+        };
         self.drivers[d].change.observe(self.now, event);
     }
 
@@ -363,11 +366,14 @@
             }
             Message::ToStore(_, command) => {
                 let answer = match command {
-                    event::Command::Write { reign, expected } => self.store.write(&reign, expected),
+                    event::Command::Write {
+                        leadership,
+                        expected,
+                    } => self.store.write(&leadership, expected),
                     _ => self.store.read(),
                 };
                 let seen = match answer {
-                    store::Answer::Object(reign, version) => Some((reign, version)),
+                    store::Answer::Object(leadership, version) => Some((leadership, version)),
                     store::Answer::Lost => None,
                 };
                 self.messages.push_back((d, Message::Stored(d, seen)));
@@ -384,8 +390,8 @@
             }
             Message::Stored(_, seen) => {
                 let event = match &seen {
-                    Some((reign, version)) => {
-                        self.see_reign(d, reign, *version);
+                    Some((leadership, version)) => {
+                        self.see_leadership(d, leadership, *version);
                         event::Event::Stored
                     }
                     None => event::Event::StoreLost,
@@ -503,13 +509,13 @@
     }
 
     fn is_whole(&self) -> bool {
-        let term = self.store.reign.term;
+        let term = self.store.leadership.term;
         let led = self.members.iter().filter(|m| m.is_primary()).count();
         led == 1 && self.members.iter().all(|m| m.term == term)
     }
 
     fn check_members(&self) -> Result<(), String> {
-        let term = self.store.reign.term;
+        let term = self.store.leadership.term;
         for member in self.members.iter().filter(|m| m.is_primary()) {
             self.oracle.check_log(term, &member.log)?;
         }
--- a/crates/cardamomhold_group/tests/world/store.rs
+++ b/crates/cardamomhold_group/tests/world/store.rs
@@ -1,10 +1,10 @@
 //! The model world's platform: one object with conditional updates.
 
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 
 #[derive(Debug, Clone)]
 pub struct Store {
-    pub reign: reign::Reign,
+    pub leadership: leadership::Leadership,
     pub version: u64,
     pub is_down: bool,
     pub lost_answers: u32,
@@ -12,7 +12,7 @@
 
 /// What the caller sees.
 pub enum Answer {
-    Object(reign::Reign, u64),
+    Object(leadership::Leadership, u64),
     Lost,
 }
 
@@ -21,16 +21,19 @@
         if self.is_down {
             return Answer::Lost;
         }
-        Answer::Object(self.reign.clone(), self.version)
+        Answer::Object(self.leadership.clone(), self.version)
     }
 
-    pub fn write(&mut self, reign: &reign::Reign, expected: u64) -> Answer {
+    pub fn write(&mut self, leadership: &leadership::Leadership, expected: u64) -> Answer {
         if self.is_down {
             return Answer::Lost;
         }
         if expected == self.version {
-            assert!(reign.term >= self.reign.term, "the term never falls");
-            self.reign = reign.clone();
+            assert!(
+                leadership.term >= self.leadership.term,
+                "the term never falls"
+            );
+            self.leadership = leadership.clone();
             self.version += 1;
             if self.lost_answers > 0 {
                 self.lost_answers -= 1;
--- a/crates/cardamomhold_proto/src/entry.rs
+++ b/crates/cardamomhold_proto/src/entry.rs
@@ -16,7 +16,9 @@
         schema::Kind::ReadKind => object::ObjectName::ReadKind(name::KindName::parse(text).ok()?),
         schema::Kind::Caller => object::ObjectName::Caller(name::CallerName::parse(text).ok()?),
         schema::Kind::StopRule => object::ObjectName::StopRule,
-        schema::Kind::Reign => object::ObjectName::Reign(name::GroupName::parse(text).ok()?),
+        schema::Kind::Leadership => {
+            object::ObjectName::Leadership(name::GroupName::parse(text).ok()?)
+        }
         schema::Kind::Unspecified => return None,
     })
 }
@@ -47,7 +49,7 @@
             grace_ms: rule.grace_ms,
             idle_ms: rule.idle_ms,
         }),
-        Spec::Reign(_) => return Err("kind".to_owned()),
+        Spec::Leadership(_) => return Err("kind".to_owned()),
     })
 }
 
@@ -122,7 +124,7 @@
         object::ObjectName::ReadKind(name) => (schema::Kind::ReadKind, name.to_string()),
         object::ObjectName::Caller(name) => (schema::Kind::Caller, name.to_string()),
         object::ObjectName::StopRule => (schema::Kind::StopRule, "default".to_owned()),
-        object::ObjectName::Reign(name) => (schema::Kind::Reign, name.to_string()),
+        object::ObjectName::Leadership(name) => (schema::Kind::Leadership, name.to_string()),
     };
     schema::Entry {
         kind: kind.into(),
@@ -172,14 +174,14 @@
             grace_ms: rule.grace_ms,
             idle_ms: rule.idle_ms,
         }),
-        object::Spec::Reign(reign) => Spec::Reign(schema::Reign {
-            term: reign.term.0,
-            primary: reign
+        object::Spec::Leadership(leadership) => Spec::Leadership(schema::Leadership {
+            term: leadership.term.0,
+            primary: leadership
                 .primary
                 .as_ref()
                 .map(|p| p.to_string())
                 .unwrap_or_default(),
-            wanted: reign
+            wanted: leadership
                 .wanted
                 .as_ref()
                 .map(|p| p.to_string())
--- a/crates/cardamomhold_session/tests/own_writes.rs
+++ b/crates/cardamomhold_session/tests/own_writes.rs
@@ -86,7 +86,7 @@
     group: name::GroupName,
     secret: token::TokenSecret,
     views: [View; INSTANCES],
-    reign: View,
+    leadership: View,
     sessions: Vec<Session>,
     pending: Vec<Pending>,
     writes: u32,
@@ -121,7 +121,7 @@
             group: name::GroupName::parse("bookings").expect("name"),
             secret,
             views: [view; INSTANCES],
-            reign: view,
+            leadership: view,
             sessions: vec![session; SESSIONS],
             pending: Vec::new(),
             writes: 0,
@@ -146,7 +146,7 @@
             }
             Event::Promote { fenced } => self.promote(fenced),
             Event::Join(member) => self.join(member),
-            Event::Learn(instance) => self.views[instance] = self.reign,
+            Event::Learn(instance) => self.views[instance] = self.leadership,
         }
         Ok(())
     }
@@ -307,7 +307,7 @@
         if fenced[0] == fenced[1] {
             return;
         }
-        let term = self.reign.term + 1;
+        let term = self.leadership.term + 1;
         for at in fenced {
             self.members[at].fenced = term;
             self.members[at].leads = false;
@@ -320,7 +320,7 @@
         member.leads = true;
         member.applied = member.log.len();
         let first = member.log.len();
-        self.reign = View {
+        self.leadership = View {
             term,
             primary,
             first,
@@ -333,7 +333,7 @@
             term,
             primary,
             first,
-        } = self.reign;
+        } = self.leadership;
         if at == primary {
             return;
         }
--- a/tests/src/writer.rs
+++ b/tests/src/writer.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use cardamomhold_core::position;
-use cardamomhold_group::reign;
+use cardamomhold_group::leadership;
 use tokio::sync::watch;
 use tokio_postgres::NoTls;
 
@@ -177,26 +177,26 @@
     all
 }
 
-/// The group's reign as the platform holds it.
-pub fn reign_of(bed: &bed::Bed) -> reign::Reign {
-    let first = reign::Reign {
+/// The group's leadership as the platform holds it.
+pub fn leadership_of(bed: &bed::Bed) -> leadership::Leadership {
+    let first = leadership::Leadership {
         term: position::Term(1),
         primary: None,
         wanted: None,
     };
-    let Some(bytes) = bed.platform.read("config/reign/bookings") else {
+    let Some(bytes) = bed.platform.read("config/leadership/bookings") else {
         return first;
     };
     let object: serde_json::Value = serde_json::from_slice(&bytes).expect("object");
-    serde_json::from_value(object["spec"]["reign"].clone()).expect("reign")
+    serde_json::from_value(object["spec"]["leadership"].clone()).expect("leadership")
 }
 
-/// Waits until every member is in the reign's term.
+/// Waits until every member is in the leadership's term.
 pub async fn await_term(bed: &bed::Bed) {
     let deadline = tokio::time::Instant::now() + bed::PATIENCE;
     for member in &bed.members {
         let published = &member.member().expect("member runs").published;
-        while published.borrow().status.term != reign_of(bed).term {
+        while published.borrow().status.term != leadership_of(bed).term {
             let is_late = tokio::time::Instant::now() >= deadline;
             assert!(!is_late, "member stays behind");
             tokio::time::sleep(PAUSE).await;
@@ -204,11 +204,11 @@
     }
 }
 
-/// Waits until every member that runs is in the reign's term, as far as its primary is.
+/// Waits until every member that runs is in the leadership's term, as far as its primary is.
 pub async fn await_level(bed: &bed::Bed) {
     let deadline = tokio::time::Instant::now() + bed::PATIENCE;
     loop {
-        let term = reign_of(bed).term;
+        let term = leadership_of(bed).term;
         let mut ends = collections::BTreeSet::new();
         for member in &bed.members {
             let published = member.member().expect("member runs").published.borrow();
--- a/tests/tests/operator_tool.rs
+++ b/tests/tests/operator_tool.rs
@@ -112,7 +112,10 @@
         ),
         ("set rank bulk --field colour=red", "colour"),
         ("set group bookings --field slots=0", "slots"),
-        ("set reign bookings --field term=9", "order a switchover"),
+        (
+            "set leadership bookings --field term=9",
+            "order a switchover",
+        ),
     ] {
         let refused = run(&bed, 0, line).await.expect_err(line);
         assert_eq!(refused.exit_code(), failure::EXIT_USAGE, "{refused}");
--- a/tests/tests/platform_outage.rs
+++ b/tests/tests/platform_outage.rs
@@ -13,7 +13,7 @@
     bed.platform.set_down(false);
     let journal = writer::check(&bed, writers).await;
     assert_eq!((journal.refused.len(), journal.unknown.len()), (0, 0));
-    assert_eq!(writer::reign_of(&bed).term, position::Term(1));
+    assert_eq!(writer::leadership_of(&bed).term, position::Term(1));
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -22,11 +22,11 @@
     bed.platform.set_down(true);
     bed.members[0].kill().await;
     tokio::time::sleep(time::Duration::from_secs(1)).await;
-    assert_eq!(writer::reign_of(&bed).term, position::Term(1));
+    assert_eq!(writer::leadership_of(&bed).term, position::Term(1));
     bed.platform.lose_answers(2);
     bed.platform.set_down(false);
     writer::progress(&mut writers, 20).await;
-    assert!(writer::reign_of(&bed).term > position::Term(1));
+    assert!(writer::leadership_of(&bed).term > position::Term(1));
     bed.members[0].restart().await.expect("restart");
     writer::check(&bed, writers).await;
     writer::await_level(&bed).await;
--- a/tests/tests/primary_frozen.rs
+++ b/tests/tests/primary_frozen.rs
@@ -8,7 +8,7 @@
     let (bed, mut writers) = writer::start_all().await;
     bed.members[0].faults().freeze(true);
     writer::progress(&mut writers, 20).await;
-    assert!(writer::reign_of(&bed).term > position::Term(1));
+    assert!(writer::leadership_of(&bed).term > position::Term(1));
     bed.members[0].faults().freeze(false);
     writer::progress(&mut writers, 20).await;
     writer::check(&bed, writers).await;
--- a/tests/tests/primary_isolated.rs
+++ b/tests/tests/primary_isolated.rs
@@ -9,7 +9,7 @@
     let faults = bed.members[0].faults();
     faults.cut(["cardamomhold/entry-b", "cardamomhold/entry-c", "member/"]);
     writer::progress(&mut writers, 20).await;
-    assert!(writer::reign_of(&bed).term > position::Term(1));
+    assert!(writer::leadership_of(&bed).term > position::Term(1));
     // The old primary comes back with writes that were never confirmed.
     faults.cut([]);
     writer::progress(&mut writers, 20).await;
--- a/tests/tests/primary_killed.rs
+++ b/tests/tests/primary_killed.rs
@@ -8,8 +8,8 @@
     let (mut bed, mut writers) = writer::start_all().await;
     bed.members[0].kill().await;
     writer::progress(&mut writers, 20).await;
-    let reign = writer::reign_of(&bed);
-    assert!(reign.term > position::Term(1));
+    let leadership = writer::leadership_of(&bed);
+    assert!(leadership.term > position::Term(1));
     bed.members[0].restart().await.expect("restart");
     writer::progress(&mut writers, 20).await;
     let journal = writer::check(&bed, writers).await;
@@ -24,7 +24,7 @@
 async fn two_in_turn() {
     let (mut bed, mut writers) = writer::start_all().await;
     for _ in 0..2 {
-        let primary = writer::reign_of(&bed).primary;
+        let primary = writer::leadership_of(&bed).primary;
         let name = primary.map_or("bookings-a".to_owned(), |p| p.to_string());
         let at = ["bookings-a", "bookings-b", "bookings-c"]
             .iter()
@@ -35,7 +35,7 @@
         bed.members[at].restart().await.expect("restart");
         writer::await_term(&bed).await;
     }
-    assert!(writer::reign_of(&bed).term >= position::Term(3));
+    assert!(writer::leadership_of(&bed).term >= position::Term(3));
     writer::check(&bed, writers).await;
     writer::await_level(&bed).await;
 }
--- a/tests/tests/racing_promoters.rs
+++ b/tests/tests/racing_promoters.rs
@@ -18,7 +18,7 @@
     drop(frozen);
     writer::progress(&mut writers, 10).await;
     bed.members[0].restart().await.expect("restart");
-    assert!(writer::reign_of(&bed).term > position::Term(1));
+    assert!(writer::leadership_of(&bed).term > position::Term(1));
     writer::check(&bed, writers).await;
     writer::await_level(&bed).await;
 }
--- a/tests/tests/switchover.rs
+++ b/tests/tests/switchover.rs
@@ -27,7 +27,7 @@
 
 async fn await_primary(bed: &bed::Bed, member: &str) {
     let deadline = tokio::time::Instant::now() + bed::PATIENCE;
-    while writer::reign_of(bed)
+    while writer::leadership_of(bed)
         .primary
         .is_none_or(|p| p.as_str() != member)
     {
@@ -35,7 +35,7 @@
         assert!(
             !is_late,
             "{member} does not become primary: {:?}",
-            writer::reign_of(bed)
+            writer::leadership_of(bed)
         );
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
@@ -76,12 +76,12 @@
     member.requests.send(leave).await.expect("member runs");
     answer.await.expect("answer");
     let deadline = tokio::time::Instant::now() + bed::PATIENCE;
-    while writer::reign_of(&bed).term == position::Term(1) {
+    while writer::leadership_of(&bed).term == position::Term(1) {
         assert!(tokio::time::Instant::now() < deadline, "primary stays");
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
     writer::progress(&mut writers, 20).await;
-    let primary = writer::reign_of(&bed).primary.expect("primary");
+    let primary = writer::leadership_of(&bed).primary.expect("primary");
     assert_ne!(primary.as_str(), "bookings-a");
     let journal = writer::check(&bed, writers).await;
     assert_eq!(journal.refused, [0_i64; 0]);
