--- a/crates/cardamomhold_config/tests/config_spread.rs
+++ b/crates/cardamomhold_config/tests/config_spread.rs
@@ -387,6 +387,15 @@
     assert_eq!(old.merge(&change), config::Merged::Known);
 }
 
+/// What the store says of the first change whose answer was lost.
+fn first_lost(world: &World) -> verdict::Verdict {
+    let attempt = verdict::Attempt {
+        expected: 0,
+        change: Some(&world.lost[0].change),
+    };
+    verdict::judge(&attempt, &world.store[NAMES[0]])
+}
+
 #[test]
 fn judges_overwritten() {
     let mut world = World::new();
@@ -394,15 +403,7 @@
     world.apply(&Step::List { node: 1 });
     world.deliver(0, false);
     world.write(1, 0, false);
-    let attempt = verdict::Attempt {
-        expected: 0,
-        change: Some(&world.lost[0].change),
-    };
-    let current = &world.store[NAMES[0]];
-    assert_eq!(
-        verdict::judge(&attempt, current),
-        verdict::Verdict::Superseded
-    );
+    assert_eq!(first_lost(&world), verdict::Verdict::Superseded);
 }
 
 #[test]
@@ -412,16 +413,8 @@
     let removed = world.put(NAMES[0], None, 1).expect("removed");
     world.nodes[1].merge(&removed);
     world.write(1, 0, false);
-    let attempt = verdict::Attempt {
-        expected: 0,
-        change: Some(&world.lost[0].change),
-    };
-    let current = &world.store[NAMES[0]];
     // The change took effect, so that "conflict" would be wrong.
-    assert_eq!(
-        verdict::judge(&attempt, current),
-        verdict::Verdict::Undecided
-    );
+    assert_eq!(first_lost(&world), verdict::Verdict::Undecided);
 }
 
 #[test]
