--- a/crates/cardamomhold_core/src/lib.rs
+++ b/crates/cardamomhold_core/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod key;
+pub mod log_line;
 pub mod name;
 pub mod outcome;
 pub mod position;
--- /dev/null
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -0,0 +1,463 @@
+//! The task of one caller's connection: it owns the session and both halves of the socket.
+
+use std::io;
+use std::sync;
+use std::time;
+
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_pool::line;
+
+use crate::answer;
+use crate::attempt;
+use crate::clock;
+use crate::front;
+use crate::lent;
+use crate::link;
+use crate::session;
+use crate::statement;
+use crate::stop;
+use crate::view;
+
+/// Rest inside a transaction after which it is rolled back, unless the operators say so.
+const DEFAULT_IDLE: time::Duration = time::Duration::from_secs(30);
+
+/// Time for the rollback of a transaction that its caller has left.
+const ROLLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Part of a statement's timeout that stays for the answer's way back.
+const RETURN_TIME: time::Duration = time::Duration::from_millis(10);
+
+/// Why a caller's task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Farewell {
+    /// The caller left.
+    Left,
+    /// The caller's connection broke.
+    Broken,
+    /// The instance stops.
+    Stopping,
+}
+
+struct Task<'a, L: link::Link, W> {
+    context: &'a attempt::Context<L>,
+    database: &'a str,
+    caller: &'a str,
+    writer: W,
+    session: session::Session,
+    lent: Option<lent::Lent<L>>,
+    /// The route of the open transaction.
+    route: Option<sync::Arc<view::Route>>,
+    /// Whether the open transaction may have written.
+    has_written: bool,
+}
+
+/// What the task does next.
+enum Event<'a> {
+    Incoming(front::Incoming<'a>),
+    Broken,
+    IdleTransaction,
+    Stopping,
+}
+
+/// Serves one caller until it leaves or the instance stops.
+pub async fn serve<L: link::Link, R: front::Reader, W: front::Writer>(
+    context: &attempt::Context<L>,
+    database: &str,
+    caller: &str,
+    mut reader: R,
+    writer: W,
+) -> Farewell {
+    let mut task = Task {
+        context,
+        database,
+        caller,
+        writer,
+        session: session::Session::default(),
+        lent: None,
+        route: None,
+        has_written: false,
+    };
+    let mut phase = context.phase.clone();
+    let farewell = loop {
+        let event = task.next(&mut reader, &mut phase).await;
+        let served = match event {
+            Event::Incoming(front::Incoming::Request(request)) => task.handle(&request).await,
+            Event::Incoming(front::Incoming::Malformed) => task.malformed().await,
+            Event::Incoming(front::Incoming::Leave) => break Farewell::Left,
+            Event::Broken => break Farewell::Broken,
+            Event::Stopping => break Farewell::Stopping,
+            Event::IdleTransaction => {
+                task.fail("idle_transaction").await;
+                Ok(())
+            }
+        };
+        if served.is_err() {
+            break Farewell::Broken;
+        }
+    };
+    task.release().await;
+    farewell
+}
+
+impl<L: link::Link, W: front::Writer> Task<'_, L, W> {
+    async fn next<'r, R: front::Reader>(
+        &self,
+        reader: &'r mut R,
+        phase: &mut tokio::sync::watch::Receiver<stop::Phase>,
+    ) -> Event<'r> {
+        let idle = self.context.views.borrow().catalog.idle;
+        let idle = idle.unwrap_or(DEFAULT_IDLE);
+        let rests = self.session.transaction == session::Transaction::None;
+        let last = if rests {
+            stop::Phase::Draining
+        } else {
+            stop::Phase::Ending
+        };
+        let holds = self.lent.is_some();
+        tokio::select! {
+            biased;
+            incoming = reader.next() => match incoming {
+                Ok(incoming) => Event::Incoming(incoming),
+                Err(_) => Event::Broken,
+            },
+            _ = phase.wait_for(|p| *p >= last) => Event::Stopping,
+            () = tokio::time::sleep(idle), if holds => Event::IdleTransaction,
+        }
+    }
+
+    fn state(&self) -> answer::State {
+        match self.session.transaction {
+            session::Transaction::None => answer::State::Idle,
+            session::Transaction::Open { .. } => answer::State::Open,
+            session::Transaction::Failed => answer::State::Failed,
+        }
+    }
+
+    async fn own(&mut self) -> io::Result<()> {
+        let answer = answer::Answer::own(self.state());
+        self.writer.answer(&answer).await
+    }
+
+    async fn malformed(&mut self) -> io::Result<()> {
+        let text = "not understood here";
+        let answer = answer::Answer::refused(answer::Code::Malformed, text, self.state());
+        self.writer.answer(&answer).await
+    }
+
+    async fn handle(&mut self, request: &statement::Request<'_>) -> io::Result<()> {
+        if self.session.transaction == session::Transaction::Failed {
+            return self.after_failure(request).await;
+        }
+        let is_open = self.session.transaction != session::Transaction::None;
+        match request.statement {
+            statement::Statement::Begin { read_only } if !is_open => {
+                self.session.transaction = session::Transaction::Open { read_only };
+                self.has_written = false;
+                self.own().await
+            }
+            statement::Statement::Rollback if is_open => {
+                self.session.transaction = session::Transaction::None;
+                self.own().await?;
+                self.release().await;
+                Ok(())
+            }
+            statement::Statement::Commit if is_open => {
+                let form = attempt::Form::Text(request.text);
+                self.run(request, form, statement::Access::Write).await
+            }
+            statement::Statement::Direct(access) => {
+                let form = attempt::Form::Text(request.text);
+                self.run(request, form, access).await
+            }
+            statement::Statement::Execute { name, arguments } => {
+                self.execute(request, name, arguments).await
+            }
+            statement::Statement::Set { name, value } => {
+                self.session.set(name, value);
+                self.own().await
+            }
+            statement::Statement::Prepare {
+                name,
+                access,
+                shape,
+            } => {
+                self.session.prepare(name, access, shape);
+                self.own().await
+            }
+            statement::Statement::Deallocate { name } => {
+                if self.session.deallocate(name) {
+                    return self.own().await;
+                }
+                self.unknown_statement().await
+            }
+            statement::Statement::Begin { .. }
+            | statement::Statement::Rollback
+            | statement::Statement::Commit
+            | statement::Statement::Unknown => self.malformed().await,
+        }
+    }
+
+    async fn unknown_statement(&mut self) -> io::Result<()> {
+        let text = "no such prepared statement";
+        let code = answer::Code::UnknownStatement;
+        let answer = answer::Answer::refused(code, text, self.state());
+        self.writer.answer(&answer).await
+    }
+
+    async fn execute(
+        &mut self,
+        request: &statement::Request<'_>,
+        name: &str,
+        arguments: &str,
+    ) -> io::Result<()> {
+        let Some(prepared) = self.session.prepared(name).cloned() else {
+            return self.unknown_statement().await;
+        };
+        let form = attempt::Form::Prepared(&prepared, arguments);
+        self.run(request, form, prepared.access).await
+    }
+
+    /// Only the end of a failed transaction is accepted.
+    async fn after_failure(&mut self, request: &statement::Request<'_>) -> io::Result<()> {
+        match request.statement {
+            statement::Statement::Rollback => {
+                self.session.transaction = session::Transaction::None;
+                self.own().await
+            }
+            statement::Statement::Commit => {
+                self.session.transaction = session::Transaction::None;
+                let text = "the transaction was rolled back";
+                let state = answer::State::Idle;
+                let answer = answer::Answer::refused(answer::Code::Aborted, text, state);
+                self.writer.answer(&answer).await
+            }
+            _ => self.malformed().await,
+        }
+    }
+
+    /// Runs what a member must answer.
+    async fn run(
+        &mut self,
+        request: &statement::Request<'_>,
+        form: attempt::Form<'_>,
+        access: statement::Access,
+    ) -> io::Result<()> {
+        let now = clock::now();
+        let Some(route) = self.route_now() else {
+            let text = "no such database";
+            let state = self.state();
+            let answer = answer::Answer::refused(answer::Code::UnknownDatabase, text, state);
+            return self.writer.answer(&answer).await;
+        };
+        let is_open = self.session.transaction != session::Transaction::None;
+        let is_commit = request.statement == statement::Statement::Commit;
+        let timeout = route.timeout.saturating_sub(RETURN_TIME);
+        let call = attempt::Call {
+            id: request.id,
+            form,
+            access,
+            may_keep: !is_open || is_commit,
+            deadline: now.after(timeout),
+        };
+        let result = self.ask_member(&route, &call).await;
+        let took = clock::now().since(now);
+        self.note(request, &route, &result, took);
+        let answer = match result {
+            Ok(answer) => self.settle(answer, access, is_open, is_commit).await,
+            Err(failure) => {
+                if is_commit {
+                    self.session.transaction = session::Transaction::None;
+                } else if is_open {
+                    self.session.transaction = session::Transaction::Failed;
+                }
+                self.lent = None;
+                self.route = None;
+                answer::Answer::refused(failure.code, failure.cause, self.state())
+            }
+        };
+        self.writer.answer(&answer).await
+    }
+
+    /// The open transaction's route, or the newest of the database.
+    fn route_now(&mut self) -> Option<sync::Arc<view::Route>> {
+        if let Some(route) = &self.route {
+            return Some(route.clone());
+        }
+        let view = self.context.views.borrow();
+        view.catalog.routes.get(self.database).cloned()
+    }
+
+    async fn ask_member(
+        &mut self,
+        route: &sync::Arc<view::Route>,
+        call: &attempt::Call<'_>,
+    ) -> Result<answer::Answer, attempt::Failure> {
+        if let Some(lent) = &mut self.lent {
+            attempt::equip(lent, &self.session, None, call)
+                .await
+                .map_err(|_| attempt::Failure {
+                    code: answer::Code::Aborted,
+                    cause: "the connection broke inside the transaction",
+                })?;
+            return attempt::run(self.context, &route.group, lent, call, None).await;
+        }
+        let begin = match self.session.transaction {
+            session::Transaction::Open { read_only } => Some(read_only),
+            session::Transaction::None | session::Transaction::Failed => None,
+        };
+        let only_reads = begin.unwrap_or(call.access == statement::Access::Read);
+        let want = want(route, only_reads, self.session.own);
+        let ran =
+            attempt::start(self.context, &self.session, route, want, begin, *call).await?;
+        self.lent = Some(ran.lent);
+        self.route = begin.map(|_| route.clone());
+        Ok(ran.answer)
+    }
+
+    /// Keeps or gives back the connection, by what the member answered.
+    async fn settle(
+        &mut self,
+        mut answer: answer::Answer,
+        access: statement::Access,
+        is_open: bool,
+        is_commit: bool,
+    ) -> answer::Answer {
+        let has_failed = answer.code().is_some();
+        let writes = access == statement::Access::Write && !is_commit;
+        if !has_failed {
+            self.has_written |= writes;
+        }
+        let ends = is_commit || !is_open;
+        if ends && !has_failed {
+            let is_kept = if is_commit { self.has_written } else { writes };
+            let at_primary = self.lent.as_ref().is_some_and(|l| l.is_primary());
+            self.note_own(answer.position, is_kept, at_primary);
+        }
+        if ends {
+            self.session.transaction = session::Transaction::None;
+            self.give_back(has_failed && answer.state != answer::State::Idle)
+                .await;
+        } else if has_failed {
+            self.session.transaction = session::Transaction::Failed;
+            self.give_back(true).await;
+        }
+        answer.state = self.state();
+        answer
+    }
+
+    /// Remembers what the session must see from now on.
+    fn note_own(&mut self, position: Option<position::Position>, is_kept: bool, primary: bool) {
+        let Some(position) = position else {
+            return;
+        };
+        let now = clock::now();
+        if is_kept {
+            self.session.own = Some((position, now));
+            return;
+        }
+        let is_older = |own: &(position::Position, Timestamp)| own.0.term < position.term;
+        if primary && self.session.own.as_ref().is_some_and(is_older) {
+            // The new primary holds what is left of the session's commits.
+            self.session.own = Some((position, now));
+        }
+    }
+
+    async fn give_back(&mut self, must_roll_back: bool) {
+        self.route = None;
+        let Some(mut lent) = self.lent.take() else {
+            return;
+        };
+        if must_roll_back {
+            roll_back(&mut lent).await;
+        }
+    }
+
+    /// Rolls back and gives back the connection of an open transaction.
+    async fn release(&mut self) {
+        self.give_back(true).await;
+    }
+
+    /// Ends an open transaction whose caller hears of it with its next request.
+    async fn fail(&mut self, cause: &str) {
+        log::info!(
+            "event=transaction_ended caller={} database={} cause={cause}",
+            self.caller,
+            self.database
+        );
+        self.release().await;
+        self.session.transaction = session::Transaction::Failed;
+    }
+
+    fn note(
+        &self,
+        request: &statement::Request<'_>,
+        route: &view::Route,
+        result: &Result<answer::Answer, attempt::Failure>,
+        took: time::Duration,
+    ) {
+        let (code, cause) = match result {
+            Ok(answer) => match &answer.end {
+                answer::End::Done(_) => (None, ""),
+                answer::End::Refused { code, .. } => (Some(*code), "the member refused"),
+            },
+            Err(failure) => (Some(failure.code), failure.cause),
+        };
+        self.context.metrics.answered(route, code, took);
+        let Some(code) = code else {
+            if took > route.target {
+                log::info!(
+                    "event=late id={} caller={} database={} group={} took_ms={} target_ms={}",
+                    request.id,
+                    self.caller,
+                    self.database,
+                    route.group,
+                    took.as_millis(),
+                    route.target.as_millis()
+                );
+            }
+            return;
+        };
+        let now = clock::now();
+        let lease = self.context.standing.borrow().until;
+        log::info!(
+            "event=failed id={} caller={} database={} group={} code={} took_ms={} lease_left_ms={} cause=\"{cause}\"",
+            request.id,
+            self.caller,
+            self.database,
+            route.group,
+            code.as_str(),
+            took.as_millis(),
+            lease.since(now).as_millis()
+        );
+    }
+}
+
+fn want(
+    route: &view::Route,
+    only_reads: bool,
+    own: Option<(position::Position, Timestamp)>,
+) -> line::Want {
+    if !only_reads {
+        return line::Want::Primary;
+    }
+    match route.consistency {
+        view::Consistency::Primary => line::Want::Primary,
+        view::Consistency::Bounded(staleness) => line::Want::Read {
+            staleness,
+            own: None,
+        },
+        view::Consistency::OwnWrites(staleness) => line::Want::Read { staleness, own },
+    }
+}
+
+async fn roll_back<L: link::Link>(lent: &mut lent::Lent<L>) {
+    let Some(wired) = &mut lent.wired else {
+        return;
+    };
+    let rolling = wired.link.prepare(&[link::Command::Rollback]);
+    let done = tokio::time::timeout(ROLLBACK_TIMEOUT, rolling).await;
+    if !matches!(done, Ok(Ok(_))) {
+        lent.wired = None;
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/src/follow.rs
@@ -0,0 +1,102 @@
+//! The task that follows all objects of one kind.
+
+use std::collections;
+use std::time;
+
+use tokio::sync::watch;
+
+use crate::store;
+
+/// Longest wait of one watch.
+const WAIT: time::Duration = time::Duration::from_millis(5_000);
+
+/// Time beyond the wait after which a watch counts as lost.
+const GRACE: time::Duration = time::Duration::from_millis(1_000);
+
+/// Longest wait for a listing.
+const LIST_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Pause after a failure.
+const RETRY: time::Duration = time::Duration::from_millis(200);
+
+/// The objects of a kind, by name.
+pub type Documents = collections::BTreeMap<String, store::Document>;
+
+/// What a follower hands on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Health {
+    /// It sees the store's present objects.
+    Following,
+    /// It lost the store.
+    Lost(String),
+}
+
+/// Follows a kind until `take` has no use for it any more. `restart` changes when the
+/// store answers again after an outage: watches from before it are of no use.
+pub fn start<S: store::Store>(
+    store: S,
+    kind: &'static str,
+    mut restart: watch::Receiver<u64>,
+    mut take: impl FnMut(&Documents) + 'static,
+) {
+    tokio::task::spawn_local(async move {
+        let mut health = Health::Following;
+        loop {
+            let problem = tokio::select! {
+                problem = follow(&store, kind, &mut take) => problem,
+                changed = restart.changed() => match changed {
+                    Ok(()) => continue,
+                    Err(_) => return,
+                },
+            };
+            let lost = Health::Lost(problem);
+            if health != lost {
+                log::info!("event=follow_lost kind={kind} problem={lost:?}");
+                health = lost;
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    });
+}
+
+/// Lists, then watches until something fails; returns the problem.
+async fn follow<S: store::Store>(
+    store: &S,
+    kind: &str,
+    take: &mut impl FnMut(&Documents),
+) -> String {
+    let listing = match tokio::time::timeout(LIST_TIMEOUT, store.list(kind)).await {
+        Ok(Ok(listing)) => listing,
+        Ok(Err(error)) => return error.to_string(),
+        Err(_) => return "listing timed out".to_owned(),
+    };
+    let mut documents = Documents::new();
+    for document in listing.documents {
+        documents.insert(document.name.clone(), document);
+    }
+    let mut revision = listing.revision;
+    take(&documents);
+    loop {
+        let watching = tokio::time::timeout(WAIT + GRACE, store.watch(kind, revision, WAIT));
+        let (changes, at) = match watching.await {
+            Ok(Ok(news)) => news,
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => return "watch timed out".to_owned(),
+        };
+        revision = at;
+        if changes.is_empty() {
+            continue;
+        }
+        for change in changes {
+            match change {
+                store::Change::Put(document) => {
+                    documents.insert(document.name.clone(), document);
+                }
+                store::Change::Removed(name) => {
+                    documents.remove(&name);
+                }
+            }
+        }
+        take(&documents);
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -0,0 +1,363 @@
+//! The task of one group: it owns the pool and opens connections.
+
+use std::collections;
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::suspicion;
+use cardamomhold_pool::line;
+use cardamomhold_pool::member;
+use cardamomhold_pool::pool;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::answer;
+use crate::clock;
+use crate::keeper;
+use crate::lent;
+use crate::link;
+use crate::metrics;
+use crate::view;
+
+/// Longest time to open a connection.
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Connections of each member that are left for orders and for restarted instances.
+const SPARE: usize = 2;
+
+/// Least time between two reports that the primary can't be reached.
+const REPORT_EVERY: time::Duration = time::Duration::from_millis(200);
+
+/// What the task is told.
+#[derive(Debug)]
+pub enum Message<L> {
+    /// Work asks for a connection.
+    Ask {
+        /// The work; the task gives it its identity.
+        ask: line::Ask,
+        /// Gets the connection.
+        reply: oneshot::Sender<Result<lent::Lent<L>, pool::Reason>>,
+    },
+    /// A connection comes back, or is gone.
+    Back {
+        /// Its member.
+        member: name::MemberName,
+        /// The connection.
+        wired: Option<lent::Wired<L>>,
+        /// How its use ended.
+        ended: pool::Ended,
+        /// The newest position that it gave, and when that statement was sent.
+        seen: Option<(Timestamp, position::Position)>,
+    },
+    /// A connection was opened, or not.
+    Opened {
+        /// For what.
+        grant: pool::Grant<lent::Wired<L>>,
+        /// When it was asked for.
+        sent: Timestamp,
+        /// The connection, with the position of the member's log.
+        result: Result<(L, Option<position::Position>), link::LinkError>,
+    },
+    /// A statement has been without an answer for long.
+    Doubt(name::MemberName),
+}
+
+/// Handle of the task.
+pub type Handle<L> = mpsc::UnboundedSender<Message<L>>;
+
+/// What the task works with.
+#[derive(Debug)]
+pub struct Context<C: link::Connector> {
+    /// The group.
+    pub group: name::GroupName,
+    /// The zone of this instance.
+    pub zone: String,
+    /// Opens connections.
+    pub connector: C,
+    /// The published view.
+    pub views: watch::Receiver<view::View>,
+    /// The published lease.
+    pub standing: watch::Receiver<view::Standing>,
+    /// The keeper, which hears what is seen of the primary.
+    pub keeper: keeper::Handle,
+    /// Where the load is shown.
+    pub metrics: metrics::Metrics,
+}
+
+struct Waiting<L> {
+    ask: line::Ask,
+    reply: oneshot::Sender<Result<lent::Lent<L>, pool::Reason>>,
+}
+
+struct Task<C: link::Connector> {
+    context: Context<C>,
+    pool: pool::Pool<lent::Wired<C::Link>>,
+    waiting: collections::HashMap<u64, Waiting<C::Link>>,
+    next_id: u64,
+    handle: Handle<C::Link>,
+    reported: Timestamp,
+    sighted: suspicion::Sight,
+}
+
+/// Starts the task; it ends when the group is no longer configured.
+pub fn start<C: link::Connector>(context: Context<C>) -> Handle<C::Link> {
+    let (handle, mailbox) = mpsc::unbounded_channel();
+    let task = Task {
+        context,
+        pool: pool::Pool::new(),
+        waiting: collections::HashMap::new(),
+        next_id: 0,
+        handle: handle.clone(),
+        reported: Timestamp(0),
+        sighted: suspicion::Sight::Reached,
+    };
+    tokio::task::spawn_local(task.run(mailbox));
+    handle
+}
+
+impl<C: link::Connector> Task<C> {
+    async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Message<C::Link>>) {
+        self.adopt();
+        loop {
+            let now = clock::now();
+            let wake = self.pool.wake(now);
+            let is_waiting = wake.is_some();
+            tokio::select! {
+                message = mailbox.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                changed = self.context.views.changed() => {
+                    if changed.is_err() || !self.adopt() {
+                        return;
+                    }
+                }
+                changed = self.context.standing.changed(), if is_waiting => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = tokio::time::sleep_until(clock::instant(wake.unwrap_or(now))),
+                    if is_waiting => {}
+            }
+            self.decide();
+        }
+    }
+
+    /// Takes over the view; false when the group is no longer configured.
+    fn adopt(&mut self) -> bool {
+        let view = self.context.views.borrow_and_update().clone();
+        let group = &self.context.group;
+        let spec = view.catalog.groups.iter().find(|g| g.name == *group);
+        let Some(spec) = spec else {
+            return false;
+        };
+        let mut infos = Vec::new();
+        for member in view.members.values() {
+            if member.group != *group {
+                continue;
+            }
+            infos.push(member::MemberInfo {
+                name: &member.name,
+                is_near: member.zone == self.context.zone,
+                is_ready: member.state == view::MemberState::Ready,
+            });
+        }
+        let cap = spec.connections.saturating_sub(SPARE) / view.instances.max(1);
+        self.pool.set_members(&infos, cap);
+        self.pool.set_primary(view.primary(group.as_str()));
+        true
+    }
+
+    fn is_leased(&self, now: Timestamp) -> bool {
+        self.context.standing.borrow().is_valid(now)
+    }
+
+    fn handle(&mut self, message: Message<C::Link>) {
+        let now = clock::now();
+        match message {
+            Message::Ask { mut ask, reply } => {
+                self.next_id += 1;
+                ask.id = self.next_id;
+                self.pool.ask(ask.clone());
+                self.waiting.insert(ask.id, Waiting { ask, reply });
+            }
+            Message::Back {
+                member,
+                wired,
+                ended,
+                seen,
+            } => self.take_back(now, &member, wired, ended, seen),
+            Message::Opened {
+                grant,
+                sent,
+                result,
+            } => self.opened(now, grant, sent, result),
+            Message::Doubt(member) => self.report(now, &member, suspicion::Sight::Failed),
+        }
+    }
+
+    fn take_back(
+        &mut self,
+        now: Timestamp,
+        member: &name::MemberName,
+        wired: Option<lent::Wired<C::Link>>,
+        ended: pool::Ended,
+        seen: Option<(Timestamp, position::Position)>,
+    ) {
+        let is_leased = self.is_leased(now);
+        if let Some((sent, position)) = seen {
+            self.pool.observe(member, sent, position, is_leased);
+        }
+        match ended {
+            pool::Ended::Failed => self.report(now, member, suspicion::Sight::Failed),
+            pool::Ended::Answered(_) => self.report(now, member, suspicion::Sight::Reached),
+            pool::Ended::Full | pool::Ended::Lacks(_) | pool::Ended::Unused => {}
+        }
+        self.pool.give_back(now, member, wired, ended);
+    }
+
+    /// Tells the keeper what was seen of the primary: each change, and failures again and
+    /// again.
+    fn report(&mut self, now: Timestamp, member: &name::MemberName, sight: suspicion::Sight) {
+        let view = self.context.views.borrow();
+        if view.primary(self.context.group.as_str()) != Some(member) {
+            return;
+        }
+        drop(view);
+        let is_news = sight != self.sighted;
+        let is_due = now.since(self.reported) >= REPORT_EVERY;
+        if !is_news && (sight == suspicion::Sight::Reached || !is_due) {
+            return;
+        }
+        self.sighted = sight;
+        self.reported = now;
+        self.context.keeper.tell(keeper::Event::Sight {
+            group: self.context.group.clone(),
+            member: member.clone(),
+            sight,
+        });
+    }
+
+    fn decide(&mut self) {
+        let now = clock::now();
+        let is_leased = self.is_leased(now);
+        for decision in self.pool.poll(now, is_leased) {
+            match decision {
+                pool::Decision::Grant(grant) => self.grant(now, grant),
+                pool::Decision::Refuse { id, reason } => {
+                    if let Some(waiting) = self.waiting.remove(&id) {
+                        // A caller that has left needs no refusal.
+                        let _ = waiting.reply.send(Err(reason));
+                    }
+                }
+            }
+        }
+        self.context.metrics.waiting(&self.context.group, self.pool.waiting());
+    }
+
+    fn grant(&mut self, now: Timestamp, mut grant: pool::Grant<lent::Wired<C::Link>>) {
+        if let Some(wired) = grant.link.take() {
+            self.lend(wired, grant);
+            return;
+        }
+        let Some(target) = self.target(&grant.member) else {
+            self.pool
+                .give_back(now, &grant.member, None, pool::Ended::Failed);
+            self.ask_again(grant.id);
+            return;
+        };
+        self.context.metrics.opened(&grant.member);
+        let connector = self.context.connector.clone();
+        let handle = self.handle.clone();
+        tokio::task::spawn_local(async move {
+            let sent = clock::now();
+            let opening = tokio::time::timeout(OPEN_TIMEOUT, connector.open(&target));
+            let result = opening.await.unwrap_or_else(|elapsed| {
+                Err(link::LinkError::Broken(elapsed.into()))
+            });
+            // A group task that has ended needs no connection.
+            let _ = handle.send(Message::Opened {
+                grant,
+                sent,
+                result,
+            });
+        });
+    }
+
+    fn target(&self, member: &name::MemberName) -> Option<link::Target> {
+        let view = self.context.views.borrow();
+        let found = view.members.get(member.as_str())?;
+        Some(link::Target {
+            group: self.context.group.clone(),
+            member: member.clone(),
+            address: found.address,
+        })
+    }
+
+    fn opened(
+        &mut self,
+        now: Timestamp,
+        grant: pool::Grant<lent::Wired<C::Link>>,
+        sent: Timestamp,
+        result: Result<(C::Link, Option<position::Position>), link::LinkError>,
+    ) {
+        match result {
+            Ok((link, position)) => {
+                if let Some(position) = position {
+                    let is_leased = self.is_leased(now);
+                    self.pool.observe(&grant.member, sent, position, is_leased);
+                }
+                self.report(now, &grant.member, suspicion::Sight::Reached);
+                self.lend(lent::Wired::new(link), grant);
+            }
+            Err(error) => {
+                log::info!(
+                    "event=open_failed group={} member={} took_ms={} error=\"{error}\"",
+                    self.context.group,
+                    grant.member,
+                    now.since(sent).as_millis()
+                );
+                let ended = match error {
+                    link::LinkError::Refused(answer::Code::TooMany | answer::Code::Busy) => {
+                        pool::Ended::Full
+                    }
+                    link::LinkError::Refused(_)
+                    | link::LinkError::Broken(_)
+                    | link::LinkError::Garbled => pool::Ended::Failed,
+                };
+                if ended == pool::Ended::Failed {
+                    self.report(now, &grant.member, suspicion::Sight::Failed);
+                }
+                self.pool.give_back(now, &grant.member, None, ended);
+                self.ask_again(grant.id);
+            }
+        }
+    }
+
+    fn ask_again(&mut self, id: u64) {
+        if let Some(waiting) = self.waiting.get(&id) {
+            self.pool.ask(waiting.ask.clone());
+        }
+    }
+
+    fn lend(
+        &mut self,
+        wired: lent::Wired<C::Link>,
+        grant: pool::Grant<lent::Wired<C::Link>>,
+    ) {
+        let Some(waiting) = self.waiting.remove(&grant.id) else {
+            return;
+        };
+        let view = self.context.views.borrow();
+        let record = view.leaderships.get(self.context.group.as_str());
+        let change = record.filter(|_| grant.is_primary).map(|r| r.change);
+        drop(view);
+        let lent = lent::Lent::new(wired, grant, change, self.handle.clone());
+        // A caller that has left drops the connection, which sends it back.
+        let _ = waiting.reply.send(Ok(lent));
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/src/groups.rs
@@ -0,0 +1,79 @@
+//! The task that keeps one group task for each configured group.
+
+use std::collections;
+use std::rc;
+
+use cardamomhold_core::name;
+use tokio::sync::watch;
+
+use crate::group;
+use crate::keeper;
+use crate::link;
+use crate::metrics;
+use crate::view;
+
+/// The handles of all group tasks.
+pub type Groups<L> = rc::Rc<collections::BTreeMap<name::GroupName, group::Handle<L>>>;
+
+/// What the task works with.
+#[derive(Debug, Clone)]
+pub struct Context<C: link::Connector> {
+    /// The zone of this instance.
+    pub zone: String,
+    /// Opens connections.
+    pub connector: C,
+    /// The published view.
+    pub views: watch::Receiver<view::View>,
+    /// The published lease.
+    pub standing: watch::Receiver<view::Standing>,
+    /// The keeper.
+    pub keeper: keeper::Handle,
+    /// Metrics of the instance.
+    pub metrics: metrics::Metrics,
+}
+
+/// Starts the task and returns where it publishes the handles.
+pub fn start<C: link::Connector>(context: Context<C>) -> watch::Receiver<Groups<C::Link>> {
+    let (published, handles) = watch::channel(Groups::default());
+    tokio::task::spawn_local(run(context, published));
+    handles
+}
+
+async fn run<C: link::Connector>(
+    mut context: Context<C>,
+    published: watch::Sender<Groups<C::Link>>,
+) {
+    loop {
+        let catalog = context.views.borrow_and_update().catalog.clone();
+        let known = published.borrow().clone();
+        let mut next = collections::BTreeMap::new();
+        for spec in &catalog.groups {
+            let known = known.get(spec.name.as_str());
+            let handle = known.filter(|h| !h.is_closed()).cloned();
+            let handle = handle.unwrap_or_else(|| start_group(&context, &spec.name));
+            next.insert(spec.name.clone(), handle);
+        }
+        if next.len() != known.len() || !next.keys().eq(known.keys()) {
+            // Nobody listens any more only while the process ends.
+            let _ = published.send(rc::Rc::new(next));
+        }
+        if context.views.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn start_group<C: link::Connector>(
+    context: &Context<C>,
+    group: &name::GroupName,
+) -> group::Handle<C::Link> {
+    group::start(group::Context {
+        group: group.clone(),
+        zone: context.zone.clone(),
+        connector: context.connector.clone(),
+        views: context.views.clone(),
+        standing: context.standing.clone(),
+        keeper: context.keeper.clone(),
+        metrics: context.metrics.clone(),
+    })
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -0,0 +1,529 @@
+//! The task that brings a group under another primary, and the one that writes a group's
+//! first leadership.
+//!
+//! Each step is derived from the store and the members, so that any instance can go on
+//! where another stopped.
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::acks;
+use cardamomhold_lead::candidate;
+use cardamomhold_lead::duty;
+use cardamomhold_lead::record;
+use cardamomhold_lead::suspicion;
+use tokio::sync::mpsc;
+
+use crate::clock;
+use crate::control;
+use crate::keeper;
+use crate::link;
+use crate::link::Link as _;
+use crate::promoter;
+use crate::store;
+
+/// Longest wait for one call of the store.
+const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// Longest wait for a member's answer to an order.
+const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// Longest wait for the platform's answer to a promotion.
+const PROMOTE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Time that open transactions get at a primary that is handed over.
+const DRAIN: time::Duration = time::Duration::from_millis(300);
+
+/// Longest wait for a replica to catch up with a primary that is handed over.
+const CATCH_UP: time::Duration = time::Duration::from_millis(700);
+
+/// Pause between two looks at the members.
+const LOOK_EVERY: time::Duration = time::Duration::from_millis(80);
+
+/// Time for a promoted member to lead.
+const LEAD_TIMEOUT: time::Duration = time::Duration::from_millis(4_000);
+
+/// Time after which a handover ends without success; another one goes on.
+const LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Time for which the former primary is told that it was replaced.
+const DEMOTE_FOR: time::Duration = time::Duration::from_secs(8);
+
+/// Why a handover ended without success.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HandoverError {
+    /// The store gave no answer.
+    Store(store::StoreError),
+    /// Another instance holds the duty or changed the leadership.
+    Overtaken,
+    /// No member can take over now.
+    NoCandidate,
+    /// The promotion was not confirmed.
+    Unconfirmed,
+    /// It took too long.
+    OutOfTime,
+}
+
+impl std::fmt::Display for HandoverError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Store(error) => write!(f, "store: {error}"),
+            Self::Overtaken => f.write_str("overtaken by another instance"),
+            Self::NoCandidate => f.write_str("no member can take over"),
+            Self::Unconfirmed => f.write_str("the promotion was not confirmed"),
+            Self::OutOfTime => f.write_str("out of time"),
+        }
+    }
+}
+
+impl std::error::Error for HandoverError {}
+
+impl From<store::StoreError> for HandoverError {
+    fn from(error: store::StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+/// The edges that a handover works with.
+#[derive(Debug, Clone)]
+pub struct Edges<S, C, P> {
+    /// The store.
+    pub store: S,
+    /// Opens connections to members.
+    pub connector: C,
+    /// Promotes.
+    pub promoter: P,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// This instance.
+    pub own: name::InstanceName,
+    /// The group.
+    pub group: name::GroupName,
+    /// Why.
+    pub cause: suspicion::Cause,
+    /// The group's members that are known.
+    pub members: Vec<link::Target>,
+    /// Members that leave.
+    pub leaving: Vec<name::MemberName>,
+    /// Registered instances.
+    pub voters: Vec<name::InstanceName>,
+}
+
+struct Run<'a, S, C, P> {
+    edges: &'a Edges<S, C, P>,
+    job: &'a Job,
+    keeper: &'a keeper::Handle,
+    duty: duty::Duty,
+    record: record::Leadership,
+    revision: u64,
+    looked: Timestamp,
+}
+
+/// Brings the group under another primary.
+///
+/// # Errors
+/// [`HandoverError`]; what was begun is left for the next attempt, of any instance.
+pub async fn run<S, C, P>(
+    edges: &Edges<S, C, P>,
+    job: &Job,
+    keeper: &keeper::Handle,
+) -> Result<name::MemberName, HandoverError>
+where
+    S: store::Store,
+    C: link::Connector,
+    P: promoter::Promoter,
+{
+    let running = async {
+        let mut run = Run::begin(edges, job, keeper).await?;
+        run.finish().await
+    };
+    tokio::time::timeout(LIMIT, running)
+        .await
+        .unwrap_or(Err(HandoverError::OutOfTime))
+}
+
+async fn in_time<T>(
+    calling: impl Future<Output = Result<T, store::StoreError>>,
+) -> Result<T, store::StoreError> {
+    let lost = store::StoreError::Lost("timeout".to_owned());
+    tokio::time::timeout(STORE_TIMEOUT, calling)
+        .await
+        .unwrap_or(Err(lost))
+}
+
+async fn look<S: store::Store>(store: &S) -> Result<control::Control, store::StoreError> {
+    let listing = in_time(store.list(store::CONTROL)).await?;
+    Ok(control::Control::read(&listing))
+}
+
+impl<'a, S, C, P> Run<'a, S, C, P>
+where
+    S: store::Store,
+    C: link::Connector,
+    P: promoter::Promoter,
+{
+    /// Takes the duty and ends the present leadership.
+    async fn begin(
+        edges: &'a Edges<S, C, P>,
+        job: &'a Job,
+        keeper: &'a keeper::Handle,
+    ) -> Result<Self, HandoverError> {
+        let looked = clock::now();
+        let known = look(&edges.store).await?;
+        let duty = take_duty(edges, job, &known).await?;
+        let found = known.records.get(job.group.as_str());
+        let (record, revision) = found.cloned().ok_or(HandoverError::Overtaken)?;
+        let mut run = Self {
+            edges,
+            job,
+            keeper,
+            duty,
+            record,
+            revision,
+            looked,
+        };
+        if run.record.primary.is_some() {
+            run.write(run.record.ended()).await?;
+        }
+        Ok(run)
+    }
+
+    /// Writes the next record and tells everybody.
+    async fn write(&mut self, next: record::Leadership) -> Result<(), HandoverError> {
+        let condition = store::Condition::Revision(self.revision);
+        let written = in_time(control::write_record(&self.edges.store, &next, condition)).await;
+        match written {
+            Ok(store::Written::Done(document)) => self.revision = document.revision,
+            Ok(store::Written::Conflict) => return Err(HandoverError::Overtaken),
+            Err(error) => {
+                // The answer may be lost, and the write in force.
+                let known = look(&self.edges.store).await?;
+                let found = known.records.get(self.job.group.as_str());
+                let Some((_, revision)) = found.filter(|(record, _)| *record == next) else {
+                    return Err(HandoverError::Store(error));
+                };
+                self.revision = *revision;
+            }
+        }
+        log::info!(
+            "event=leadership_written group={} change={} primary={} term={} cause={} token={}",
+            next.group,
+            next.change,
+            next.primary.as_ref().map_or("none", |p| p.as_str()),
+            next.term,
+            self.job.cause.as_str(),
+            self.duty.token
+        );
+        self.record = next;
+        Ok(())
+    }
+
+    async fn finish(&mut self) -> Result<name::MemberName, HandoverError> {
+        let (acked, mut acks) = mpsc::unbounded_channel();
+        self.announce(Some(acked));
+        let mut over = acks::Acks::new(self.job.voters.iter().cloned());
+        if self.job.cause == suspicion::Cause::Leaving {
+            self.wait_for(&mut over, &mut acks, DRAIN).await;
+        }
+        let last = match self.job.cause {
+            suspicion::Cause::Leaving | suspicion::Cause::Gone => self.retire().await,
+            suspicion::Cause::Unreachable | suspicion::Cause::Unfinished => {
+                self.demote_former(self.record.term.next());
+                None
+            }
+        };
+        let mut tried = Vec::new();
+        loop {
+            self.wait_for(&mut over, &mut acks, LOOK_EVERY).await;
+            let statuses = self.statuses().await;
+            let candidates = candidates(&statuses);
+            if let Some(found) = candidate::promoted(&candidates, self.record.term) {
+                let member = found.name.clone();
+                return self.conclude(&member, found.status.term).await;
+            }
+            let former = self.record.former.as_ref();
+            let Some(best) = candidate::choose(&candidates, former, &tried) else {
+                if tried.is_empty() {
+                    return Err(HandoverError::NoCandidate);
+                }
+                tried.clear();
+                continue;
+            };
+            let is_level = last.is_none_or(|(position, since)| {
+                best.status.received >= position || clock::now().since(since) > CATCH_UP
+            });
+            if !over.is_over(clock::now()) || !is_level {
+                continue;
+            }
+            let member = best.name.clone();
+            match self.promote(&member).await? {
+                Some(term) => return self.conclude(&member, term).await,
+                None => tried.push(member),
+            }
+        }
+    }
+
+    fn announce(&self, acks: Option<mpsc::UnboundedSender<name::InstanceName>>) {
+        self.keeper.tell(keeper::Event::Announce {
+            record: self.record.clone(),
+            acks,
+        });
+    }
+
+    /// Takes acknowledgements for a while.
+    async fn wait_for(
+        &self,
+        over: &mut acks::Acks,
+        acks: &mut mpsc::UnboundedReceiver<name::InstanceName>,
+        span: time::Duration,
+    ) {
+        let until = tokio::time::Instant::now() + span;
+        let was_over = over.is_over(clock::now());
+        while let Ok(Some(voter)) = tokio::time::timeout_at(until, acks.recv()).await {
+            over.ack(clock::now(), &voter);
+            if !was_over && over.is_over(clock::now()) {
+                return;
+            }
+        }
+    }
+
+    /// Tells the former primary that it leads no longer; returns its last position.
+    async fn retire(&self) -> Option<(position::Position, Timestamp)> {
+        let former = self.record.former.as_ref()?;
+        let target = self.job.members.iter().find(|t| t.member == *former)?;
+        let status = order(&self.edges.connector, target, link::Order::Status)
+            .await
+            .ok()?;
+        let term = status.term.max(self.record.term).next();
+        let demoted = order(&self.edges.connector, target, link::Order::Demote(term)).await;
+        log::info!(
+            "event=demoted group={} member={former} term={term} received={} ok={}",
+            self.job.group,
+            status.received,
+            demoted.is_ok()
+        );
+        let last = demoted.map_or(status.received, |s| s.received);
+        Some((last, clock::now()))
+    }
+
+    async fn statuses(&self) -> Vec<(name::MemberName, candidate::Status)> {
+        let mut asked = Vec::new();
+        for target in &self.job.members {
+            let is_former = self.record.former.as_ref() == Some(&target.member);
+            if is_former || self.job.leaving.contains(&target.member) {
+                continue;
+            }
+            let connector = self.edges.connector.clone();
+            let target = target.clone();
+            asked.push(tokio::task::spawn_local(async move {
+                let status = order(&connector, &target, link::Order::Status).await;
+                status.ok().map(|s| (target.member, s))
+            }));
+        }
+        let mut statuses = Vec::new();
+        for answer in asked {
+            if let Ok(Some(status)) = answer.await {
+                statuses.push(status);
+            }
+        }
+        statuses
+    }
+
+    /// Promotes a member; returns its term once it leads, none when it can't be promoted.
+    async fn promote(
+        &mut self,
+        member: &name::MemberName,
+    ) -> Result<Option<position::Term>, HandoverError> {
+        if clock::now().since(self.looked) > duty::FRESH {
+            self.look_again().await?;
+        }
+        if clock::now().since(self.looked) > duty::FRESH {
+            return Err(HandoverError::OutOfTime);
+        }
+        let sent = clock::now();
+        let promoting = self
+            .edges
+            .promoter
+            .promote(&self.job.group, member, &self.duty);
+        let lost = promoter::PromoteError::Lost("timeout".to_owned());
+        let promoted = tokio::time::timeout(PROMOTE_TIMEOUT, promoting)
+            .await
+            .unwrap_or(Err(lost));
+        log::info!(
+            "event=promotion group={} member={member} token={} took_ms={} result=\"{}\"",
+            self.job.group,
+            self.duty.token,
+            clock::now().since(sent).as_millis(),
+            promoted.as_ref().err().map_or("ok".to_owned(), ToString::to_string)
+        );
+        match promoted {
+            Err(promoter::PromoteError::Rejected(_)) => return Ok(None),
+            Err(promoter::PromoteError::Refused(_)) => {
+                tokio::time::sleep(LOOK_EVERY).await;
+                return Ok(None);
+            }
+            Ok(()) | Err(promoter::PromoteError::Lost(_)) => {}
+        }
+        self.await_lead(member).await
+    }
+
+    /// Whether the duty and the record are still this instance's.
+    async fn look_again(&mut self) -> Result<(), HandoverError> {
+        let looked = clock::now();
+        let known = look(&self.edges.store).await?;
+        let is_mine = known.duty.is_some_and(|(d, _)| d == self.duty);
+        let found = known.records.get(self.job.group.as_str());
+        if !is_mine || found.is_none_or(|(record, _)| *record != self.record) {
+            return Err(HandoverError::Overtaken);
+        }
+        self.looked = looked;
+        Ok(())
+    }
+
+    async fn await_lead(
+        &self,
+        member: &name::MemberName,
+    ) -> Result<Option<position::Term>, HandoverError> {
+        let target = self.job.members.iter().find(|t| t.member == *member);
+        let target = target.ok_or(HandoverError::NoCandidate)?;
+        let until = clock::now().after(LEAD_TIMEOUT);
+        while clock::now() < until {
+            let status = order(&self.edges.connector, target, link::Order::Status).await;
+            if let Ok(status) = status
+                && status.role == candidate::Role::Primary
+                && status.term > self.record.term
+            {
+                return Ok(Some(status.term));
+            }
+            tokio::time::sleep(LOOK_EVERY / 2).await;
+        }
+        Ok(None)
+    }
+
+    /// Names the new primary and sees to the former one.
+    async fn conclude(
+        &mut self,
+        member: &name::MemberName,
+        term: position::Term,
+    ) -> Result<name::MemberName, HandoverError> {
+        if self.record.former.as_ref() != Some(member) {
+            self.demote_former(term);
+        }
+        self.write(self.record.taken(member, term)).await?;
+        self.announce(None);
+        Ok(member.clone())
+    }
+
+    /// Starts telling the former primary that a new term has begun or is about to.
+    fn demote_former(&self, term: position::Term) {
+        let former = self.record.former.as_ref();
+        let target = self.job.members.iter().find(|t| Some(&t.member) == former);
+        if let Some(target) = target {
+            let connector = self.edges.connector.clone();
+            tokio::task::spawn_local(demote(connector, target.clone(), term));
+        }
+    }
+}
+
+/// Tells a replaced primary until it has heard.
+async fn demote<C: link::Connector>(connector: C, target: link::Target, term: position::Term) {
+    let until = clock::now().after(DEMOTE_FOR);
+    while clock::now() < until {
+        let order = order(&connector, &target, link::Order::Demote(term)).await;
+        if order.is_ok_and(|s| s.role == candidate::Role::Replica) {
+            return;
+        }
+        tokio::time::sleep(ORDER_TIMEOUT).await;
+    }
+}
+
+async fn take_duty<S: store::Store, C, P>(
+    edges: &Edges<S, C, P>,
+    job: &Job,
+    known: &control::Control,
+) -> Result<duty::Duty, HandoverError> {
+    let condition = match &known.duty {
+        Some((duty, _)) if duty.holder == job.own => return Ok(duty.clone()),
+        Some((_, revision)) => store::Condition::Revision(*revision),
+        None => store::Condition::New,
+    };
+    let taken = duty::Duty::taken(known.duty.as_ref().map(|(d, _)| d), &job.own);
+    match in_time(control::write_duty(&edges.store, &taken, condition)).await? {
+        store::Written::Done(_) => {
+            log::info!(
+                "event=duty_taken holder={} token={}",
+                taken.holder,
+                taken.token
+            );
+            Ok(taken)
+        }
+        store::Written::Conflict => Err(HandoverError::Overtaken),
+    }
+}
+
+fn candidates(statuses: &[(name::MemberName, candidate::Status)]) -> Vec<candidate::Candidate<'_>> {
+    let mut candidates = Vec::new();
+    for (name, status) in statuses {
+        candidates.push(candidate::Candidate {
+            name,
+            status: *status,
+        });
+    }
+    candidates
+}
+
+/// Gives a member an order over a connection of its own.
+async fn order<C: link::Connector>(
+    connector: &C,
+    target: &link::Target,
+    order: link::Order,
+) -> Result<candidate::Status, link::LinkError> {
+    let ordering = async {
+        let (mut link, _) = connector.open(target).await?;
+        link.order(order).await
+    };
+    tokio::time::timeout(ORDER_TIMEOUT, ordering)
+        .await
+        .unwrap_or_else(|elapsed| Err(link::LinkError::Broken(elapsed.into())))
+}
+
+/// Writes the first leadership of a group: the primary is the one that says so itself.
+///
+/// # Errors
+/// [`HandoverError`]; to be tried again.
+pub async fn found<S, C, P>(edges: &Edges<S, C, P>, job: &Job) -> Result<(), HandoverError>
+where
+    S: store::Store,
+    C: link::Connector,
+{
+    let mut best: Option<(&name::MemberName, candidate::Status)> = None;
+    for target in &job.members {
+        let Ok(status) = order(&edges.connector, target, link::Order::Status).await else {
+            continue;
+        };
+        if status.role != candidate::Role::Primary {
+            continue;
+        }
+        if best.is_none_or(|(_, b)| status.term > b.term) {
+            best = Some((&target.member, status));
+        }
+    }
+    let (member, status) = best.ok_or(HandoverError::NoCandidate)?;
+    let record = record::Leadership::first(&job.group, member, status.term);
+    in_time(control::write_record(
+        &edges.store,
+        &record,
+        store::Condition::New,
+    ))
+    .await?;
+    let known = look(&edges.store).await?;
+    if known.duty.is_none() {
+        take_duty(edges, job, &known).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -0,0 +1,51 @@
+//! An entry instance that knows no encoding: sessions over pooled connections, the
+//! leaderships it relies on, and the promotion of another member.
+//!
+//! The edges are traits: a [`front`] that callers speak to, a [`link`] to a member, the
+//! [`store`] that keeps what must last, and the platform that promotes. Tasks between them
+//! own their state and talk by messages:
+//!
+//! - [`caller`]: one for each caller's connection,
+//! - [`group`]: one for each database group, with its pool,
+//! - [`keeper`]: leaderships, the lease on them, other instances,
+//! - [`follow`]: one for each kind of object that is watched,
+//! - [`handover`]: one while another member takes over.
+//!
+//! ```
+//! use cardamomhold_entry::session;
+//!
+//! let mut session = session::Session::default();
+//! session.set("tenant", "kalkbok");
+//! let mut at_member = session::Applied::default();
+//! assert_eq!(session.difference(&at_member, None).values.len(), 1);
+//! at_member.take(&session, None);
+//! assert!(session.difference(&at_member, None).is_empty());
+//! ```
+
+pub mod answer;
+pub mod attempt;
+pub mod caller;
+pub mod clock;
+pub mod confirm;
+pub mod control;
+pub mod follow;
+pub mod front;
+pub mod group;
+pub mod groups;
+pub mod handover;
+pub mod keeper;
+pub mod lent;
+pub mod link;
+pub mod logs;
+pub mod message;
+pub mod metrics;
+pub mod needs;
+pub mod peers;
+pub mod promoter;
+pub mod registry;
+pub mod roster;
+pub mod session;
+pub mod statement;
+pub mod stop;
+pub mod store;
+pub mod view;
--- /dev/null
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -0,0 +1,146 @@
+//! Counters, gauges and histograms of an instance.
+
+use std::time;
+
+use cardamomhold_core::name;
+use prometheus::core::Collector;
+
+use crate::answer;
+use crate::view;
+
+/// Upper bounds of the latency histogram, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// The metrics of an instance; clones share them.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: prometheus::Registry,
+    statements: prometheus::HistogramVec,
+    failures: prometheus::IntCounterVec,
+    opened: prometheus::IntCounterVec,
+    waiting: prometheus::IntGaugeVec,
+    calls: prometheus::IntCounterVec,
+    callers: prometheus::IntGauge,
+}
+
+fn counter(
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<prometheus::IntCounterVec, prometheus::Error> {
+    prometheus::IntCounterVec::new(prometheus::Opts::new(name, help), labels)
+}
+
+fn consistency(route: &view::Route) -> &'static str {
+    match route.consistency {
+        view::Consistency::Primary => "primary",
+        view::Consistency::Bounded(_) => "bounded",
+        view::Consistency::OwnWrites(_) => "own_writes",
+    }
+}
+
+impl Metrics {
+    /// Fresh metrics.
+    ///
+    /// # Errors
+    /// [`prometheus::Error`] when a name is not accepted.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let options = prometheus::HistogramOpts::new(
+            "cardamomhold_statement_seconds",
+            "Time from a statement's arrival to its answer",
+        );
+        let labels = ["group", "rank", "consistency"];
+        let metrics = Self {
+            registry: prometheus::Registry::new(),
+            statements: prometheus::HistogramVec::new(options.buckets(BUCKETS.into()), &labels)?,
+            failures: counter(
+                "cardamomhold_failures_total",
+                "Statements without success",
+                &["group", "rank", "code"],
+            )?,
+            opened: counter(
+                "cardamomhold_connections_opened_total",
+                "Connections opened to members",
+                &["member"],
+            )?,
+            waiting: prometheus::IntGaugeVec::new(
+                prometheus::Opts::new(
+                    "cardamomhold_waiting",
+                    "Work that waits for a connection",
+                ),
+                &["group"],
+            )?,
+            calls: counter(
+                "cardamomhold_store_calls_total",
+                "Calls of the store",
+                &["call", "result"],
+            )?,
+            callers: prometheus::IntGauge::new(
+                "cardamomhold_callers",
+                "Open connections of callers",
+            )?,
+        };
+        let collectors: [Box<dyn Collector>; 6] = [
+            Box::new(metrics.statements.clone()),
+            Box::new(metrics.failures.clone()),
+            Box::new(metrics.opened.clone()),
+            Box::new(metrics.waiting.clone()),
+            Box::new(metrics.calls.clone()),
+            Box::new(metrics.callers.clone()),
+        ];
+        for collector in collectors {
+            metrics.registry.register(collector)?;
+        }
+        Ok(metrics)
+    }
+
+    /// Takes note of an answer.
+    pub fn answered(&self, route: &view::Route, code: Option<answer::Code>, took: time::Duration) {
+        let rank = route.rank.to_string();
+        let group = route.group.as_str();
+        self.statements
+            .with_label_values(&[group, &rank, consistency(route)])
+            .observe(took.as_secs_f64());
+        if let Some(code) = code {
+            self.failures
+                .with_label_values(&[group, &rank, code.as_str()])
+                .inc();
+        }
+    }
+
+    /// Takes note of a connection to a member.
+    pub fn opened(&self, member: &name::MemberName) {
+        self.opened.with_label_values(&[member.as_str()]).inc();
+    }
+
+    /// Shows how much work waits.
+    pub fn waiting(&self, group: &name::GroupName, count: usize) {
+        self.waiting
+            .with_label_values(&[group.as_str()])
+            .set(count as i64);
+    }
+
+    /// Takes note of a call of the store.
+    pub fn called(&self, call: &str, result: &str) {
+        self.calls.with_label_values(&[call, result]).inc();
+    }
+
+    /// Takes note that a caller came or left.
+    pub fn callers(&self, change: i64) {
+        self.callers.add(change);
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let encoder = prometheus::TextEncoder::new();
+        match encoder.encode_to_string(&self.registry.gather()) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!("event=metrics_unwritable error=\"{error}\"");
+                String::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -0,0 +1,81 @@
+//! The instances, as they register themselves in the store.
+
+use std::collections;
+use std::net;
+
+use cardamomhold_core::name;
+
+use crate::store;
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Where its datagrams arrive.
+    pub address: net::SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// All registered instances.
+pub type Instances = collections::BTreeMap<name::InstanceName, Entry>;
+
+/// Reads the instances; what can't be read is reported and left out.
+pub fn read(documents: &collections::BTreeMap<String, store::Document>) -> Instances {
+    let mut instances = Instances::new();
+    for document in documents.values() {
+        let name = name::InstanceName::parse(&document.name);
+        let entry = serde_json::from_value(document.content.clone());
+        match (name, entry) {
+            (Ok(name), Ok(entry)) => {
+                instances.insert(name, entry);
+            }
+            _ => log::warn!("event=instance_unreadable name={}", document.name),
+        }
+    }
+    instances
+}
+
+/// Place of an instance in the line of those that take a duty, the holder left out.
+pub fn turn(
+    instances: &Instances,
+    own: &name::InstanceName,
+    holder: Option<&name::InstanceName>,
+) -> u32 {
+    let mut turn = 0;
+    for name in instances.keys() {
+        if name == own {
+            break;
+        }
+        if Some(name) != holder {
+            turn += 1;
+        }
+    }
+    turn
+}
+
+/// Registers an instance.
+///
+/// # Errors
+/// [`store::StoreError`]; to be tried again.
+pub async fn register<S: store::Store>(
+    store: &S,
+    name: &name::InstanceName,
+    entry: &Entry,
+) -> Result<(), store::StoreError> {
+    let content = serde_json::to_value(entry)
+        .map_err(|error| store::StoreError::Garbled(error.to_string()))?;
+    let listing = store.list(store::INSTANCES).await?;
+    let found = listing.documents.iter().find(|d| d.name == name.as_str());
+    let condition = match found {
+        Some(document) if document.content == content => return Ok(()),
+        Some(document) => store::Condition::Revision(document.revision),
+        None => store::Condition::New,
+    };
+    let written = store
+        .write(store::INSTANCES, name.as_str(), &content, condition)
+        .await?;
+    match written {
+        store::Written::Done(_) => Ok(()),
+        store::Written::Conflict => Err(store::StoreError::Lost("written meanwhile".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -0,0 +1,22 @@
+//! The leadership aggregate: who is a group's primary, how long an instance may rely on
+//! knowing it, and when another member takes over.
+//!
+//! Events and the time come in, decisions come out.
+//!
+//! ```
+//! use cardamomhold_core::prelude::*;
+//! use cardamomhold_lead::lease;
+//!
+//! let mut lease = lease::Lease::default();
+//! lease.confirm(Timestamp::from_millis(100));
+//! assert!(lease.is_valid(Timestamp::from_millis(1_500)));
+//! assert!(!lease.is_valid(Timestamp::from_millis(1_700)));
+//! ```
+
+pub mod acks;
+pub mod candidate;
+pub mod duty;
+pub mod lease;
+pub mod record;
+pub mod round;
+pub mod suspicion;
--- /dev/null
+++ b/crates/cardamomhold_lead/src/record.rs
@@ -0,0 +1,87 @@
+//! Leaderships as the store keeps them, and what an instance knows of all of them.
+
+use std::collections;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+
+/// Who is a group's primary.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Leadership {
+    /// The group.
+    pub group: name::GroupName,
+    /// Number of this record; each change raises it by one.
+    pub change: u64,
+    /// The primary; none while another member takes over.
+    pub primary: Option<name::MemberName>,
+    /// The primary before the change that is under way.
+    pub former: Option<name::MemberName>,
+    /// The newest term that is known to have begun.
+    pub term: position::Term,
+}
+
+impl Leadership {
+    /// The first record of a group.
+    pub fn first(
+        group: &name::GroupName,
+        primary: &name::MemberName,
+        term: position::Term,
+    ) -> Self {
+        Self {
+            group: group.clone(),
+            change: 1,
+            primary: Some(primary.clone()),
+            former: None,
+            term,
+        }
+    }
+
+    /// The record that ends the present leadership.
+    pub fn ended(&self) -> Self {
+        Self {
+            change: self.change + 1,
+            primary: None,
+            former: self.primary.clone().or_else(|| self.former.clone()),
+            ..self.clone()
+        }
+    }
+
+    /// The record that names a new primary.
+    pub fn taken(&self, primary: &name::MemberName, term: position::Term) -> Self {
+        Self {
+            change: self.change + 1,
+            primary: Some(primary.clone()),
+            former: None,
+            term,
+            group: self.group.clone(),
+        }
+    }
+}
+
+/// The newest leaderships that an instance knows.
+#[derive(Debug, Clone, Default)]
+pub struct Leaderships {
+    records: collections::BTreeMap<name::GroupName, Leadership>,
+}
+
+impl Leaderships {
+    /// Takes a record; true when it is newer than what was known.
+    pub fn learn(&mut self, record: &Leadership) -> bool {
+        let known = self.records.get(record.group.as_str());
+        if known.is_some_and(|k| k.change >= record.change) {
+            return false;
+        }
+        self.records.insert(record.group.clone(), record.clone());
+        true
+    }
+
+    /// The record of a group.
+    pub fn get(&self, group: &str) -> Option<&Leadership> {
+        self.records.get(group)
+    }
+
+    /// All records, by group.
+    pub fn iter(&self) -> impl Iterator<Item = &Leadership> {
+        self.records.values()
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -0,0 +1,30 @@
+//! The pool aggregate of one group: its members' connections, the line that waits for
+//! them, and the positions that say which replica is fresh enough.
+//!
+//! Events and the time come in, decisions come out; a link is opaque here.
+//!
+//! ```
+//! use cardamomhold_core::prelude::*;
+//! use cardamomhold_pool::prelude::*;
+//!
+//! let mut pool: Pool<&str> = Pool::new();
+//! let member = MemberName::parse("db-1").unwrap();
+//! pool.set_members(&[MemberInfo { name: &member, is_near: true, is_ready: true }], 2);
+//! pool.set_primary(Some(&member));
+//! pool.ask(Ask { id: 1, rank: 0, want: Want::Primary, avoid: vec![], deadline: Timestamp(9), may_wait: true });
+//! let decisions = pool.poll(Timestamp(1), true);
+//! assert!(matches!(&decisions[0], Decision::Grant(g) if g.link.is_none()));
+//! ```
+
+pub mod fresh;
+pub mod line;
+pub mod member;
+pub mod pool;
+
+/// The types that users of the aggregate need most.
+pub mod prelude {
+    pub use crate::fresh::Samples;
+    pub use crate::line::{Ask, Want};
+    pub use crate::member::MemberInfo;
+    pub use crate::pool::{Decision, Ended, Grant, Pool, Reason};
+}
--- /dev/null
+++ b/crates/cardamomhold_pool/src/line.rs
@@ -0,0 +1,77 @@
+//! The line of work that waits for a connection: by rank, then by arrival.
+
+use std::collections;
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+
+/// What a transaction or single statement needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Want {
+    /// The primary, under a valid lease.
+    Primary,
+    /// A member whose data is fresh enough.
+    Read {
+        /// Greatest accepted age.
+        staleness: time::Duration,
+        /// The session's own last commit, and when it was acknowledged.
+        own: Option<(position::Position, Timestamp)>,
+    },
+}
+
+/// Work that asks for a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Identity; never used twice.
+    pub id: u64,
+    /// Rank, 0 the most urgent.
+    pub rank: u8,
+    /// What it needs.
+    pub want: Want,
+    /// Members that just failed it.
+    pub avoid: Vec<name::MemberName>,
+    /// When a connection is no longer of use.
+    pub deadline: Timestamp,
+    /// Whether it waits for a connection; otherwise it takes one now or none.
+    pub may_wait: bool,
+}
+
+/// The waiting work of one group.
+#[derive(Debug, Default)]
+pub struct Line {
+    asks: collections::BTreeMap<(u8, u64), Ask>,
+}
+
+impl Line {
+    /// Takes work in.
+    pub fn push(&mut self, ask: Ask) {
+        self.asks.insert((ask.rank, ask.id), ask);
+    }
+
+    /// Takes out one piece of work; false when it does not wait.
+    pub fn remove(&mut self, rank: u8, id: u64) -> bool {
+        self.asks.remove(&(rank, id)).is_some()
+    }
+
+    /// The work in the order in which it is served.
+    pub fn iter(&self) -> impl Iterator<Item = &Ask> {
+        self.asks.values()
+    }
+
+    /// The earliest deadline.
+    pub fn deadline(&self) -> Option<Timestamp> {
+        self.asks.values().map(|a| a.deadline).min()
+    }
+
+    /// Number of waiting pieces of work.
+    pub fn len(&self) -> usize {
+        self.asks.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.asks.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -0,0 +1,140 @@
+//! One member as its pool sees it: connections, load, position, health.
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+
+/// Service time that is assumed before anything was measured, in microseconds.
+const FIRST_SERVICE_US: f64 = 20_000.0;
+
+/// Part of each new sample in the average service time.
+const WEIGHT: f64 = 1.0 / 8.0;
+
+/// Cost of leaving the zone, as a time, in microseconds.
+const FAR_US: f64 = 4_000.0;
+
+/// Time in which a replica usually applies what it lacked.
+const CATCH_UP: time::Duration = time::Duration::from_millis(60);
+
+/// Pause after a failed connection; doubled with each further one.
+const RETRY: time::Duration = time::Duration::from_millis(50);
+
+/// Longest pause between attempts to connect.
+const MAX_RETRY: time::Duration = time::Duration::from_millis(400);
+
+/// Pause after the member refused work for want of a slot or a connection.
+const FULL: time::Duration = time::Duration::from_millis(10);
+
+/// What the configuration and the members' entries say of a member.
+#[derive(Debug, Clone, Copy)]
+pub struct MemberInfo<'a> {
+    /// Its name.
+    pub name: &'a name::MemberName,
+    /// Whether it is in the instance's own zone.
+    pub is_near: bool,
+    /// Whether it takes new work.
+    pub is_ready: bool,
+}
+
+/// One member.
+#[derive(Debug)]
+pub struct Member<L> {
+    pub(crate) name: name::MemberName,
+    pub(crate) is_near: bool,
+    pub(crate) is_ready: bool,
+    pub(crate) idle: Vec<L>,
+    /// Connections that work uses or that are being opened.
+    pub(crate) lent: usize,
+    service_us: f64,
+    position: Option<position::Position>,
+    lacked: Option<(position::Position, Timestamp)>,
+    failures: u32,
+    closed_until: Timestamp,
+    full_until: Timestamp,
+}
+
+impl<L> Member<L> {
+    pub(crate) fn new(info: &MemberInfo<'_>) -> Self {
+        Self {
+            name: info.name.clone(),
+            is_near: info.is_near,
+            is_ready: info.is_ready,
+            idle: Vec::new(),
+            lent: 0,
+            service_us: FIRST_SERVICE_US,
+            position: None,
+            lacked: None,
+            failures: 0,
+            closed_until: Timestamp(0),
+            full_until: Timestamp(0),
+        }
+    }
+
+    /// Whether a connection is free or may be opened.
+    pub(crate) fn has_room(&self, now: Timestamp, cap: usize) -> bool {
+        self.lent < cap && now >= self.closed_until && now >= self.full_until
+    }
+
+    /// Whether the member failed so lately that reads go elsewhere.
+    pub(crate) fn is_down(&self, now: Timestamp) -> bool {
+        self.failures > 0 && now < self.closed_until
+    }
+
+    /// When a pause ends, if one is under way.
+    pub(crate) fn reopens(&self, now: Timestamp) -> Option<Timestamp> {
+        let at = self.closed_until.max(self.full_until);
+        (at > now).then_some(at)
+    }
+
+    /// Expected time of one more piece of work.
+    pub(crate) fn cost_us(&self) -> f64 {
+        let queue = self.service_us * (self.lent + 1) as f64;
+        let far = if self.is_near { 0.0 } else { FAR_US };
+        queue + far
+    }
+
+    /// Whether the member was seen to hold a position.
+    pub(crate) fn holds(&self, needed: position::Position) -> bool {
+        self.position.is_some_and(|p| p >= needed)
+    }
+
+    /// Whether the member probably holds a position.
+    pub(crate) fn may_hold(&self, now: Timestamp, needed: position::Position) -> bool {
+        if self.holds(needed) {
+            return true;
+        }
+        self.lacked
+            .is_none_or(|(p, at)| needed < p || now >= at.after(CATCH_UP))
+    }
+
+    /// Takes note of a position that the member gave.
+    pub(crate) fn observe(&mut self, position: position::Position) {
+        self.position = Some(position);
+    }
+
+    /// Takes note that the member lacked a position.
+    pub(crate) fn lacks(&mut self, now: Timestamp, needed: position::Position) {
+        self.lacked = Some((needed, now));
+    }
+
+    /// Takes note of an answer and the time that it took.
+    pub(crate) fn answered(&mut self, took: time::Duration) {
+        let sample = took.as_micros() as f64;
+        self.service_us += (sample - self.service_us) * WEIGHT;
+        self.failures = 0;
+    }
+
+    /// Takes note that the member has no slot or connection left.
+    pub(crate) fn full(&mut self, now: Timestamp) {
+        self.full_until = now.after(FULL);
+    }
+
+    /// Takes note of a connection that could not be opened or broke.
+    pub(crate) fn failed(&mut self, now: Timestamp) {
+        let pause = RETRY * 2u32.pow(self.failures.min(3));
+        self.failures += 1;
+        self.closed_until = now.after(pause.min(MAX_RETRY));
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -0,0 +1,332 @@
+//! Who gets which connection of a group, and after which position it reads.
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+
+use crate::fresh;
+use crate::line;
+use crate::member;
+
+/// A replica's usual delay: an own commit that is younger is read at the primary.
+const OWN_DELAY: time::Duration = time::Duration::from_millis(150);
+
+/// A connection for a piece of work.
+#[derive(Debug)]
+pub struct Grant<L> {
+    /// The work.
+    pub id: u64,
+    /// The member.
+    pub member: name::MemberName,
+    /// Whether the member is the group's primary.
+    pub is_primary: bool,
+    /// The position that a read must find.
+    pub after: Option<position::Position>,
+    /// An idle link; none when one has to be opened.
+    pub link: Option<L>,
+}
+
+/// Why work gets no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The group has no primary, or the lease on it is not valid.
+    NoPrimary,
+    /// No member that would do has a connection to spare.
+    Full,
+    /// No member that would do can be reached.
+    Unreachable,
+}
+
+/// What the pool decided.
+#[derive(Debug)]
+pub enum Decision<L> {
+    /// The work gets a connection.
+    Grant(Grant<L>),
+    /// The work is refused; it did not run.
+    Refuse {
+        /// The work.
+        id: u64,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// How the use of a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// The member answered; it took this long for each statement.
+    Answered(time::Duration),
+    /// The member refused for want of a slot or a connection.
+    Full,
+    /// The member lacks a position.
+    Lacks(position::Position),
+    /// The connection broke, or could not be opened.
+    Failed,
+    /// The connection was not used.
+    Unused,
+}
+
+/// The pool of one group.
+#[derive(Debug)]
+pub struct Pool<L> {
+    members: Vec<member::Member<L>>,
+    primary: Option<name::MemberName>,
+    samples: fresh::Samples,
+    line: line::Line,
+    cap: usize,
+}
+
+impl<L> Default for Pool<L> {
+    fn default() -> Self {
+        Self {
+            members: Vec::new(),
+            primary: None,
+            samples: fresh::Samples::default(),
+            line: line::Line::default(),
+            cap: 1,
+        }
+    }
+}
+
+impl<L> Pool<L> {
+    /// A pool without members.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the members and the connections that this instance may hold to each.
+    pub fn set_members(&mut self, infos: &[member::MemberInfo<'_>], cap: usize) {
+        self.cap = cap.max(1);
+        self.members
+            .retain(|m| infos.iter().any(|i| *i.name == m.name));
+        for info in infos {
+            match self.members.iter_mut().find(|m| m.name == *info.name) {
+                Some(member) => {
+                    member.is_near = info.is_near;
+                    member.is_ready = info.is_ready;
+                }
+                None => self.members.push(member::Member::new(info)),
+            }
+        }
+        let primary = self.primary.as_ref();
+        for member in &mut self.members {
+            if !member.is_ready && primary != Some(&member.name) {
+                member.idle.clear();
+            }
+        }
+    }
+
+    /// Takes the primary of the present leadership; none during a change.
+    pub fn set_primary(&mut self, primary: Option<&name::MemberName>) {
+        self.primary = primary.cloned();
+    }
+
+    /// Takes work in; [`Pool::poll`] decides.
+    pub fn ask(&mut self, ask: line::Ask) {
+        self.line.push(ask);
+    }
+
+    /// Forgets work that waits no longer.
+    pub fn withdraw(&mut self, rank: u8, id: u64) {
+        self.line.remove(rank, id);
+    }
+
+    /// Decides what gets a connection and what is refused now.
+    pub fn poll(&mut self, now: Timestamp, is_leased: bool) -> Vec<Decision<L>> {
+        let mut decisions = Vec::new();
+        let mut done = Vec::new();
+        let line = std::mem::take(&mut self.line);
+        for ask in line.iter() {
+            if ask.deadline <= now {
+                let reason = self.reason(now, ask, is_leased);
+                decisions.push(Decision::Refuse { id: ask.id, reason });
+                done.push((ask.rank, ask.id));
+                continue;
+            }
+            if let Some((at, after)) = self.choose(now, ask, is_leased) {
+                decisions.push(Decision::Grant(self.lend(at, ask.id, after)));
+                done.push((ask.rank, ask.id));
+                continue;
+            }
+            if !ask.may_wait {
+                let reason = self.reason(now, ask, is_leased);
+                decisions.push(Decision::Refuse { id: ask.id, reason });
+                done.push((ask.rank, ask.id));
+            }
+        }
+        self.line = line;
+        for (rank, id) in done {
+            self.line.remove(rank, id);
+        }
+        decisions
+    }
+
+    fn lend(&mut self, at: usize, id: u64, after: Option<position::Position>) -> Grant<L> {
+        let is_primary = self.is_primary(at);
+        let member = &mut self.members[at];
+        member.lent += 1;
+        Grant {
+            id,
+            member: member.name.clone(),
+            is_primary,
+            after,
+            link: member.idle.pop(),
+        }
+    }
+
+    fn is_primary(&self, at: usize) -> bool {
+        self.primary.as_ref() == Some(&self.members[at].name)
+    }
+
+    /// The member for a piece of work, and the position that it must hold.
+    fn choose(
+        &self,
+        now: Timestamp,
+        ask: &line::Ask,
+        is_leased: bool,
+    ) -> Option<(usize, Option<position::Position>)> {
+        match ask.want {
+            line::Want::Primary => {
+                let at = self.primary_at(now, ask, is_leased)?;
+                Some((at, None))
+            }
+            line::Want::Read { staleness, own } => {
+                let replica = self.replica_for(now, ask, staleness, own);
+                if let Some((at, needed)) = replica {
+                    return Some((at, Some(needed)));
+                }
+                let at = self.primary_at(now, ask, is_leased)?;
+                Some((at, None))
+            }
+        }
+    }
+
+    fn primary_at(&self, now: Timestamp, ask: &line::Ask, is_leased: bool) -> Option<usize> {
+        if !is_leased {
+            return None;
+        }
+        let at = (0..self.members.len()).find(|at| self.is_primary(*at))?;
+        let member = &self.members[at];
+        let is_free = member.has_room(now, self.cap) && !ask.avoid.contains(&member.name);
+        is_free.then_some(at)
+    }
+
+    fn replica_for(
+        &self,
+        now: Timestamp,
+        ask: &line::Ask,
+        staleness: time::Duration,
+        own: Option<(position::Position, Timestamp)>,
+    ) -> Option<(usize, position::Position)> {
+        let mut needed = self.samples.needed(now, staleness)?;
+        let mut is_recent = false;
+        if let Some((position, at)) = own {
+            needed = needed.max(position);
+            is_recent = needed == position && now.since(at) < OWN_DELAY;
+        }
+        let mut best: Option<(usize, f64)> = None;
+        for (at, member) in self.members.iter().enumerate() {
+            if !member.is_ready || self.is_primary(at) || member.is_down(now) {
+                continue;
+            }
+            if !member.has_room(now, self.cap) || ask.avoid.contains(&member.name) {
+                continue;
+            }
+            if !member.may_hold(now, needed) {
+                continue;
+            }
+            if is_recent && !member.holds(needed) {
+                continue;
+            }
+            let cost = member.cost_us();
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((at, cost));
+            }
+        }
+        best.map(|(at, _)| (at, needed))
+    }
+
+    fn reason(&self, now: Timestamp, ask: &line::Ask, is_leased: bool) -> Reason {
+        if ask.want == line::Want::Primary && (self.primary.is_none() || !is_leased) {
+            return Reason::NoPrimary;
+        }
+        let mut is_reachable = false;
+        for member in &self.members {
+            is_reachable |= member.is_ready && !member.is_down(now);
+        }
+        if is_reachable {
+            Reason::Full
+        } else {
+            Reason::Unreachable
+        }
+    }
+
+    /// Takes a connection back, with what its use showed; without a link it is gone.
+    pub fn give_back(
+        &mut self,
+        now: Timestamp,
+        name: &name::MemberName,
+        link: Option<L>,
+        ended: Ended,
+    ) {
+        let Some(member) = self.members.iter_mut().find(|m| m.name == *name) else {
+            return;
+        };
+        member.lent = member.lent.saturating_sub(1);
+        match ended {
+            Ended::Answered(took) => member.answered(took),
+            Ended::Full => member.full(now),
+            Ended::Lacks(needed) => member.lacks(now, needed),
+            Ended::Failed => member.failed(now),
+            Ended::Unused => {}
+        }
+        let is_primary = self.primary.as_ref() == Some(&member.name);
+        if let Some(link) = link
+            && (member.is_ready || is_primary)
+        {
+            member.idle.push(link);
+        }
+    }
+
+    /// Takes a position that a member gave in answer to what was sent at `sent`.
+    ///
+    /// `is_leased`: the lease was valid when the answer came.
+    pub fn observe(
+        &mut self,
+        name: &name::MemberName,
+        sent: Timestamp,
+        position: position::Position,
+        is_leased: bool,
+    ) {
+        if is_leased && self.primary.as_ref() == Some(name) {
+            self.samples.observe(sent, position);
+        }
+        if let Some(member) = self.members.iter_mut().find(|m| m.name == *name) {
+            member.observe(position);
+        }
+    }
+
+    /// When [`Pool::poll`] may decide something without another event.
+    pub fn wake(&self, now: Timestamp) -> Option<Timestamp> {
+        let deadline = self.line.deadline()?;
+        let mut wake = deadline;
+        for member in &self.members {
+            if let Some(at) = member.reopens(now) {
+                wake = wake.min(at);
+            }
+        }
+        Some(wake)
+    }
+
+    /// Number of waiting pieces of work.
+    pub fn waiting(&self) -> usize {
+        self.line.len()
+    }
+
+    /// Connections in use and idle, of each member.
+    pub fn loads(&self) -> impl Iterator<Item = (&name::MemberName, usize, usize)> {
+        self.members.iter().map(|m| (&m.name, m.lent, m.idle.len()))
+    }
+}
