Roll back before a connection with an open transaction goes back

A member that refuses the first statement of a transaction for want of a slot leaves the transaction open; the connection went back to the pool like that. Ruled out: prepared names and session values (none was reported).

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -33,6 +33,9 @@
 /// Silence of a member after which the primary is asked whether it lives.
 const DOUBT_AFTER: time::Duration = time::Duration::from_millis(300);
 
+/// Time for a rollback.
+const ROLLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// What a caller's task works with.
 #[derive(Debug)]
 pub struct Context<L> {
@@ -173,6 +176,9 @@
             Ok(answer) => match answer.code() {
                 Some(code) if code.is_not_run() => {
                     last = failure(code, "refused by every member that was tried");
+                    if answer.state != answer::State::Idle {
+                        roll_back(&mut lent).await;
+                    }
                     step_back(&mut lent, &mut ask, code, after).await;
                 }
                 Some(_) | None => return Ok(Ran { lent, answer }),
@@ -307,6 +313,18 @@
     }
 }
 
+/// Ends the transaction on a connection, or closes the connection.
+pub async fn roll_back<L: link::Link>(lent: &mut lent::Lent<L>) {
+    let Some(wired) = &mut lent.wired else {
+        return;
+    };
+    let rolling = wired.link.prepare(&[link::Command::Rollback]);
+    let done = tokio::time::timeout(ROLLBACK_TIMEOUT, rolling).await;
+    if !matches!(done, Ok(Ok(_))) {
+        lent.wired = None;
+    }
+}
+
 /// Runs a statement on a borrowed connection that is ready for it.
 ///
 /// # Errors
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -22,9 +22,6 @@
 /// Rest inside a transaction after which it is rolled back, unless the operators say so.
 const DEFAULT_IDLE: time::Duration = time::Duration::from_secs(30);
 
-/// Time for the rollback of a transaction that its caller has left.
-const ROLLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-
 /// Part of a statement's timeout that stays for the answer's way back.
 const RETURN_TIME: time::Duration = time::Duration::from_millis(10);
 
@@ -369,7 +366,7 @@
             return;
         };
         if must_roll_back {
-            roll_back(&mut lent).await;
+            attempt::roll_back(&mut lent).await;
         }
     }
 
@@ -450,14 +447,3 @@
         view::Consistency::OwnWrites(staleness) => line::Want::Read { staleness, own },
     }
 }
-
-async fn roll_back<L: link::Link>(lent: &mut lent::Lent<L>) {
-    let Some(wired) = &mut lent.wired else {
-        return;
-    };
-    let rolling = wired.link.prepare(&[link::Command::Rollback]);
-    let done = tokio::time::timeout(ROLLBACK_TIMEOUT, rolling).await;
-    if !matches!(done, Ok(Ok(_))) {
-        lent.wired = None;
-    }
-}
