A lease vouches only for the view that is read with it

After a zone cut the lease came back with the news of another primary; both are published apart, and the group's task could decide on the new lease with the old view. A connection that was being opened during a change was also lent under the new leadership's number.

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -209,7 +209,10 @@
     let (reply, granted) = oneshot::channel();
     let ask = ask.clone();
     let handle = context.groups.borrow().get(group.as_str()).cloned();
-    let gone = failure(answer::Code::Busy, "the group is being set up, try again in 200 ms");
+    let gone = failure(
+        answer::Code::Busy,
+        "the group is being set up, try again in 200 ms",
+    );
     let handle = handle.ok_or(gone)?;
     handle
         .send(group_task::Message::Ask { ask, reply })
@@ -271,11 +274,7 @@
 }
 
 /// Notes why a connection could not be equipped.
-fn retreat<L>(
-    lent: &mut lent::Lent<L>,
-    ask: &mut line::Ask,
-    error: &link::LinkError,
-) -> Failure {
+fn retreat<L>(lent: &mut lent::Lent<L>, ask: &mut line::Ask, error: &link::LinkError) -> Failure {
     ask.avoid.push(lent.member.clone());
     match error {
         link::LinkError::Refused(answer::Code::Behind) => {
@@ -285,7 +284,10 @@
             failure(answer::Code::Behind, "no replica is fresh enough")
         }
         link::LinkError::Refused(_) | link::LinkError::Broken(_) | link::LinkError::Garbled => {
-            failure(answer::Code::Busy, "a connection broke, try again in 100 ms")
+            failure(
+                answer::Code::Busy,
+                "a connection broke, try again in 100 ms",
+            )
         }
     }
 }
@@ -337,7 +339,8 @@
     after: Option<position::Position>,
 ) -> Result<answer::Answer, Failure> {
     let sent = clock::now();
-    let is_leased = is_current(context, group, lent) && context.standing.borrow().is_valid(sent);
+    // In this order: a lease that is read first vouches for the view that is read then.
+    let is_leased = context.standing.borrow().is_valid(sent) && is_current(context, group, lent);
     if call.may_keep && lent.is_primary() && !is_leased {
         lent.close(pool::Ended::Unused);
         return Err(failure(answer::Code::Aborted, "the primary was replaced"));
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -305,8 +305,7 @@
         };
         let only_reads = begin.unwrap_or(call.access == statement::Access::Read);
         let want = want(route, only_reads, self.session.own);
-        let ran =
-            attempt::start(self.context, &self.session, route, want, begin, *call).await?;
+        let ran = attempt::start(self.context, &self.session, route, want, begin, *call).await?;
         self.lent = Some(ran.lent);
         self.route = begin.map(|_| route.clone());
         Ok(ran.answer)
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -56,6 +56,8 @@
     Opened {
         /// For what.
         grant: pool::Grant<lent::Wired<L>>,
+        /// The change of the leadership under which it was granted.
+        change: u64,
         /// When it was asked for.
         sent: Timestamp,
         /// The connection, with the position of the member's log.
@@ -100,6 +102,8 @@
     handle: Handle<C::Link>,
     reported: Timestamp,
     sighted: suspicion::Sight,
+    /// The change of the leadership that the pool goes by.
+    change: u64,
 }
 
 /// Starts the task; it ends when the group is no longer configured.
@@ -113,6 +117,7 @@
         handle: handle.clone(),
         reported: Timestamp(0),
         sighted: suspicion::Sight::Reached,
+        change: 0,
     };
     tokio::task::spawn_local(task.run(mailbox));
     handle
@@ -120,7 +125,7 @@
 
 impl<C: link::Connector> Task<C> {
     async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Message<C::Link>>) {
-        self.adopt();
+        self.context.views.mark_changed();
         loop {
             let now = clock::now();
             let wake = self.pool.wake(now);
@@ -131,9 +136,10 @@
                     None => return,
                 },
                 changed = self.context.views.changed() => {
-                    if changed.is_err() || !self.adopt() {
+                    if changed.is_err() {
                         return;
                     }
+                    self.context.views.mark_changed();
                 }
                 changed = self.context.standing.changed(), if is_waiting => {
                     if changed.is_err() {
@@ -143,12 +149,20 @@
                 () = tokio::time::sleep_until(clock::instant(wake.unwrap_or(now))),
                     if is_waiting => {}
             }
-            self.decide();
+            // The lease vouches for the newest view only, so both are read together.
+            let is_leased = self.is_leased(clock::now());
+            if !self.adopt() {
+                return;
+            }
+            self.decide(is_leased);
         }
     }
 
-    /// Takes over the view; false when the group is no longer configured.
+    /// Takes over the view if it is new; false when the group is no longer configured.
     fn adopt(&mut self) -> bool {
+        if !self.context.views.has_changed().unwrap_or(false) {
+            return true;
+        }
         let view = self.context.views.borrow_and_update().clone();
         let group = &self.context.group;
         let spec = view.catalog.groups.iter().find(|g| g.name == *group);
@@ -167,8 +181,10 @@
             });
         }
         let cap = spec.connections.saturating_sub(SPARE) / view.instances.max(1);
-        self.pool.set_members(&infos, cap);
+        let record = view.leaderships.get(group.as_str());
+        self.change = record.map_or(0, |r| r.change);
         self.pool.set_primary(view.primary(group.as_str()));
+        self.pool.set_members(&infos, cap);
         true
     }
 
@@ -193,9 +209,10 @@
             } => self.take_back(now, &member, wired, ended, seen),
             Message::Opened {
                 grant,
+                change,
                 sent,
                 result,
-            } => self.opened(now, grant, sent, result),
+            } => self.opened(now, grant, change, sent, result),
             Message::Doubt(member) => self.report(now, &member, suspicion::Sight::Failed),
         }
     }
@@ -242,9 +259,8 @@
         });
     }
 
-    fn decide(&mut self) {
+    fn decide(&mut self, is_leased: bool) {
         let now = clock::now();
-        let is_leased = self.is_leased(now);
         for decision in self.pool.poll(now, is_leased) {
             match decision {
                 pool::Decision::Grant(grant) => self.grant(now, grant),
@@ -256,12 +272,14 @@
                 }
             }
         }
-        self.context.metrics.waiting(&self.context.group, self.pool.waiting());
+        self.context
+            .metrics
+            .waiting(&self.context.group, self.pool.waiting());
     }
 
     fn grant(&mut self, now: Timestamp, mut grant: pool::Grant<lent::Wired<C::Link>>) {
         if let Some(wired) = grant.link.take() {
-            self.lend(wired, grant);
+            self.lend(wired, grant, self.change);
             return;
         }
         let Some(target) = self.target(&grant.member) else {
@@ -273,15 +291,17 @@
         self.context.metrics.opened(&grant.member);
         let connector = self.context.connector.clone();
         let handle = self.handle.clone();
+        let change = self.change;
         tokio::task::spawn_local(async move {
             let sent = clock::now();
             let opening = tokio::time::timeout(OPEN_TIMEOUT, connector.open(&target));
-            let result = opening.await.unwrap_or_else(|elapsed| {
-                Err(link::LinkError::Broken(elapsed.into()))
-            });
+            let result = opening
+                .await
+                .unwrap_or_else(|elapsed| Err(link::LinkError::Broken(elapsed.into())));
             // A group task that has ended needs no connection.
             let _ = handle.send(Message::Opened {
                 grant,
+                change,
                 sent,
                 result,
             });
@@ -302,6 +322,7 @@
         &mut self,
         now: Timestamp,
         grant: pool::Grant<lent::Wired<C::Link>>,
+        change: u64,
         sent: Timestamp,
         result: Result<(C::Link, Option<position::Position>), link::LinkError>,
     ) {
@@ -312,7 +333,7 @@
                     self.pool.observe(&grant.member, sent, position, is_leased);
                 }
                 self.report(now, &grant.member, suspicion::Sight::Reached);
-                self.lend(lent::Wired::new(link), grant);
+                self.lend(lent::Wired::new(link), grant, change);
             }
             Err(error) => {
                 log::info!(
@@ -348,14 +369,12 @@
         &mut self,
         wired: lent::Wired<C::Link>,
         grant: pool::Grant<lent::Wired<C::Link>>,
+        change: u64,
     ) {
         let Some(waiting) = self.waiting.remove(&grant.id) else {
             return;
         };
-        let view = self.context.views.borrow();
-        let record = view.leaderships.get(self.context.group.as_str());
-        let change = record.filter(|_| grant.is_primary).map(|r| r.change);
-        drop(view);
+        let change = grant.is_primary.then_some(change);
         let lent = lent::Lent::new(wired, grant, change, self.handle.clone());
         // A caller that has left drops the connection, which sends it back.
         let _ = waiting.reply.send(Ok(lent));
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -359,7 +359,10 @@
             self.job.group,
             self.duty.token,
             clock::now().since(sent).as_millis(),
-            promoted.as_ref().err().map_or("ok".to_owned(), ToString::to_string)
+            promoted
+                .as_ref()
+                .err()
+                .map_or("ok".to_owned(), ToString::to_string)
         );
         match promoted {
             Err(promoter::PromoteError::Rejected(_)) => return Ok(None),
--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -514,7 +514,10 @@
     }
 
     fn hear(&mut self, now: Timestamp, from: net::SocketAddr, envelope: message::Envelope) {
-        let message::Envelope { from: name, message } = envelope;
+        let message::Envelope {
+            from: name,
+            message,
+        } = envelope;
         let is_holder = self.duty.as_ref().is_some_and(|d| d.holder == name);
         match message {
             message::Message::Ask { number } => {
@@ -575,7 +578,10 @@
 
     /// Asks every instance what it sees of a primary, unless that was done just now.
     fn ask_all(&mut self, now: Timestamp, group: &name::GroupName, change: u64) {
-        let is_known = self.records.get(group.as_str()).is_some_and(|r| r.change == change);
+        let is_known = self
+            .records
+            .get(group.as_str())
+            .is_some_and(|r| r.change == change);
         if !is_known || !self.needs.may_ask(now, group) {
             return;
         }
@@ -710,10 +716,9 @@
         let handle = self.handle.clone();
         tokio::task::spawn_local(async move {
             match handover::run(&edges, &job, &handle).await {
-                Ok(member) => log::info!(
-                    "event=handover_done group={} primary={member}",
-                    job.group
-                ),
+                Ok(member) => {
+                    log::info!("event=handover_done group={} primary={member}", job.group)
+                }
                 Err(error) => log::warn!(
                     "event=handover_failed group={} error=\"{error}\"",
                     job.group
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -134,10 +134,8 @@
     ///
     /// # Errors
     /// [`LinkError`]; the connection is of no use after it.
-    fn order(
-        &mut self,
-        order: Order,
-    ) -> impl Future<Output = Result<candidate::Status, LinkError>>;
+    fn order(&mut self, order: Order)
+    -> impl Future<Output = Result<candidate::Status, LinkError>>;
 }
 
 /// Opens connections to members.
--- a/crates/cardamomhold_entry/src/metrics.rs
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -66,10 +66,7 @@
                 &["member"],
             )?,
             waiting: prometheus::IntGaugeVec::new(
-                prometheus::Opts::new(
-                    "cardamomhold_waiting",
-                    "Work that waits for a connection",
-                ),
+                prometheus::Opts::new("cardamomhold_waiting", "Work that waits for a connection"),
                 &["group"],
             )?,
             calls: counter(
--- /dev/null
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -0,0 +1,298 @@
+//! A small world for tests: members that answer as they are told, views by hand.
+
+#![allow(dead_code)]
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::sync;
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_entry::answer;
+use cardamomhold_entry::attempt;
+use cardamomhold_entry::clock;
+use cardamomhold_entry::group;
+use cardamomhold_entry::groups;
+use cardamomhold_entry::keeper;
+use cardamomhold_entry::link;
+use cardamomhold_entry::metrics;
+use cardamomhold_entry::stop;
+use cardamomhold_entry::view;
+use cardamomhold_lead::candidate;
+use cardamomhold_lead::record;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+pub fn group_name() -> name::GroupName {
+    name::GroupName::parse("bookings").unwrap()
+}
+
+pub fn member(text: &str) -> name::MemberName {
+    name::MemberName::parse(text).unwrap()
+}
+
+pub fn at(term: u64, number: u64) -> position::Position {
+    position::Position::new(position::Term(term), position::LogPosition(number))
+}
+
+/// What the members were sent, and how they answer.
+#[derive(Debug, Default)]
+pub struct Script {
+    /// Each command, with the member and the connection.
+    pub sent: Vec<(name::MemberName, u64, String)>,
+    /// Refusals of statements to come.
+    pub refusals: collections::VecDeque<answer::Code>,
+    /// Whether connections inside a transaction, by number.
+    pub open: collections::BTreeSet<u64>,
+    /// Members that do not answer.
+    pub silent: collections::BTreeSet<name::MemberName>,
+    /// Time that a member takes to accept a connection.
+    pub accept: time::Duration,
+    connections: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    pub script: rc::Rc<cell::RefCell<Script>>,
+}
+
+#[derive(Debug)]
+pub struct Member {
+    name: name::MemberName,
+    number: u64,
+    script: rc::Rc<cell::RefCell<Script>>,
+}
+
+impl link::Connector for Members {
+    type Link = Member;
+
+    async fn open(
+        &self,
+        target: &link::Target,
+    ) -> Result<(Member, Option<position::Position>), link::LinkError> {
+        let accept = self.script.borrow().accept;
+        if !accept.is_zero() {
+            tokio::time::sleep(accept).await;
+        }
+        let mut script = self.script.borrow_mut();
+        script.connections += 1;
+        let member = Member {
+            name: target.member.clone(),
+            number: script.connections,
+            script: self.script.clone(),
+        };
+        Ok((member, Some(at(1, 1))))
+    }
+}
+
+impl Member {
+    fn take(&self, command: &link::Command<'_>) -> answer::Answer {
+        let mut script = self.script.borrow_mut();
+        let text = format!("{command:?}");
+        script.sent.push((self.name.clone(), self.number, text));
+        match command {
+            link::Command::Begin { .. } => {
+                script.open.insert(self.number);
+            }
+            link::Command::Rollback => {
+                script.open.remove(&self.number);
+            }
+            link::Command::Pass { text: "COMMIT", .. } => {
+                script.open.remove(&self.number);
+            }
+            _ => {}
+        }
+        let state = if script.open.contains(&self.number) {
+            answer::State::Open
+        } else {
+            answer::State::Idle
+        };
+        let is_statement = matches!(
+            command,
+            link::Command::Pass { .. } | link::Command::Execute { .. }
+        );
+        let refusal = is_statement.then(|| script.refusals.pop_front()).flatten();
+        match refusal {
+            Some(code) => answer::Answer::refused(code, "scripted", state),
+            None => answer::Answer {
+                rows: Vec::new(),
+                end: answer::End::Done(Some(self.name.to_string())),
+                state,
+                position: Some(at(1, 1)),
+            },
+        }
+    }
+
+    async fn silence(&self) {
+        if self.script.borrow().silent.contains(self.name.as_str()) {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl link::Link for Member {
+    async fn call(
+        &mut self,
+        command: link::Command<'_>,
+    ) -> Result<answer::Answer, link::LinkError> {
+        let answer = self.take(&command);
+        self.silence().await;
+        Ok(answer)
+    }
+
+    async fn prepare(
+        &mut self,
+        commands: &[link::Command<'_>],
+    ) -> Result<Option<position::Position>, link::LinkError> {
+        for command in commands {
+            self.take(command);
+        }
+        self.silence().await;
+        Ok(None)
+    }
+
+    async fn order(&mut self, _: link::Order) -> Result<candidate::Status, link::LinkError> {
+        Ok(candidate::Status {
+            role: candidate::Role::Replica,
+            term: position::Term(1),
+            received: at(1, 1),
+        })
+    }
+}
+
+/// One instance with a single group of the members a, b and c.
+pub struct World {
+    pub members: Members,
+    pub views: watch::Sender<view::View>,
+    pub standing: watch::Sender<view::Standing>,
+    pub phases: watch::Sender<stop::Phase>,
+    pub groups: watch::Receiver<groups::Groups<Member>>,
+    pub heard: mpsc::UnboundedReceiver<keeper::Event>,
+    metrics: metrics::Metrics,
+}
+
+impl World {
+    /// A world whose primary is a, under a valid lease, seen by one instance of `instances`.
+    pub fn new(instances: usize) -> Self {
+        let members = Members::default();
+        let (views, view) = watch::channel(view_of("a", 1, instances));
+        let (standing, lease) = watch::channel(view::Standing::default());
+        let (phases, _) = watch::channel(stop::Phase::Serving);
+        let (keeper, heard) = keeper::mailbox();
+        let metrics = metrics::Metrics::new().unwrap();
+        let groups = groups::start(groups::Context {
+            zone: "zone-a".to_owned(),
+            connector: members.clone(),
+            views: view,
+            standing: lease,
+            keeper,
+            metrics: metrics.clone(),
+        });
+        let world = Self {
+            members,
+            views,
+            standing,
+            phases,
+            groups,
+            heard,
+            metrics,
+        };
+        world.lease(time::Duration::from_secs(60));
+        world
+    }
+
+    pub fn lease(&self, left: time::Duration) {
+        let until = clock::now().after(left);
+        self.standing.send_replace(view::Standing { until });
+    }
+
+    pub fn end_lease(&self) {
+        let until = Timestamp(0);
+        self.standing.send_replace(view::Standing { until });
+    }
+
+    pub fn context(&self) -> attempt::Context<Member> {
+        attempt::Context {
+            views: self.views.subscribe(),
+            standing: self.standing.subscribe(),
+            groups: self.groups.clone(),
+            phase: self.phases.subscribe(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    pub async fn group(&mut self) -> group::Handle<Member> {
+        let name = group_name();
+        let groups = self.groups.wait_for(|g| g.contains_key(name.as_str()));
+        groups.await.unwrap().get(name.as_str()).unwrap().clone()
+    }
+}
+
+pub fn route(consistency: view::Consistency) -> view::Route {
+    view::Route {
+        group: group_name(),
+        consistency,
+        timeout: time::Duration::from_millis(800),
+        target: time::Duration::from_millis(150),
+        rank: 0,
+    }
+}
+
+pub fn view_of(primary: &str, change: u64, instances: usize) -> view::View {
+    let mut catalog = view::Catalog {
+        version: 1,
+        ..view::Catalog::default()
+    };
+    catalog.groups.push(view::GroupSpec {
+        name: group_name(),
+        connections: 47,
+    });
+    let own = view::Consistency::OwnWrites(time::Duration::from_millis(2_500));
+    for (host, consistency) in [("main", view::Consistency::Primary), ("own", own)] {
+        catalog
+            .routes
+            .insert(host.to_owned(), route(consistency).into());
+    }
+    let mut members = collections::BTreeMap::new();
+    for (i, text) in ["a", "b", "c"].into_iter().enumerate() {
+        let name = member(text);
+        let entry = view::Member {
+            name: name.clone(),
+            group: group_name(),
+            address: net::SocketAddr::from(([127, 0, 0, 1], 5400 + i as u16)),
+            zone: format!("zone-{text}"),
+            state: view::MemberState::Ready,
+            is_primary: text == primary,
+            born: 1,
+        };
+        members.insert(name, entry);
+    }
+    let mut leaderships = record::Leaderships::default();
+    leaderships.learn(&record::Leadership {
+        group: group_name(),
+        change,
+        primary: Some(member(primary)),
+        former: None,
+        term: position::Term(change),
+    });
+    view::View {
+        catalog: sync::Arc::new(catalog),
+        members: sync::Arc::new(members),
+        leaderships: sync::Arc::new(leaderships),
+        instances,
+    }
+}
+
+/// Runs a test in one thread.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
--- a/crates/cardamomhold_pool/src/fresh.rs
+++ b/crates/cardamomhold_pool/src/fresh.rs
@@ -45,11 +45,7 @@
 
     /// The least position that a read which starts now must see, when it accepts data that
     /// is `staleness` old; none when no sample is young enough.
-    pub fn needed(
-        &self,
-        now: Timestamp,
-        staleness: time::Duration,
-    ) -> Option<position::Position> {
+    pub fn needed(&self, now: Timestamp, staleness: time::Duration) -> Option<position::Position> {
         for sample in &self.list {
             if sample.sent.after(staleness) >= now {
                 return Some(sample.position);
