Probe failed members apart from callers' work

Ruled out: the handover (done within 2.7 s of the cut, as its log shows). Change: a member that failed gets no work until a connection opened apart from any work succeeds; a single read leaves a silent member after 500 ms; a statement inside a transaction that finds no slot is tried again; one connection each until the instances are known.

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -33,6 +33,9 @@
 /// Silence of a member after which the primary is asked whether it lives.
 const DOUBT_AFTER: time::Duration = time::Duration::from_millis(300);
 
+/// Silence of a member after which a single read goes elsewhere.
+const LEAVE_AFTER: time::Duration = time::Duration::from_millis(500);
+
 /// Time for a rollback.
 const ROLLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
@@ -135,6 +138,15 @@
         }
     }
 
+    /// When the member's answer is given up: single reads go elsewhere sooner.
+    fn limit(&self, sent: Timestamp) -> Timestamp {
+        if self.may_keep && self.access == statement::Access::Read {
+            self.deadline.min(sent.after(LEAVE_AFTER))
+        } else {
+            self.deadline
+        }
+    }
+
     fn needed(&self) -> Option<&'a session::Prepared> {
         match self.form {
             Form::Text(_) => None,
@@ -315,6 +327,27 @@
     }
 }
 
+/// Runs a further statement of a transaction; one that finds no slot is tried again.
+///
+/// # Errors
+/// [`Failure`]; the connection is closed.
+pub async fn go_on<L: link::Link>(
+    context: &Context<L>,
+    group: &name::GroupName,
+    lent: &mut lent::Lent<L>,
+    call: &Call<'_>,
+) -> Result<answer::Answer, Failure> {
+    loop {
+        let answer = run(context, group, lent, call, None).await?;
+        let is_busy = answer.code() == Some(answer::Code::Busy);
+        let may_repeat = is_busy && answer.state == answer::State::Open;
+        if !may_repeat || clock::now().after(BUSY_PAUSE) >= call.deadline {
+            return Ok(answer);
+        }
+        tokio::time::sleep(BUSY_PAUSE).await;
+    }
+}
+
 /// Ends the transaction on a connection, or closes the connection.
 pub async fn roll_back<L: link::Link>(lent: &mut lent::Lent<L>) {
     let Some(wired) = &mut lent.wired else {
@@ -349,7 +382,8 @@
         return Err(failure(answer::Code::Aborted, "the connection is closed"));
     };
     let calling = wired.link.call(call.command(after));
-    let result = with_doubt(context, group, &lent.member, call.deadline, calling).await;
+    let limit = call.limit(sent);
+    let result = with_doubt(context, group, &lent.member, limit, calling).await;
     let took = clock::now().since(sent);
     match result {
         Some(Ok(answer)) => {
@@ -367,7 +401,12 @@
         None => {
             lent.close(pool::Ended::Failed);
             let late = "no answer of the member in time";
-            Err(failure(lost_code(call, answer::Code::Timeout), late))
+            let code = if limit < call.deadline {
+                answer::Code::Aborted
+            } else {
+                answer::Code::Timeout
+            };
+            Err(failure(lost_code(call, code), late))
         }
     }
 }
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -297,7 +297,7 @@
                     code: answer::Code::Aborted,
                     cause: "the connection broke inside the transaction",
                 })?;
-            return attempt::run(self.context, &route.group, lent, call, None).await;
+            return attempt::go_on(self.context, &route.group, lent, call).await;
         }
         let begin = match self.session.transaction {
             session::Transaction::Open { read_only } => Some(read_only),
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -31,6 +31,9 @@
 /// Least time between two reports that the primary can't be reached.
 const REPORT_EVERY: time::Duration = time::Duration::from_millis(200);
 
+/// A connection, with the position of the member's log.
+pub type Opened<L> = Result<(L, Option<position::Position>), link::LinkError>;
+
 /// What the task is told.
 #[derive(Debug)]
 pub enum Message<L> {
@@ -61,10 +64,19 @@
         /// When it was asked for.
         sent: Timestamp,
         /// The connection, with the position of the member's log.
-        result: Result<(L, Option<position::Position>), link::LinkError>,
+        result: Opened<L>,
     },
     /// A statement has been without an answer for long.
     Doubt(name::MemberName),
+    /// A probe ended.
+    Probed {
+        /// The member.
+        member: name::MemberName,
+        /// When it was begun.
+        sent: Timestamp,
+        /// The connection, with the position of the member's log.
+        result: Opened<L>,
+    },
 }
 
 /// Handle of the task.
@@ -180,7 +192,11 @@
                 is_ready: member.state == view::MemberState::Ready,
             });
         }
-        let cap = spec.connections.saturating_sub(SPARE) / view.instances.max(1);
+        // Until the instances are known, one connection each stays within any limit.
+        let cap = match view.instances {
+            0 => 1,
+            instances => spec.connections.saturating_sub(SPARE) / instances,
+        };
         let record = view.leaderships.get(group.as_str());
         self.change = record.map_or(0, |r| r.change);
         self.pool.set_primary(view.primary(group.as_str()));
@@ -213,7 +229,15 @@
                 sent,
                 result,
             } => self.opened(now, grant, change, sent, result),
-            Message::Doubt(member) => self.report(now, &member, suspicion::Sight::Failed),
+            Message::Doubt(member) => {
+                self.pool.doubt(now, &member);
+                self.report(now, &member, suspicion::Sight::Failed);
+            }
+            Message::Probed {
+                member,
+                sent,
+                result,
+            } => self.probed(now, &member, sent, result),
         }
     }
 
@@ -259,8 +283,69 @@
         });
     }
 
+    /// Opens a connection to each member that is to be probed.
+    fn probe(&mut self, now: Timestamp) {
+        for member in self.pool.probes(now) {
+            let Some(target) = self.target(&member) else {
+                self.pool.probed(now, &member, None);
+                continue;
+            };
+            let opening = self.open(&target);
+            let handle = self.handle.clone();
+            tokio::task::spawn_local(async move {
+                let sent = clock::now();
+                let result = opening.await;
+                // A group task that has ended needs no connection.
+                let _ = handle.send(Message::Probed {
+                    member,
+                    sent,
+                    result,
+                });
+            });
+        }
+    }
+
+    fn probed(
+        &mut self,
+        now: Timestamp,
+        member: &name::MemberName,
+        sent: Timestamp,
+        result: Opened<C::Link>,
+    ) {
+        let is_reached = match &result {
+            Ok(_) => true,
+            Err(error) => is_full(error),
+        };
+        log::info!(
+            "event=probe group={} member={member} is_reached={is_reached} took_ms={}",
+            self.context.group,
+            now.since(sent).as_millis()
+        );
+        let sight = if is_reached {
+            suspicion::Sight::Reached
+        } else {
+            suspicion::Sight::Failed
+        };
+        self.report(now, member, sight);
+        let link = result.ok().map(|(link, _)| lent::Wired::new(link));
+        self.pool.probed(now, member, link);
+    }
+
+    /// Opens a connection within its time.
+    fn open(&self, target: &link::Target) -> impl Future<Output = Opened<C::Link>> + use<C> {
+        self.context.metrics.opened(&target.member);
+        let connector = self.context.connector.clone();
+        let target = target.clone();
+        async move {
+            tokio::time::timeout(OPEN_TIMEOUT, connector.open(&target))
+                .await
+                .unwrap_or_else(|elapsed| Err(link::LinkError::Broken(elapsed.into())))
+        }
+    }
+
     fn decide(&mut self, is_leased: bool) {
         let now = clock::now();
+        self.probe(now);
         for decision in self.pool.poll(now, is_leased) {
             match decision {
                 pool::Decision::Grant(grant) => self.grant(now, grant),
@@ -288,16 +373,12 @@
             self.ask_again(grant.id);
             return;
         };
-        self.context.metrics.opened(&grant.member);
-        let connector = self.context.connector.clone();
+        let opening = self.open(&target);
         let handle = self.handle.clone();
         let change = self.change;
         tokio::task::spawn_local(async move {
             let sent = clock::now();
-            let opening = tokio::time::timeout(OPEN_TIMEOUT, connector.open(&target));
-            let result = opening
-                .await
-                .unwrap_or_else(|elapsed| Err(link::LinkError::Broken(elapsed.into())));
+            let result = opening.await;
             // A group task that has ended needs no connection.
             let _ = handle.send(Message::Opened {
                 grant,
@@ -324,7 +405,7 @@
         grant: pool::Grant<lent::Wired<C::Link>>,
         change: u64,
         sent: Timestamp,
-        result: Result<(C::Link, Option<position::Position>), link::LinkError>,
+        result: Opened<C::Link>,
     ) {
         match result {
             Ok((link, position)) => {
@@ -342,13 +423,10 @@
                     grant.member,
                     now.since(sent).as_millis()
                 );
-                let ended = match error {
-                    link::LinkError::Refused(answer::Code::TooMany | answer::Code::Busy) => {
-                        pool::Ended::Full
-                    }
-                    link::LinkError::Refused(_)
-                    | link::LinkError::Broken(_)
-                    | link::LinkError::Garbled => pool::Ended::Failed,
+                let ended = if is_full(&error) {
+                    pool::Ended::Full
+                } else {
+                    pool::Ended::Failed
                 };
                 if ended == pool::Ended::Failed {
                     self.report(now, &grant.member, suspicion::Sight::Failed);
@@ -380,3 +458,11 @@
         let _ = waiting.reply.send(Ok(lent));
     }
 }
+
+/// Whether a member lives, but takes no more connections now.
+fn is_full(error: &link::LinkError) -> bool {
+    matches!(
+        error,
+        link::LinkError::Refused(answer::Code::TooMany | answer::Code::Busy)
+    )
+}
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -108,7 +108,7 @@
     pub fn is_complete(&self) -> bool {
         let groups = &self.catalog.groups;
         let is_led = |g: &GroupSpec| self.leaderships.get(g.name.as_str()).is_some();
-        self.catalog.version > 0 && groups.iter().any(is_led)
+        self.catalog.version > 0 && self.instances > 0 && groups.iter().any(is_led)
     }
 }
 
--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -52,6 +52,7 @@
     lacked: Option<(position::Position, Timestamp)>,
     failures: u32,
     closed_until: Timestamp,
+    pub(crate) is_probed: bool,
     full_until: Timestamp,
 }
 
@@ -68,24 +69,37 @@
             lacked: None,
             failures: 0,
             closed_until: Timestamp(0),
+            is_probed: false,
             full_until: Timestamp(0),
         }
     }
 
     /// Whether a connection is free or may be opened.
     pub(crate) fn has_room(&self, now: Timestamp, cap: usize) -> bool {
-        self.lent < cap && now >= self.closed_until && now >= self.full_until
+        self.lent < cap && !self.is_down() && now >= self.full_until
     }
 
-    /// Whether the member failed so lately that reads go elsewhere.
-    pub(crate) fn is_down(&self, now: Timestamp) -> bool {
-        self.failures > 0 && now < self.closed_until
+    /// Whether the member failed, and no probe has succeeded since.
+    pub(crate) fn is_down(&self) -> bool {
+        self.failures > 0
     }
 
     /// When a pause ends, if one is under way.
     pub(crate) fn reopens(&self, now: Timestamp) -> Option<Timestamp> {
-        let at = self.closed_until.max(self.full_until);
-        (at > now).then_some(at)
+        (self.full_until > now).then_some(self.full_until)
+    }
+
+    /// When the member may be probed; none while it is not down, or is being probed.
+    pub(crate) fn probe_at(&self) -> Option<Timestamp> {
+        (self.is_down() && !self.is_probed).then_some(self.closed_until)
+    }
+
+    /// Takes note of a long silence: the member is probed at once.
+    pub(crate) fn doubt(&mut self, now: Timestamp) {
+        if !self.is_down() {
+            self.failures = 1;
+            self.closed_until = now;
+        }
     }
 
     /// Expected time of one more piece of work.
@@ -123,6 +137,11 @@
     pub(crate) fn answered(&mut self, took: time::Duration) {
         let sample = took.as_micros() as f64;
         self.service_us += (sample - self.service_us) * WEIGHT;
+        self.revive();
+    }
+
+    /// Takes note that the member lives.
+    pub(crate) fn revive(&mut self) {
         self.failures = 0;
     }
 
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -140,7 +140,7 @@
         let line = std::mem::take(&mut self.line);
         for ask in line.iter() {
             if ask.deadline <= now {
-                let reason = self.reason(now, ask, is_leased);
+                let reason = self.reason(ask, is_leased);
                 decisions.push(Decision::Refuse { id: ask.id, reason });
                 done.push((ask.rank, ask.id));
                 continue;
@@ -151,7 +151,7 @@
                 continue;
             }
             if !ask.may_wait {
-                let reason = self.reason(now, ask, is_leased);
+                let reason = self.reason(ask, is_leased);
                 decisions.push(Decision::Refuse { id: ask.id, reason });
                 done.push((ask.rank, ask.id));
             }
@@ -228,7 +228,7 @@
         }
         let mut best: Option<(usize, f64)> = None;
         for (at, member) in self.members.iter().enumerate() {
-            if !member.is_ready || self.is_primary(at) || member.is_down(now) {
+            if !member.is_ready || self.is_primary(at) {
                 continue;
             }
             if !member.has_room(now, self.cap) || ask.avoid.contains(&member.name) {
@@ -248,13 +248,13 @@
         best.map(|(at, _)| (at, needed))
     }
 
-    fn reason(&self, now: Timestamp, ask: &line::Ask, is_leased: bool) -> Reason {
+    fn reason(&self, ask: &line::Ask, is_leased: bool) -> Reason {
         if ask.want == line::Want::Primary && (self.primary.is_none() || !is_leased) {
             return Reason::NoPrimary;
         }
         let mut is_reachable = false;
         for member in &self.members {
-            is_reachable |= member.is_ready && !member.is_down(now);
+            is_reachable |= member.is_ready && !member.is_down();
         }
         if is_reachable {
             Reason::Full
@@ -290,6 +290,43 @@
         }
     }
 
+    /// Takes note that a member has been silent for long: work goes elsewhere until a probe
+    /// of it succeeds.
+    pub fn doubt(&mut self, now: Timestamp, name: &name::MemberName) {
+        if let Some(member) = self.members.iter_mut().find(|m| m.name == *name) {
+            member.doubt(now);
+        }
+    }
+
+    /// Members to probe now, by opening a connection; [`Pool::probed`] ends each probe.
+    pub fn probes(&mut self, now: Timestamp) -> Vec<name::MemberName> {
+        let mut names = Vec::new();
+        for member in &mut self.members {
+            if member.probe_at().is_some_and(|at| at <= now) {
+                member.is_probed = true;
+                names.push(member.name.clone());
+            }
+        }
+        names
+    }
+
+    /// Takes the connection that a probe opened; none when it failed.
+    pub fn probed(&mut self, now: Timestamp, name: &name::MemberName, link: Option<L>) {
+        let Some(member) = self.members.iter_mut().find(|m| m.name == *name) else {
+            return;
+        };
+        member.is_probed = false;
+        match link {
+            Some(link) => {
+                member.revive();
+                if member.lent + member.idle.len() < self.cap {
+                    member.idle.push(link);
+                }
+            }
+            None => member.failed(now),
+        }
+    }
+
     /// Takes a position that a member gave in answer to what was sent at `sent`.
     ///
     /// `is_leased`: the lease was valid when the answer came.
@@ -308,16 +345,16 @@
         }
     }
 
-    /// When [`Pool::poll`] may decide something without another event.
+    /// When [`Pool::poll`] or [`Pool::probes`] may decide something without another event.
     pub fn wake(&self, now: Timestamp) -> Option<Timestamp> {
-        let deadline = self.line.deadline()?;
-        let mut wake = deadline;
+        let mut wake = self.line.deadline();
         for member in &self.members {
-            if let Some(at) = member.reopens(now) {
-                wake = wake.min(at);
+            let reopens = member.reopens(now).filter(|_| !self.line.is_empty());
+            for at in [reopens, member.probe_at()].into_iter().flatten() {
+                wake = Some(wake.map_or(at, |w| w.min(at)));
             }
         }
-        Some(wake)
+        wake
     }
 
     /// Number of waiting pieces of work.
