Renew leases through a reader a zone

Weighed: longer leases (longer handovers), majorities alone (datagrams grow with the square). Chosen: one reader for 16 instances of a zone reads; the others ask it, and count its confirmation as old as it was before their question.

--- a/crates/cardamomhold_entry/src/confirm.rs
+++ b/crates/cardamomhold_entry/src/confirm.rs
@@ -1,43 +1,50 @@
-//! The task that reads the leaderships from the store again and again.
+//! The task that reads the control objects from the store when the keeper asks for it.
 
 use std::time;
 
+use tokio::sync::mpsc;
+
 use crate::clock;
 use crate::control;
 use crate::keeper;
 use crate::store;
 
-/// Time between two readings.
-const EVERY: time::Duration = time::Duration::from_millis(400);
-
-/// Time between two readings while the store does not answer.
-const RETRY: time::Duration = time::Duration::from_millis(250);
-
 /// Longest wait for the store.
 const TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
+/// Questions that wait; more are of no use.
+const MAILBOX: usize = 1;
+
+/// Asks for a reading.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    questions: mpsc::Sender<()>,
+}
+
+impl Handle {
+    /// Asks for a reading, unless one is under way.
+    pub fn read(&self) {
+        // A reading that is under way answers this question as well.
+        let _ = self.questions.try_send(());
+    }
+}
+
 /// Starts the task.
-pub fn start<S: store::Store>(store: S, keeper: keeper::Handle) {
+pub fn start<S: store::Store>(store: S, keeper: keeper::Handle) -> Handle {
+    let (questions, mut mailbox) = mpsc::channel(MAILBOX);
     tokio::task::spawn_local(async move {
-        loop {
+        while mailbox.recv().await.is_some() {
             let asked = clock::now();
             let reading = tokio::time::timeout(TIMEOUT, store.list(store::CONTROL));
-            let pause = match reading.await {
+            let event = match reading.await {
                 Ok(Ok(listing)) => {
-                    let control = control::Control::read(&listing);
-                    keeper.tell(keeper::Event::Confirmed(asked, control));
-                    EVERY
-                }
-                Ok(Err(error)) => {
-                    keeper.tell(keeper::Event::Unconfirmed(error.to_string()));
-                    RETRY
-                }
-                Err(_) => {
-                    keeper.tell(keeper::Event::Unconfirmed("timeout".to_owned()));
-                    RETRY
+                    keeper::Event::Confirmed(asked, control::Control::read(&listing))
                 }
+                Ok(Err(error)) => keeper::Event::Unconfirmed(error.to_string()),
+                Err(_) => keeper::Event::Unconfirmed("timeout".to_owned()),
             };
-            tokio::time::sleep(pause).await;
+            keeper.tell(event);
         }
     });
+    Handle { questions }
 }
--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -10,12 +10,14 @@
 use cardamomhold_lead::duty;
 use cardamomhold_lead::lease;
 use cardamomhold_lead::record;
+use cardamomhold_lead::renewal;
 use cardamomhold_lead::round;
 use cardamomhold_lead::suspicion;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::confirm;
 use crate::control;
 use crate::handover;
 use crate::link;
@@ -31,8 +33,8 @@
 /// Time between two looks at what is due.
 const TICK: time::Duration = time::Duration::from_millis(100);
 
-/// Rest of the lease below which a majority is asked.
-const ASK_BELOW: time::Duration = time::Duration::from_millis(900);
+/// Time for which other instances may have seen more of the store than this one.
+const BEHIND_FOR: time::Duration = time::Duration::from_millis(500);
 
 /// Longest wait for a primary that is probed.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
@@ -49,7 +51,12 @@
     /// The operators' configuration.
     Catalog(view::Catalog),
     /// The members' entries.
-    Members(collections::BTreeMap<name::MemberName, view::Member>),
+    Members {
+        /// The members.
+        members: collections::BTreeMap<name::MemberName, view::Member>,
+        /// Newest revision among the entries.
+        revision: u64,
+    },
     /// The registered instances.
     Instances(registry::Instances),
     /// The store's control objects, read by a question sent at that time.
@@ -151,6 +158,12 @@
     answered: Option<Timestamp>,
     outage: Option<String>,
     unfounded: Option<Timestamp>,
+    reading: confirm::Handle,
+    renewal: renewal::Renewal,
+    /// The last question to the reader, and when it was sent.
+    asked: (u64, Timestamp),
+    seen: message::Seen,
+    behind: Option<Timestamp>,
 }
 
 impl<S, C, P> Keeper<S, C, P>
@@ -165,6 +178,7 @@
         edges: handover::Edges<S, C, P>,
         peers: peers::Peers,
         handle: Handle,
+        reading: confirm::Handle,
         published: Published,
     ) -> Self {
         Self {
@@ -189,6 +203,11 @@
             answered: None,
             outage: None,
             unfounded: None,
+            reading,
+            renewal: renewal::Renewal::default(),
+            asked: (0, Timestamp(0)),
+            seen: message::Seen::default(),
+            behind: None,
         }
     }
 
@@ -211,7 +230,8 @@
         let now = clock::now();
         match event {
             Event::Catalog(catalog) => self.take_catalog(catalog),
-            Event::Members(members) => {
+            Event::Members { members, revision } => {
+                self.seen.members = self.seen.members.max(revision);
                 self.roster.take(now, members);
                 self.publish_members(now);
             }
@@ -271,6 +291,7 @@
             catalog.routes.len(),
             catalog.groups.len()
         );
+        self.seen.config = catalog.version;
         self.published
             .views
             .send_modify(|v| v.catalog = catalog.into());
@@ -317,14 +338,7 @@
         for (record, _) in control.records.values() {
             self.learn(record, "store");
         }
-        let duty = control.duty.as_ref().map(|(d, _)| d);
-        if duty != self.duty.as_ref() {
-            if let Some(duty) = duty {
-                log::info!("event=duty holder={} token={}", duty.holder, duty.token);
-            }
-            self.duty = duty.cloned();
-            self.heard = None;
-        }
+        self.learn_duty(control.duty.as_ref().map(|(d, _)| d));
         self.answered = Some(now);
         if let Some(problem) = self.outage.take() {
             log::info!("event=store_regained after=\"{problem}\"");
@@ -335,6 +349,22 @@
         self.found_missing(now);
     }
 
+    fn learn_duty(&mut self, duty: Option<&duty::Duty>) {
+        let Some(duty) = duty else {
+            return;
+        };
+        if self
+            .duty
+            .as_ref()
+            .is_some_and(|known| known.token >= duty.token)
+        {
+            return;
+        }
+        log::info!("event=duty holder={} token={}", duty.holder, duty.token);
+        self.duty = Some(duty.clone());
+        self.heard = None;
+    }
+
     fn confirm(&mut self, now: Timestamp, asked: Timestamp) {
         self.lease.confirm(asked);
         let until = self.lease.until();
@@ -533,6 +563,29 @@
                 }
                 self.count_answer(now, number, &name);
             }
+            message::Message::Renew { number, seen } => {
+                self.compare(now, seen);
+                self.hear_renew(now, from, number);
+            }
+            message::Message::Renewed {
+                number,
+                age_us,
+                records,
+                duty,
+                seen,
+            } => {
+                for record in &records {
+                    self.learn(record, name.as_str());
+                }
+                self.learn_duty(duty.as_ref());
+                self.compare(now, seen);
+                if number == self.asked.0 {
+                    // What was true that long before the answer was true that long before
+                    // the question at the earliest.
+                    self.knows = true;
+                    self.confirm(now, Timestamp(self.asked.1.0.saturating_sub(age_us)));
+                }
+            }
             message::Message::Announce(record) => {
                 self.learn(&record, name.as_str());
                 let (group, change) = (record.group, record.change);
@@ -624,9 +677,7 @@
     fn tick(&mut self) {
         let now = clock::now();
         self.note_lease(now);
-        if self.lease.until().since(now) < ASK_BELOW && self.answered.is_some() {
-            self.ask_majority(now);
-        }
+        self.renew(now);
         if self.roster.is_holding() {
             self.publish_members(now);
         }
@@ -634,6 +685,59 @@
         self.see_to_needs(now);
     }
 
+    /// Asks whoever can confirm the leaderships.
+    fn renew(&mut self, now: Timestamp) {
+        let left = self.lease.until().since(now);
+        let reader = registry::reader(&self.instances, &self.own);
+        let is_reader = *reader == self.own;
+        let address = self.instances.get(reader.as_str()).map(|e| e.address);
+        let is_away = self.outage.is_some();
+        let questions = self.renewal.next(now, left, is_reader, is_away);
+        if questions.store {
+            self.reading.read();
+        }
+        if questions.reader
+            && let Some(address) = address
+        {
+            self.asked = (self.asked.0 + 1, now);
+            let (number, seen) = (self.asked.0, self.seen);
+            self.peers
+                .send(address, message::Message::Renew { number, seen });
+        }
+        if questions.majority && !self.instances.is_empty() {
+            self.ask_majority(now);
+        }
+    }
+
+    fn hear_renew(&mut self, now: Timestamp, from: net::SocketAddr, number: u64) {
+        let Some(age) = self.lease.age(now).filter(|_| self.knows) else {
+            return;
+        };
+        let renewed = message::Message::Renewed {
+            number,
+            age_us: age.as_micros() as u64,
+            records: self.records.iter().cloned().collect(),
+            duty: self.duty.clone(),
+            seen: self.seen,
+        };
+        self.peers.send(from, renewed);
+    }
+
+    /// Follows the store anew when another instance has seen more of it for a while: a watch
+    /// may have gone silent.
+    fn compare(&mut self, now: Timestamp, other: message::Seen) {
+        if !self.seen.is_behind(other) {
+            self.behind = None;
+            return;
+        }
+        let since = *self.behind.get_or_insert(now);
+        if now.since(since) > BEHIND_FOR {
+            log::warn!("event=behind seen={:?} other={other:?}", self.seen);
+            self.behind = None;
+            self.published.epoch.send_modify(|e| *e += 1);
+        }
+    }
+
     fn ask_majority(&mut self, now: Timestamp) {
         self.next_round += 1;
         let number = self.next_round;
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other in datagrams.
 
 use cardamomhold_core::name;
+use cardamomhold_lead::duty;
 use cardamomhold_lead::record;
 use cardamomhold_lead::suspicion;
 
@@ -13,6 +14,22 @@
     pub message: Message,
 }
 
+/// How far an instance has followed the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct Seen {
+    /// Version of the configuration.
+    pub config: u64,
+    /// Newest revision among the members' entries.
+    pub members: u64,
+}
+
+impl Seen {
+    /// Whether something here is older than there.
+    pub fn is_behind(self, other: Self) -> bool {
+        self.config < other.config || self.members < other.members
+    }
+}
+
 /// What an instance says.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Message {
@@ -29,6 +46,26 @@
         /// The leaderships.
         records: Vec<record::Leadership>,
     },
+    /// How old is what you know of the leaderships?
+    Renew {
+        /// Number of the question.
+        number: u64,
+        /// What the sender has seen of the store.
+        seen: Seen,
+    },
+    /// These were the newest that long ago.
+    Renewed {
+        /// Number of the question.
+        number: u64,
+        /// Age of the confirmation when this was sent, in microseconds.
+        age_us: u64,
+        /// The leaderships.
+        records: Vec<record::Leadership>,
+        /// Who holds the duty to promote.
+        duty: Option<duty::Duty>,
+        /// What the sender has seen of the store.
+        seen: Seen,
+    },
     /// This leadership is in the store.
     Announce(record::Leadership),
     /// I know of this change and act by it.
--- a/crates/cardamomhold_entry/src/registry.rs
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -4,6 +4,7 @@
 use std::net;
 
 use cardamomhold_core::name;
+use cardamomhold_lead::renewal;
 
 use crate::store;
 
@@ -53,6 +54,22 @@
     turn
 }
 
+/// The instance of the same zone that reads the store for `own`; itself when it is a reader.
+pub fn reader<'a>(instances: &'a Instances, own: &'a name::InstanceName) -> &'a name::InstanceName {
+    let Some(entry) = instances.get(own.as_str()) else {
+        return own;
+    };
+    let mut zone = Vec::new();
+    for (name, other) in instances {
+        if other.zone == entry.zone {
+            zone.push(name);
+        }
+    }
+    let place = zone.iter().position(|n| *n == own).unwrap_or_default();
+    let reader = zone.get(renewal::reader(place, zone.len()));
+    reader.copied().unwrap_or(own)
+}
+
 /// Registers an instance.
 ///
 /// # Errors
--- a/crates/cardamomhold_lead/src/lease.rs
+++ b/crates/cardamomhold_lead/src/lease.rs
@@ -24,6 +24,11 @@
         self.confirmed = self.confirmed.max(Some(asked));
     }
 
+    /// Age of the newest confirmation.
+    pub fn age(&self, now: Timestamp) -> Option<time::Duration> {
+        self.confirmed.map(|asked| now.since(asked))
+    }
+
     /// The moment from which on the lease is over.
     pub fn until(&self) -> Timestamp {
         self.confirmed
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod duty;
 pub mod lease;
 pub mod record;
+pub mod renewal;
 pub mod round;
 pub mod suspicion;
--- /dev/null
+++ b/crates/cardamomhold_lead/src/renewal.rs
@@ -0,0 +1,68 @@
+//! From where an instance renews its lease: a few readers a zone ask the store, the others
+//! ask their reader, and a majority is asked when neither answers.
+
+use std::time;
+
+use cardamomhold_core::time::Timestamp;
+
+/// Time between two questions.
+pub const EVERY: time::Duration = time::Duration::from_millis(400);
+
+/// Rest of the lease below which an instance that is no reader asks the store itself.
+pub const READ_BELOW: time::Duration = time::Duration::from_millis(700);
+
+/// Rest of the lease below which a majority is asked as well.
+pub const ASK_BELOW: time::Duration = time::Duration::from_millis(900);
+
+/// Instances of a zone for each of its readers.
+pub const PER_READER: usize = 16;
+
+/// Place in its zone of the reader that serves the instance at `place` of `count`.
+pub fn reader(place: usize, count: usize) -> usize {
+    place % count.div_ceil(PER_READER).max(1)
+}
+
+/// What an instance asks now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Questions {
+    /// Ask the store.
+    pub store: bool,
+    /// Ask the zone's reader.
+    pub reader: bool,
+    /// Ask all instances.
+    pub majority: bool,
+}
+
+/// When an instance asked last.
+#[derive(Debug, Default)]
+pub struct Renewal {
+    store: Option<Timestamp>,
+    reader: Option<Timestamp>,
+}
+
+impl Renewal {
+    /// Decides what to ask, with `left` of the lease. `is_away`: the store did not answer
+    /// this instance the last time, which is then found out by asking it.
+    pub fn next(
+        &mut self,
+        now: Timestamp,
+        left: time::Duration,
+        is_reader: bool,
+        is_away: bool,
+    ) -> Questions {
+        let is_due = |last: Option<Timestamp>| last.is_none_or(|at| now >= at.after(EVERY));
+        let wants_store = is_reader || is_away || left < READ_BELOW;
+        let questions = Questions {
+            store: wants_store && is_due(self.store),
+            reader: !is_reader && is_due(self.reader),
+            majority: left < ASK_BELOW && (is_away || left < READ_BELOW),
+        };
+        if questions.store {
+            self.store = Some(now);
+        }
+        if questions.reader {
+            self.reader = Some(now);
+        }
+        questions
+    }
+}
