--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -144,8 +144,6 @@
     records: record::Leaderships,
     lease: lease::Lease,
     is_leased: bool,
-    /// Whether the leaderships were learned from the store or a majority since the start.
-    knows: bool,
     duty: Option<duty::Duty>,
     heard: Option<Timestamp>,
     instances: registry::Instances,
@@ -188,9 +186,8 @@
             handle,
             published,
             records: record::Leaderships::default(),
-            lease: lease::Lease::default(),
+            lease: lease::Lease::new(clock::now()),
             is_leased: false,
-            knows: false,
             duty: None,
             heard: None,
             instances: registry::Instances::new(),
@@ -344,7 +341,6 @@
             log::info!("event=store_regained after=\"{problem}\"");
             self.published.epoch.send_modify(|e| *e += 1);
         }
-        self.knows = true;
         self.confirm(now, asked);
         self.found_missing(now);
     }
@@ -551,7 +547,7 @@
         let is_holder = self.duty.as_ref().is_some_and(|d| d.holder == name);
         match message {
             message::Message::Ask { number } => {
-                if self.knows {
+                if self.lease.may_vouch() {
                     let records = self.records.iter().cloned().collect();
                     let answer = message::Message::Answer { number, records };
                     self.peers.send(from, answer);
@@ -582,7 +578,6 @@
                 if number == self.asked.0 {
                     // What was true that long before the answer was true that long before
                     // the question at the earliest.
-                    self.knows = true;
                     self.confirm(now, Timestamp(self.asked.1.0.saturating_sub(age_us)));
                 }
             }
@@ -669,7 +664,6 @@
         if round.is_majority() {
             let asked = round.asked;
             self.round = None;
-            self.knows = true;
             self.confirm(now, asked);
         }
     }
@@ -710,7 +704,7 @@
     }
 
     fn hear_renew(&mut self, now: Timestamp, from: net::SocketAddr, number: u64) {
-        let Some(age) = self.lease.age(now).filter(|_| self.knows) else {
+        let Some(age) = self.lease.age(now).filter(|_| self.lease.may_vouch()) else {
             return;
         };
         let renewed = message::Message::Renewed {
@@ -741,12 +735,12 @@
     fn ask_majority(&mut self, now: Timestamp) {
         self.next_round += 1;
         let number = self.next_round;
-        let mut round = round::Round::new(number, now, self.instances.len());
-        if self.knows {
-            round.answer(number, &self.own);
-        }
-        self.round = Some(round);
+        self.round = Some(round::Round::new(number, now, self.instances.len()));
         self.broadcast(&message::Message::Ask { number });
+        if self.lease.may_vouch() {
+            let own = self.own.clone();
+            self.count_answer(now, number, &own);
+        }
     }
 
     fn repeat_announcements(&mut self, now: Timestamp) {
--- a/crates/cardamomhold_lead/src/lease.rs
+++ b/crates/cardamomhold_lead/src/lease.rs
@@ -13,12 +13,28 @@
 /// The lease of one instance on all leaderships that it knows.
 ///
 /// Timestamps must come from a clock that counts the time of a suspension.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Lease {
+    started: Timestamp,
     confirmed: Option<Timestamp>,
 }
 
 impl Lease {
+    /// The lease of an instance that started at `started` and knows nothing yet.
+    pub fn new(started: Timestamp) -> Self {
+        Self {
+            started,
+            confirmed: None,
+        }
+    }
+
+    /// Whether the instance may tell others that it knows of nothing newer: it has learned
+    /// the leaderships as they were after its start. What it acknowledged in an earlier
+    /// life is among them.
+    pub fn may_vouch(&self) -> bool {
+        self.confirmed.is_some_and(|asked| asked >= self.started)
+    }
+
     /// Takes note that the known leaderships were the newest at some moment after `asked`.
     pub fn confirm(&mut self, asked: Timestamp) {
         self.confirmed = self.confirmed.max(Some(asked));
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -7,7 +7,7 @@
 //! use cardamomhold_core::prelude::*;
 //! use cardamomhold_lead::lease;
 //!
-//! let mut lease = lease::Lease::default();
+//! let mut lease = lease::Lease::new(Timestamp(0));
 //! lease.confirm(Timestamp::from_millis(100));
 //! assert!(lease.is_valid(Timestamp::from_millis(1_500)));
 //! assert!(!lease.is_valid(Timestamp::from_millis(1_700)));
