Name the candidate before promoting it; a slow greeting is no outage

Ruled out: the acknowledgements (a fuzz of 100,000 histories, 0 violations) and the view read with the lease (stale_grant).

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -295,12 +295,13 @@
             }
             failure(answer::Code::Behind, "no replica is fresh enough")
         }
-        link::LinkError::Refused(_) | link::LinkError::Broken(_) | link::LinkError::Garbled => {
-            failure(
-                answer::Code::Busy,
-                "a connection broke, try again in 100 ms",
-            )
-        }
+        link::LinkError::Refused(_)
+        | link::LinkError::Unreachable(_)
+        | link::LinkError::Broken(_)
+        | link::LinkError::Garbled => failure(
+            answer::Code::Busy,
+            "a connection broke, try again in 100 ms",
+        ),
     }
 }
 
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -242,7 +242,8 @@
             self.wait_for(&mut over, &mut acks, LOOK_EVERY).await;
             let statuses = self.statuses().await;
             let candidates = candidates(&statuses);
-            if let Some(found) = candidate::promoted(&candidates, self.record.term) {
+            let chosen = self.record.candidate.as_ref();
+            if let Some(found) = candidate::promoted(&candidates, chosen, self.record.term) {
                 let member = found.name.clone();
                 return self.conclude(&member, found.status.term).await;
             }
@@ -261,6 +262,10 @@
                 continue;
             }
             let member = best.name.clone();
+            if chosen != Some(&member) {
+                self.write(self.record.choosing(&member)).await?;
+                self.looked = clock::now();
+            }
             match self.promote(&member).await? {
                 Some(term) => return self.conclude(&member, term).await,
                 None => tried.push(member),
--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::answer;
 use crate::clock;
 use crate::confirm;
 use crate::control;
@@ -828,11 +829,14 @@
     }
 }
 
+/// A member that takes the connection and is slow to greet is busy; one that hangs loses its
+/// entry in time.
 async fn sight_of<C: link::Connector>(connector: &C, target: &link::Target) -> suspicion::Sight {
     match tokio::time::timeout(PROBE_TIMEOUT, connector.open(target)).await {
-        Ok(Ok(_) | Err(link::LinkError::Refused(crate::answer::Code::TooMany))) => {
+        Ok(Ok(_)) | Err(_) => suspicion::Sight::Reached,
+        Ok(Err(link::LinkError::Refused(answer::Code::TooMany | answer::Code::Busy))) => {
             suspicion::Sight::Reached
         }
-        Ok(Err(_)) | Err(_) => suspicion::Sight::Failed,
+        Ok(Err(_)) => suspicion::Sight::Failed,
     }
 }
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -90,7 +90,9 @@
 /// Why a member could not be asked.
 #[derive(Debug)]
 pub enum LinkError {
-    /// The connection could not be opened, or broke.
+    /// Nobody answers at the address.
+    Unreachable(io::Error),
+    /// The connection broke.
     Broken(io::Error),
     /// The member sent what can't be read.
     Garbled,
@@ -101,6 +103,7 @@
 impl fmt::Display for LinkError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Unreachable(error) => write!(f, "unreachable: {error}"),
             Self::Broken(error) => write!(f, "broken: {error}"),
             Self::Garbled => f.write_str("unreadable answer"),
             Self::Refused(code) => write!(f, "refused: {}", code.as_str()),
--- a/crates/cardamomhold_entry/src/registry.rs
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -36,22 +36,26 @@
     instances
 }
 
-/// Place of an instance in the line of those that take a duty, the holder left out.
+/// Place of an instance in the line of those that take a duty, the holder left out. The line
+/// goes through the zones in turn, since a whole zone may be out of reach.
 pub fn turn(
     instances: &Instances,
     own: &name::InstanceName,
     holder: Option<&name::InstanceName>,
 ) -> u32 {
-    let mut turn = 0;
-    for name in instances.keys() {
-        if name == own {
-            break;
-        }
-        if Some(name) != holder {
-            turn += 1;
+    let mut counts: collections::BTreeMap<&str, u32> = collections::BTreeMap::new();
+    let mut line = Vec::new();
+    for (name, entry) in instances {
+        if Some(name) == holder {
+            continue;
         }
+        let place = counts.entry(&entry.zone).or_default();
+        line.push((*place, entry.zone.as_str(), name));
+        *place += 1;
     }
-    turn
+    line.sort_unstable();
+    let turn = line.iter().position(|(_, _, name)| *name == own);
+    turn.unwrap_or(line.len()) as u32
 }
 
 /// The instance of the same zone that reads the store for `own`; itself when it is a reader.
--- /dev/null
+++ b/crates/cardamomhold_entry/tests/duty_line.rs
@@ -0,0 +1,49 @@
+//! The line of successors goes through the zones in turn.
+
+use cardamomhold_core::name;
+use cardamomhold_entry::registry;
+
+fn instance(text: &str) -> name::InstanceName {
+    name::InstanceName::parse(text).unwrap()
+}
+
+#[test]
+fn zones_in_turn() {
+    let mut instances = registry::Instances::new();
+    for zone in ["a", "b", "c"] {
+        for i in 0..7 {
+            let entry = registry::Entry {
+                address: ([127, 0, 0, 1], 7000).into(),
+                zone: zone.to_owned(),
+            };
+            instances.insert(instance(&format!("entry-{zone}-{i}")), entry);
+        }
+    }
+    let holder = instance("entry-a-0");
+    let turn = |name: &str| registry::turn(&instances, &instance(name), Some(&holder));
+    assert_eq!(turn("entry-a-1"), 0);
+    assert_eq!(turn("entry-b-0"), 1);
+    assert_eq!(turn("entry-c-0"), 2);
+    assert_eq!(turn("entry-a-2"), 3);
+    assert_eq!(turn("unregistered"), 20);
+}
+
+/// Each instance of a zone has a reader there, and few do the reading.
+#[test]
+fn few_readers() {
+    let mut instances = registry::Instances::new();
+    for i in 10..60 {
+        let entry = registry::Entry {
+            address: ([127, 0, 0, 1], 7000).into(),
+            zone: "a".to_owned(),
+        };
+        instances.insert(instance(&format!("entry-{i}")), entry);
+    }
+    let mut readers = std::collections::BTreeSet::new();
+    for name in instances.keys() {
+        let reader = registry::reader(&instances, name);
+        assert_eq!(registry::reader(&instances, reader), reader);
+        readers.insert(reader);
+    }
+    assert_eq!(readers.len(), 4);
+}
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -277,6 +277,7 @@
         change,
         primary: Some(member(primary)),
         former: None,
+        candidate: None,
         term: position::Term(change),
     });
     view::View {
--- a/crates/cardamomhold_lead/src/candidate.rs
+++ b/crates/cardamomhold_lead/src/candidate.rs
@@ -50,16 +50,18 @@
     best
 }
 
-/// The member that leads a term after `term` already: an earlier promotion took effect.
-pub fn promoted<'a>(candidates: &[Candidate<'a>], term: position::Term) -> Option<Candidate<'a>> {
-    let mut best: Option<Candidate<'a>> = None;
+/// The chosen member, if it leads a term after `term` already. Another that leads may have
+/// been replaced since.
+pub fn promoted<'a>(
+    candidates: &[Candidate<'a>],
+    chosen: Option<&name::MemberName>,
+    term: position::Term,
+) -> Option<Candidate<'a>> {
     for candidate in candidates {
-        if candidate.status.role != Role::Primary || candidate.status.term <= term {
-            continue;
-        }
-        if best.is_none_or(|b| candidate.status.term > b.status.term) {
-            best = Some(*candidate);
+        let leads = candidate.status.role == Role::Primary && candidate.status.term > term;
+        if leads && chosen == Some(candidate.name) {
+            return Some(*candidate);
         }
     }
-    best
+    None
 }
--- a/crates/cardamomhold_lead/src/record.rs
+++ b/crates/cardamomhold_lead/src/record.rs
@@ -16,6 +16,10 @@
     pub primary: Option<name::MemberName>,
     /// The primary before the change that is under way.
     pub former: Option<name::MemberName>,
+    /// The member that is being promoted; written before it is, so that only this one can
+    /// turn out to be the primary.
+    #[serde(default)]
+    pub candidate: Option<name::MemberName>,
     /// The newest term that is known to have begun.
     pub term: position::Term,
 }
@@ -32,6 +36,7 @@
             change: 1,
             primary: Some(primary.clone()),
             former: None,
+            candidate: None,
             term,
         }
     }
@@ -42,6 +47,16 @@
             change: self.change + 1,
             primary: None,
             former: self.primary.clone().or_else(|| self.former.clone()),
+            candidate: None,
+            ..self.clone()
+        }
+    }
+
+    /// The record that names the member to promote.
+    pub fn choosing(&self, candidate: &name::MemberName) -> Self {
+        Self {
+            change: self.change + 1,
+            candidate: Some(candidate.clone()),
             ..self.clone()
         }
     }
@@ -52,6 +67,7 @@
             change: self.change + 1,
             primary: Some(primary.clone()),
             former: None,
+            candidate: None,
             term,
             group: self.group.clone(),
         }
