Readers ask the majority for their zone

Cause: while the store is away every instance asked all others at each tick; at 146 instances that is 212,000 datagrams a second. Change: readers ask, the others go on asking their readers, and ask all only below 250 ms of the lease. lease_renewal counts the questions.

--- a/crates/cardamomhold_lead/src/renewal.rs
+++ b/crates/cardamomhold_lead/src/renewal.rs
@@ -11,9 +11,13 @@
 /// Rest of the lease below which an instance that is no reader asks the store itself.
 pub const READ_BELOW: time::Duration = time::Duration::from_millis(350);
 
-/// Rest of the lease below which a majority is asked as well.
+/// Rest of the lease below which a reader asks a majority as well.
 pub const ASK_BELOW: time::Duration = time::Duration::from_millis(500);
 
+/// Rest of the lease below which an instance that is no reader asks a majority: its reader is
+/// of no help, or there would be an answer by now.
+pub const LAST_BELOW: time::Duration = time::Duration::from_millis(250);
+
 /// Instances of a zone for each of its readers.
 pub const PER_READER: usize = 16;
 
@@ -38,6 +42,7 @@
 pub struct Renewal {
     store: Option<Timestamp>,
     reader: Option<Timestamp>,
+    majority: Option<Timestamp>,
 }
 
 impl Renewal {
@@ -52,10 +57,11 @@
     ) -> Questions {
         let is_due = |last: Option<Timestamp>| last.is_none_or(|at| now >= at.after(EVERY));
         let wants_store = is_reader || is_away || left < READ_BELOW;
+        let ask_below = if is_reader { ASK_BELOW } else { LAST_BELOW };
         let questions = Questions {
             store: wants_store && is_due(self.store),
             reader: !is_reader && is_due(self.reader),
-            majority: left < ASK_BELOW && (is_away || left < READ_BELOW),
+            majority: left < ask_below && is_due(self.majority),
         };
         if questions.store {
             self.store = Some(now);
@@ -63,6 +69,9 @@
         if questions.reader {
             self.reader = Some(now);
         }
+        if questions.majority {
+            self.majority = Some(now);
+        }
         questions
     }
 }
--- /dev/null
+++ b/crates/cardamomhold_lead/tests/lease_renewal.rs
@@ -0,0 +1,65 @@
+//! Who asks whom for the lease, and how much that is for a fleet.
+
+use std::time;
+
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::lease;
+use cardamomhold_lead::renewal;
+
+/// Questions in ten seconds of ticks with a fixed rest of the lease.
+fn count(left_ms: u64, is_reader: bool, is_away: bool) -> (u32, u32, u32) {
+    let mut renewal = renewal::Renewal::default();
+    let left = time::Duration::from_millis(left_ms);
+    let (mut store, mut reader, mut majority) = (0, 0, 0);
+    for tick in 0..100 {
+        let now = Timestamp::from_millis(1_000 + tick * 100);
+        let questions = renewal.next(now, left, is_reader, is_away);
+        store += u32::from(questions.store);
+        reader += u32::from(questions.reader);
+        majority += u32::from(questions.majority);
+    }
+    (store, reader, majority)
+}
+
+#[test]
+fn calm_instance() {
+    let (store, reader, majority) = count(800, false, false);
+    assert_eq!((store, majority), (0, 0));
+    assert!((25..=40).contains(&reader), "{reader}");
+}
+
+#[test]
+fn calm_reader() {
+    let (store, reader, majority) = count(800, true, false);
+    assert_eq!((reader, majority), (0, 0));
+    assert!((25..=40).contains(&store), "{store}");
+}
+
+/// While the store is away readers ask all, and the others go on asking their readers.
+#[test]
+fn store_away() {
+    let (_, _, majority) = count(400, true, true);
+    assert!((25..=40).contains(&majority), "{majority}");
+    let (store, reader, majority) = count(400, false, true);
+    assert_eq!(majority, 0);
+    assert!(store > 0 && reader > 0);
+}
+
+/// An instance whose reader is of no help asks everybody before its lease ends.
+#[test]
+fn last_resort() {
+    let (store, _, majority) = count(200, false, false);
+    assert!(store > 0 && majority > 0);
+    assert!(renewal::LAST_BELOW + renewal::EVERY < lease::LENGTH);
+}
+
+#[test]
+fn readers_grow_slowly() {
+    for count in [1, 4, 16, 17, 50, 1_500] {
+        let mut readers = std::collections::BTreeSet::new();
+        for place in 0..count {
+            readers.insert(renewal::reader(place, count));
+        }
+        assert_eq!(readers.len(), count.div_ceil(renewal::PER_READER));
+    }
+}
