Take out what nothing uses; phases of stopping by name

Store::remove, the orders to hold and resume a replica, withdrawal and loads of the pool, and work that doesn't wait were written for plans that were not carried out.

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -114,7 +114,6 @@
         want,
         avoid: Vec::new(),
         deadline: call.deadline,
-        may_wait: true,
     };
     let mut last = failure(answer::Code::Busy, "too many attempts, try again in 200 ms");
     for attempt in 1..=MAX_TRIES {
--- a/crates/cardamomhold_entry/src/follow.rs
+++ b/crates/cardamomhold_entry/src/follow.rs
@@ -22,15 +22,6 @@
 /// The objects of a kind, by name.
 pub type Documents = collections::BTreeMap<String, store::Document>;
 
-/// What a follower hands on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Health {
-    /// It sees the store's present objects.
-    Following,
-    /// It lost the store.
-    Lost(String),
-}
-
 /// Follows a kind until `take` has no use for it any more. `restart` changes when the
 /// store answers again after an outage: watches from before it are of no use.
 pub fn start<S: store::Store>(
@@ -40,7 +31,7 @@
     mut take: impl FnMut(&Documents) + 'static,
 ) {
     tokio::task::spawn_local(async move {
-        let mut health = Health::Following;
+        let mut last = String::new();
         loop {
             let problem = tokio::select! {
                 problem = follow(&store, kind, &mut take) => problem,
@@ -49,10 +40,9 @@
                     Err(_) => return,
                 },
             };
-            let lost = Health::Lost(problem);
-            if health != lost {
-                log::info!("event=follow_lost kind={kind} problem={lost:?}");
-                health = lost;
+            if last != problem {
+                log::info!("event=follow_lost kind={kind} problem=\"{problem}\"");
+                last = problem;
             }
             tokio::time::sleep(RETRY).await;
         }
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -68,10 +68,6 @@
 pub enum Order {
     /// Says how it stands.
     Status,
-    /// A replica takes no more of the log, for the promotion of this term.
-    Hold(position::Term),
-    /// A held replica goes on.
-    Resume,
     /// A primary of a lower term becomes a replica.
     Demote(position::Term),
 }
--- a/crates/cardamomhold_entry/src/stop.rs
+++ b/crates/cardamomhold_entry/src/stop.rs
@@ -19,12 +19,23 @@
     Ending,
 }
 
-/// When each phase begins, counted from the signal, for a grace of this length.
-pub fn schedule(grace: time::Duration) -> [(Phase, time::Duration); 3] {
-    let half = grace / 2;
-    [
-        (Phase::Draining, LEAVING.min(half)),
-        (Phase::Ending, half + half / 5),
-        (Phase::Ending, grace * 9 / 10),
-    ]
+/// When each phase begins, and when the process ends, counted from the signal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Schedule {
+    /// Begin of [`Phase::Draining`].
+    pub draining: time::Duration,
+    /// Begin of [`Phase::Ending`].
+    pub ending: time::Duration,
+    /// End of the process.
+    pub exit: time::Duration,
+}
+
+/// The schedule for a grace of this length: open transactions get its first half, and some
+/// of what comes late before the kill.
+pub fn schedule(grace: time::Duration) -> Schedule {
+    Schedule {
+        draining: LEAVING.min(grace / 2),
+        ending: grace * 3 / 5,
+        exit: grace * 9 / 10,
+    }
 }
--- a/crates/cardamomhold_entry/src/store.rs
+++ b/crates/cardamomhold_entry/src/store.rs
@@ -113,10 +113,4 @@
         content: &serde_json::Value,
         condition: Condition,
     ) -> impl Future<Output = Result<Written, StoreError>>;
-
-    /// Removes an object; one that is gone already is no failure.
-    ///
-    /// # Errors
-    /// [`StoreError`].
-    fn remove(&self, kind: &str, name: &str) -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/crates/cardamomhold_entry/tests/stale_grant.rs
+++ b/crates/cardamomhold_entry/tests/stale_grant.rs
@@ -20,7 +20,6 @@
         want: line::Want::Primary,
         avoid: Vec::new(),
         deadline,
-        may_wait: true,
     }
 }
 
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -11,7 +11,7 @@
 //! let member = MemberName::parse("db-1").unwrap();
 //! pool.set_members(&[MemberInfo { name: &member, is_near: true, is_ready: true }], 2);
 //! pool.set_primary(Some(&member));
-//! pool.ask(Ask { id: 1, rank: 0, want: Want::Primary, avoid: vec![], deadline: Timestamp(9), may_wait: true });
+//! pool.ask(Ask { id: 1, rank: 0, want: Want::Primary, avoid: vec![], deadline: Timestamp(9) });
 //! let decisions = pool.poll(Timestamp(1), true);
 //! assert!(matches!(&decisions[0], Decision::Grant(g) if g.link.is_none()));
 //! ```
--- a/crates/cardamomhold_pool/src/line.rs
+++ b/crates/cardamomhold_pool/src/line.rs
@@ -34,8 +34,6 @@
     pub avoid: Vec<name::MemberName>,
     /// When a connection is no longer of use.
     pub deadline: Timestamp,
-    /// Whether it waits for a connection; otherwise it takes one now or none.
-    pub may_wait: bool,
 }
 
 /// The waiting work of one group.
@@ -50,9 +48,9 @@
         self.asks.insert((ask.rank, ask.id), ask);
     }
 
-    /// Takes out one piece of work; false when it does not wait.
-    pub fn remove(&mut self, rank: u8, id: u64) -> bool {
-        self.asks.remove(&(rank, id)).is_some()
+    /// Takes out one piece of work.
+    pub fn remove(&mut self, rank: u8, id: u64) {
+        self.asks.remove(&(rank, id));
     }
 
     /// The work in the order in which it is served.
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -128,11 +128,6 @@
         self.line.push(ask);
     }
 
-    /// Forgets work that waits no longer.
-    pub fn withdraw(&mut self, rank: u8, id: u64) {
-        self.line.remove(rank, id);
-    }
-
     /// Decides what gets a connection and what is refused now.
     pub fn poll(&mut self, now: Timestamp, is_leased: bool) -> Vec<Decision<L>> {
         let mut decisions = Vec::new();
@@ -150,11 +145,6 @@
                 done.push((ask.rank, ask.id));
                 continue;
             }
-            if !ask.may_wait {
-                let reason = self.reason(ask, is_leased);
-                decisions.push(Decision::Refuse { id: ask.id, reason });
-                done.push((ask.rank, ask.id));
-            }
         }
         self.line = line;
         for (rank, id) in done {
@@ -361,9 +351,4 @@
     pub fn waiting(&self) -> usize {
         self.line.len()
     }
-
-    /// Connections in use and idle, of each member.
-    pub fn loads(&self) -> impl Iterator<Item = (&name::MemberName, usize, usize)> {
-        self.members.iter().map(|m| (&m.name, m.lent, m.idle.len()))
-    }
 }
