A candidate that is chosen again must lead a new term

Committed in term 3 at a member that another had replaced in term 4: given up for another and chosen again, it led its old term still, which passed for a success while the other one's promotion took effect. Ruled out: the lease (writes carried the newest record's change; the fuzz is clean). Change: each further candidate raises the term to exceed; who leads an older term steps down first. returned_candidate failed before.

--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -226,9 +226,15 @@
             }
             let member = best.name.clone();
             if chosen != Some(&member) {
-                self.write(self.record.choosing(&member)).await?;
+                let seen = candidates.iter().map(|c| c.status.term).max();
+                let seen = seen.unwrap_or_default();
+                self.write(self.record.choosing(&member, seen)).await?;
                 self.looked = clock::now();
             }
+            if best.status.role == candidate::Role::Primary && !self.step_down(&member).await {
+                tried.push(member);
+                continue;
+            }
             match self.promote(&member).await? {
                 Some(term) => return self.conclude(&member, term).await,
                 None => tried.push(member),
@@ -236,6 +242,24 @@
         }
     }
 
+    /// Makes a member that leads an earlier term a replica, so that its promotion begins a
+    /// new one; false when it does not answer.
+    async fn step_down(&self, member: &name::MemberName) -> bool {
+        let target = self.job.members.iter().find(|t| t.member == *member);
+        let Some(target) = target else {
+            return false;
+        };
+        let term = self.record.term.next();
+        let order = link::Order::Demote(term);
+        let demoted = orders::order(&self.edges.connector, target, order).await;
+        log::info!(
+            "event=stepped_down group={} member={member} term={term} ok={}",
+            self.job.group,
+            demoted.is_ok()
+        );
+        demoted.is_ok()
+    }
+
     fn announce(&self, acks: Option<mpsc::UnboundedSender<name::InstanceName>>) {
         self.keeper.tell(keeper::Event::Announce {
             record: self.record.clone(),
--- a/crates/cardamomhold_lead/src/record.rs
+++ b/crates/cardamomhold_lead/src/record.rs
@@ -52,11 +52,17 @@
         }
     }
 
-    /// The record that names the member to promote.
-    pub fn choosing(&self, candidate: &name::MemberName) -> Self {
+    /// The record that names the member to promote, when `seen` is the newest term that a
+    /// member has told of.
+    pub fn choosing(&self, candidate: &name::MemberName, seen: position::Term) -> Self {
         Self {
             change: self.change + 1,
             candidate: Some(candidate.clone()),
+            term: match self.candidate {
+                // The promotion of the one before may have begun a term of its own.
+                Some(_) => self.term.next().max(seen),
+                None => self.term,
+            },
             ..self.clone()
         }
     }
