--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -25,6 +25,8 @@
 use crate::stop;
 use crate::view;
 
+mod retry;
+
 /// Attempts at members for one statement.
 const MAX_TRIES: u32 = 6;
 
@@ -120,8 +122,8 @@
         let mut lent = acquire(context, &route.group, &ask).await?;
         let member = lent.member.clone();
         if let Err(error) = equip(&mut lent, session, begin, &call).await {
-            last = retreat(&mut lent, &mut ask, &error);
-            note_attempt(&call, attempt, &member, last);
+            last = retry::retreat(&mut lent, &mut ask, &error);
+            retry::note_attempt(&call, attempt, &member, last);
             continue;
         }
         let after = lent.after.filter(|_| begin.is_none());
@@ -132,13 +134,13 @@
                     if answer.state != answer::State::Idle {
                         roll_back(&mut lent).await;
                     }
-                    note_attempt(&call, attempt, &member, last);
-                    step_back(&mut lent, &mut ask, code, after).await;
+                    retry::note_attempt(&call, attempt, &member, last);
+                    retry::step_back(&mut lent, &mut ask, code, after).await;
                 }
                 Some(_) | None => return Ok(Ran { lent, answer }),
             },
             Err(failed) => {
-                note_attempt(&call, attempt, &member, failed);
+                retry::note_attempt(&call, attempt, &member, failed);
                 let is_safe = !call.may_keep || call.access == statement::Access::Read;
                 if !is_safe || failed.code == answer::Code::Timeout || clock::now() >= call.deadline
                 {
@@ -155,17 +157,6 @@
     Err(last)
 }
 
-/// Writes a line about an attempt at a member that brought no answer to pass on.
-fn note_attempt(call: &call::Call<'_>, attempt: u32, member: &name::MemberName, failed: Failure) {
-    log::info!(
-        "event=attempt id={} attempt={attempt} member={member} code={} left_ms={} cause=\"{}\"",
-        call.id,
-        failed.code.as_str(),
-        call.deadline.since(clock::now()).as_millis(),
-        failed.cause
-    );
-}
-
 /// Asks the group for a connection.
 async fn acquire<L: link::Link>(
     context: &Context<L>,
@@ -239,49 +230,6 @@
     Ok(())
 }
 
-/// Notes why a connection could not be equipped.
-fn retreat<L>(lent: &mut lent::Lent<L>, ask: &mut line::Ask, error: &link::LinkError) -> Failure {
-    ask.avoid.push(lent.member.clone());
-    match error {
-        link::LinkError::Refused(answer::Code::Behind) => {
-            if let Some(after) = lent.after {
-                lent.ended = pool::Ended::Lacks(after);
-            }
-            failure(answer::Code::Behind, "no replica is fresh enough")
-        }
-        link::LinkError::Refused(_)
-        | link::LinkError::Unreachable(_)
-        | link::LinkError::Broken(_)
-        | link::LinkError::Garbled => failure(
-            answer::Code::Busy,
-            "a connection broke, try again in 100 ms",
-        ),
-    }
-}
-
-/// Notes that a member did not run a statement, and where to go next.
-async fn step_back<L>(
-    lent: &mut lent::Lent<L>,
-    ask: &mut line::Ask,
-    code: answer::Code,
-    after: Option<position::Position>,
-) {
-    match (code, after) {
-        (answer::Code::Behind, Some(after)) => {
-            lent.ended = pool::Ended::Lacks(after);
-            ask.avoid.push(lent.member.clone());
-        }
-        (answer::Code::Busy | answer::Code::TooMany, _) => {
-            lent.ended = pool::Ended::Full;
-            tokio::time::sleep(BUSY_PAUSE).await;
-        }
-        _ => {
-            lent.close(pool::Ended::Unused);
-            tokio::time::sleep(BUSY_PAUSE).await;
-        }
-    }
-}
-
 /// Runs a further statement of a transaction; one that finds no slot is tried again.
 ///
 /// # Errors
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -6,7 +6,6 @@
 
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
-use cardamomhold_pool::line;
 
 use crate::answer;
 use crate::attempt;
@@ -314,7 +313,7 @@
             session::Transaction::None | session::Transaction::Failed => None,
         };
         let only_reads = begin.unwrap_or(call.access == statement::Access::Read);
-        let want = want(route, only_reads, self.session.own);
+        let want = route.want(only_reads, self.session.own);
         let ran = attempt::start(self.context, &self.session, route, want, begin, *call).await?;
         self.lent = Some(ran.lent);
         self.route = begin.map(|_| route.clone());
@@ -395,21 +394,3 @@
         self.session.transaction = session::Transaction::Failed;
     }
 }
-
-fn want(
-    route: &view::Route,
-    only_reads: bool,
-    own: Option<(position::Position, Timestamp)>,
-) -> line::Want {
-    if !only_reads {
-        return line::Want::Primary;
-    }
-    match route.consistency {
-        view::Consistency::Primary => line::Want::Primary,
-        view::Consistency::Bounded(staleness) => line::Want::Read {
-            staleness,
-            own: None,
-        },
-        view::Consistency::OwnWrites(staleness) => line::Want::Read { staleness, own },
-    }
-}
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -25,15 +25,13 @@
 
 pub mod error;
 mod orders;
+mod promote;
 
 pub use error::HandoverError;
 
 /// Longest wait for one call of the store.
 const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
-/// Longest wait for the platform's answer to a promotion.
-const PROMOTE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
 /// Time that open transactions get at a primary that is handed over.
 const DRAIN: time::Duration = time::Duration::from_millis(300);
 
@@ -43,9 +41,6 @@
 /// Pause between two looks at the members.
 const LOOK_EVERY: time::Duration = time::Duration::from_millis(80);
 
-/// Time for a promoted member to lead.
-const LEAD_TIMEOUT: time::Duration = time::Duration::from_millis(4_000);
-
 /// Time after which a handover ends without success; another one goes on.
 const LIMIT: time::Duration = time::Duration::from_secs(20);
 
@@ -242,24 +237,6 @@
         }
     }
 
-    /// Makes a member that leads an earlier term a replica, so that its promotion begins a
-    /// new one; false when it does not answer.
-    async fn step_down(&self, member: &name::MemberName) -> bool {
-        let target = self.job.members.iter().find(|t| t.member == *member);
-        let Some(target) = target else {
-            return false;
-        };
-        let term = self.record.term.next();
-        let order = link::Order::Demote(term);
-        let demoted = orders::order(&self.edges.connector, target, order).await;
-        log::info!(
-            "event=stepped_down group={} member={member} term={term} ok={}",
-            self.job.group,
-            demoted.is_ok()
-        );
-        demoted.is_ok()
-    }
-
     fn announce(&self, acks: Option<mpsc::UnboundedSender<name::InstanceName>>) {
         self.keeper.tell(keeper::Event::Announce {
             record: self.record.clone(),
@@ -326,80 +303,6 @@
         statuses
     }
 
-    /// Promotes a member; returns its term once it leads, none when it can't be promoted.
-    async fn promote(
-        &mut self,
-        member: &name::MemberName,
-    ) -> Result<Option<position::Term>, HandoverError> {
-        if clock::now().since(self.looked) > duty::FRESH {
-            self.look_again().await?;
-        }
-        if clock::now().since(self.looked) > duty::FRESH {
-            return Err(HandoverError::OutOfTime);
-        }
-        let sent = clock::now();
-        let promoting = self
-            .edges
-            .promoter
-            .promote(&self.job.group, member, &self.duty);
-        let lost = promoter::PromoteError::Lost("timeout".to_owned());
-        let promoted = tokio::time::timeout(PROMOTE_TIMEOUT, promoting)
-            .await
-            .unwrap_or(Err(lost));
-        log::info!(
-            "event=promotion group={} member={member} token={} took_ms={} result=\"{}\"",
-            self.job.group,
-            self.duty.token,
-            clock::now().since(sent).as_millis(),
-            promoted
-                .as_ref()
-                .err()
-                .map_or("ok".to_owned(), ToString::to_string)
-        );
-        match promoted {
-            Err(promoter::PromoteError::Rejected(_)) => return Ok(None),
-            Err(promoter::PromoteError::Refused(_)) => {
-                tokio::time::sleep(LOOK_EVERY).await;
-                return Ok(None);
-            }
-            Ok(()) | Err(promoter::PromoteError::Lost(_)) => {}
-        }
-        self.await_lead(member).await
-    }
-
-    /// Whether the duty and the record are still this instance's.
-    async fn look_again(&mut self) -> Result<(), HandoverError> {
-        let looked = clock::now();
-        let known = look(&self.edges.store).await?;
-        let is_mine = known.duty.is_some_and(|(d, _)| d == self.duty);
-        let found = known.records.get(self.job.group.as_str());
-        if !is_mine || found.is_none_or(|(record, _)| *record != self.record) {
-            return Err(HandoverError::Overtaken);
-        }
-        self.looked = looked;
-        Ok(())
-    }
-
-    async fn await_lead(
-        &self,
-        member: &name::MemberName,
-    ) -> Result<Option<position::Term>, HandoverError> {
-        let target = self.job.members.iter().find(|t| t.member == *member);
-        let target = target.ok_or(HandoverError::NoCandidate)?;
-        let until = clock::now().after(LEAD_TIMEOUT);
-        while clock::now() < until {
-            let status = orders::order(&self.edges.connector, target, link::Order::Status).await;
-            if let Ok(status) = status
-                && status.role == candidate::Role::Primary
-                && status.term > self.record.term
-            {
-                return Ok(Some(status.term));
-            }
-            tokio::time::sleep(LOOK_EVERY / 2).await;
-        }
-        Ok(None)
-    }
-
     /// Names the new primary and sees to the former one.
     async fn conclude(
         &mut self,
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -6,8 +6,10 @@
 use std::time;
 
 use cardamomhold_core::name;
+use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::record;
+use cardamomhold_pool::line;
 
 /// What reads of a route may see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +37,28 @@
     pub rank: u8,
 }
 
+impl Route {
+    /// What a transaction or single statement of a session needs, when `own` is the session's
+    /// last commit and when it was acknowledged.
+    pub fn want(
+        &self,
+        only_reads: bool,
+        own: Option<(position::Position, Timestamp)>,
+    ) -> line::Want {
+        if !only_reads {
+            return line::Want::Primary;
+        }
+        match self.consistency {
+            Consistency::Primary => line::Want::Primary,
+            Consistency::Bounded(staleness) => line::Want::Read {
+                staleness,
+                own: None,
+            },
+            Consistency::OwnWrites(staleness) => line::Want::Read { staleness, own },
+        }
+    }
+}
+
 /// A group as the operators configured it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GroupSpec {
