Share connections in time where a member takes fewer than there are instances

Ruled out: owners that forward (a second hop, and requests lost with a frozen owner), since only 1.5 connections a member are in use at a time; what lacks is room for idle ones.

Change: a share is owned or contended. Contended connections are opened for work and closed after an idle time that halves when a member has none left and grows with each that opens. Choosing a member counts the cost of opening. Refusals for want of a connection wait longer each time.

--- a/crates/cardamomhold_entry/src/attempt/retry.rs
+++ b/crates/cardamomhold_entry/src/attempt/retry.rs
@@ -66,7 +66,7 @@
             lent.ended = pool::Ended::Lacks(after);
             ask.avoid.push(lent.member.clone());
         }
-        (answer::Code::Busy | answer::Code::TooMany, _) => {
+        (answer::Code::Busy, _) => {
             lent.ended = pool::Ended::Full;
             tokio::time::sleep(BUSY_PAUSE).await;
         }
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -10,6 +10,7 @@
 use cardamomhold_pool::line;
 use cardamomhold_pool::member;
 use cardamomhold_pool::pool;
+use cardamomhold_pool::share;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -23,9 +24,6 @@
 
 mod open;
 
-/// Connections of each member that are left for orders and for restarted instances.
-const SPARE: usize = 2;
-
 /// Least time between two reports that the primary can't be reached.
 const REPORT_EVERY: time::Duration = time::Duration::from_millis(200);
 
@@ -139,7 +137,8 @@
         loop {
             let now = clock::now();
             let wake = self.pool.wake(now);
-            let is_waiting = wake.is_some();
+            let is_due = wake.is_some();
+            let is_waiting = self.pool.waiting() > 0;
             tokio::select! {
                 message = mailbox.recv() => match message {
                     Some(message) => self.handle(message),
@@ -157,7 +156,7 @@
                     }
                 }
                 () = tokio::time::sleep_until(clock::instant(wake.unwrap_or(now))),
-                    if is_waiting => {}
+                    if is_due => {}
             }
             // The lease vouches for the newest view only, so both are read together.
             let is_leased = self.is_leased(clock::now());
@@ -190,15 +189,11 @@
                 is_ready: member.state == view::MemberState::Ready,
             });
         }
-        // Until the instances are known, one connection each stays within any limit.
-        let cap = match view.instances {
-            0 => 1,
-            instances => spec.connections.saturating_sub(SPARE) / instances,
-        };
+        let share = share::Share::of(spec.connections, view.instances);
         let record = view.leaderships.get(group.as_str());
         self.change = record.map_or(0, |r| r.change);
         self.pool.set_primary(view.primary(group.as_str()));
-        self.pool.set_members(&infos, cap);
+        self.pool.set_members(&infos, share);
         true
     }
 
@@ -254,7 +249,10 @@
         match ended {
             pool::Ended::Failed => self.report(now, member, suspicion::Sight::Failed),
             pool::Ended::Answered(_) => self.report(now, member, suspicion::Sight::Reached),
-            pool::Ended::Full | pool::Ended::Lacks(_) | pool::Ended::Unused => {}
+            pool::Ended::Full
+            | pool::Ended::Crowded
+            | pool::Ended::Lacks(_)
+            | pool::Ended::Unused => {}
         }
         self.pool.give_back(now, member, wired, ended);
     }
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -134,6 +134,7 @@
                     self.pool.observe(&grant.member, sent, position, is_leased);
                 }
                 self.report(now, &grant.member, suspicion::Sight::Reached);
+                self.pool.opened(&grant.member);
                 self.lend(lent::Wired::new(link), grant, change);
             }
             Err(error) => {
@@ -143,10 +144,10 @@
                     grant.member,
                     now.since(sent).as_millis()
                 );
-                let ended = if is_full(&error) {
-                    pool::Ended::Full
-                } else {
-                    pool::Ended::Failed
+                let ended = match error {
+                    link::LinkError::Refused(answer::Code::TooMany) => pool::Ended::Crowded,
+                    link::LinkError::Refused(answer::Code::Busy) => pool::Ended::Full,
+                    _ => pool::Ended::Failed,
                 };
                 if ended == pool::Ended::Failed {
                     self.report(now, &grant.member, suspicion::Sight::Failed);
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! let mut pool: Pool<&str> = Pool::new();
 //! let member = MemberName::parse("db-1").unwrap();
-//! pool.set_members(&[MemberInfo { name: &member, is_near: true, is_ready: true }], 2);
+//! let infos = [MemberInfo { name: &member, is_near: true, is_ready: true }];
+//! pool.set_members(&infos, Share::of(47, 15));
 //! pool.set_primary(Some(&member));
 //! pool.ask(Ask { id: 1, rank: 0, want: Want::Primary, avoid: vec![], deadline: Timestamp(9) });
 //! let decisions = pool.poll(Timestamp(1), true);
@@ -20,6 +21,7 @@
 pub mod line;
 pub mod member;
 pub mod pool;
+pub mod share;
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
@@ -27,4 +29,5 @@
     pub use crate::line::{Ask, Want};
     pub use crate::member::MemberInfo;
     pub use crate::pool::{Decision, Ended, Grant, Pool, Reason};
+    pub use crate::share::Share;
 }
--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -6,6 +6,8 @@
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
 
+use crate::share;
+
 /// Service time that is assumed before anything was measured, in microseconds.
 const FIRST_SERVICE_US: f64 = 20_000.0;
 
@@ -27,6 +29,12 @@
 /// Pause after the member refused work for want of a slot or a connection.
 const FULL: time::Duration = time::Duration::from_millis(10);
 
+/// Longest pause after the member had no connection left.
+const MAX_CROWDED: time::Duration = time::Duration::from_millis(80);
+
+/// Cost of opening a connection, as a time, in microseconds.
+const OPEN_US: f64 = 15_000.0;
+
 /// What the configuration and the members' entries say of a member.
 #[derive(Debug, Clone, Copy)]
 pub struct MemberInfo<'a> {
@@ -44,7 +52,11 @@
     pub(crate) name: name::MemberName,
     pub(crate) is_near: bool,
     pub(crate) is_ready: bool,
-    pub(crate) idle: Vec<L>,
+    /// Idle connections and when each came back, the newest last.
+    idle: Vec<(L, Timestamp)>,
+    keep: share::Keep,
+    /// Refusals for want of a connection since the last one that was opened.
+    crowded: u32,
     /// Connections that work uses or that are being opened.
     pub(crate) lent: usize,
     service_us: f64,
@@ -63,6 +75,8 @@
             is_near: info.is_near,
             is_ready: info.is_ready,
             idle: Vec::new(),
+            keep: share::Keep::new(info.is_near),
+            crowded: 0,
             lent: 0,
             service_us: FIRST_SERVICE_US,
             position: None,
@@ -79,6 +93,44 @@
         self.lent < cap && !self.is_down() && now >= self.full_until
     }
 
+    /// Takes out an idle connection.
+    pub(crate) fn take_idle(&mut self) -> Option<L> {
+        self.idle.pop().map(|(link, _)| link)
+    }
+
+    /// Takes a connection back.
+    pub(crate) fn put_idle(&mut self, now: Timestamp, link: L) {
+        self.idle.push((link, now));
+    }
+
+    /// Closes all idle connections.
+    pub(crate) fn close_idle(&mut self) {
+        self.idle.clear();
+    }
+
+    /// Connections that are open or being opened.
+    pub(crate) fn open(&self) -> usize {
+        self.lent + self.idle.len()
+    }
+
+    /// When the oldest idle connection is to be closed, where others wait for one.
+    pub(crate) fn expires(&self, share: share::Share) -> Option<Timestamp> {
+        match share {
+            share::Share::Owned(_) => None,
+            share::Share::Contended => {
+                let (_, since) = self.idle.first()?;
+                Some(since.after(self.keep.time()))
+            }
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn expire(&mut self, now: Timestamp, share: share::Share) {
+        while self.expires(share).is_some_and(|at| at <= now) {
+            self.idle.remove(0);
+        }
+    }
+
     /// Whether the member failed, and no probe has succeeded since.
     pub(crate) fn is_down(&self) -> bool {
         self.failures > 0
@@ -106,7 +158,8 @@
     pub(crate) fn cost_us(&self) -> f64 {
         let queue = self.service_us * (self.lent + 1) as f64;
         let far = if self.is_near { 0.0 } else { FAR_US };
-        queue + far
+        let open = if self.idle.is_empty() { OPEN_US } else { 0.0 };
+        queue + far + open
     }
 
     /// Whether the member was seen to hold a position.
@@ -145,11 +198,25 @@
         self.failures = 0;
     }
 
-    /// Takes note that the member has no slot or connection left.
+    /// Takes note that the member has no slot left.
     pub(crate) fn full(&mut self, now: Timestamp) {
         self.full_until = now.after(FULL);
     }
 
+    /// Takes note that the member has no connection left.
+    pub(crate) fn crowd(&mut self, now: Timestamp) {
+        let pause = FULL * 2u32.pow(self.crowded.min(3));
+        self.crowded += 1;
+        self.keep.crowded();
+        self.full_until = now.after(pause.min(MAX_CROWDED));
+    }
+
+    /// Takes note that a connection was opened.
+    pub(crate) fn opened(&mut self) {
+        self.crowded = 0;
+        self.keep.opened();
+    }
+
     /// Takes note of a connection that could not be opened or broke.
     pub(crate) fn failed(&mut self, now: Timestamp) {
         let pause = RETRY * 2u32.pow(self.failures.min(3));
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -9,6 +9,7 @@
 use crate::fresh;
 use crate::line;
 use crate::member;
+use crate::share;
 
 /// A replica's usual delay: an own commit that is younger is read at the primary.
 const OWN_DELAY: time::Duration = time::Duration::from_millis(150);
@@ -58,8 +59,10 @@
 pub enum Ended {
     /// The member answered; it took this long for each statement.
     Answered(time::Duration),
-    /// The member refused for want of a slot or a connection.
+    /// The member refused for want of a slot.
     Full,
+    /// The member refused for want of a connection.
+    Crowded,
     /// The member lacks a position.
     Lacks(position::Position),
     /// The connection broke, or could not be opened.
@@ -75,7 +78,7 @@
     primary: Option<name::MemberName>,
     samples: fresh::Samples,
     line: line::Line,
-    cap: usize,
+    share: share::Share,
 }
 
 impl<L> Default for Pool<L> {
@@ -85,7 +88,7 @@
             primary: None,
             samples: fresh::Samples::default(),
             line: line::Line::default(),
-            cap: 1,
+            share: share::Share::Owned(1),
         }
     }
 }
@@ -96,9 +99,9 @@
         Self::default()
     }
 
-    /// Takes the members and the connections that this instance may hold to each.
-    pub fn set_members(&mut self, infos: &[member::MemberInfo<'_>], cap: usize) {
-        self.cap = cap.max(1);
+    /// Takes the members and this instance's share of their connections.
+    pub fn set_members(&mut self, infos: &[member::MemberInfo<'_>], share: share::Share) {
+        self.share = share;
         self.members
             .retain(|m| infos.iter().any(|i| *i.name == m.name));
         for info in infos {
@@ -113,7 +116,7 @@
         let primary = self.primary.as_ref();
         for member in &mut self.members {
             if !member.is_ready && primary != Some(&member.name) {
-                member.idle.clear();
+                member.close_idle();
             }
         }
     }
@@ -130,6 +133,9 @@
 
     /// Decides what gets a connection and what is refused now.
     pub fn poll(&mut self, now: Timestamp, is_leased: bool) -> Vec<Decision<L>> {
+        for member in &mut self.members {
+            member.expire(now, self.share);
+        }
         let mut decisions = Vec::new();
         let mut done = Vec::new();
         let line = std::mem::take(&mut self.line);
@@ -162,7 +168,7 @@
             member: member.name.clone(),
             is_primary,
             after,
-            link: member.idle.pop(),
+            link: member.take_idle(),
         }
     }
 
@@ -199,7 +205,7 @@
         }
         let at = (0..self.members.len()).find(|at| self.is_primary(*at))?;
         let member = &self.members[at];
-        let is_free = member.has_room(now, self.cap) && !ask.avoid.contains(&member.name);
+        let is_free = member.has_room(now, self.share.cap()) && !ask.avoid.contains(&member.name);
         is_free.then_some(at)
     }
 
@@ -221,7 +227,7 @@
             if !member.is_ready || self.is_primary(at) {
                 continue;
             }
-            if !member.has_room(now, self.cap) || ask.avoid.contains(&member.name) {
+            if !member.has_room(now, self.share.cap()) || ask.avoid.contains(&member.name) {
                 continue;
             }
             if !member.may_hold(now, needed) {
@@ -268,6 +274,7 @@
         match ended {
             Ended::Answered(took) => member.answered(took),
             Ended::Full => member.full(now),
+            Ended::Crowded => member.crowd(now),
             Ended::Lacks(needed) => member.lacks(now, needed),
             Ended::Failed => member.failed(now),
             Ended::Unused => {}
@@ -276,7 +283,14 @@
         if let Some(link) = link
             && (member.is_ready || is_primary)
         {
-            member.idle.push(link);
+            member.put_idle(now, link);
+        }
+    }
+
+    /// Takes note that a connection for work was opened.
+    pub fn opened(&mut self, name: &name::MemberName) {
+        if let Some(member) = self.members.iter_mut().find(|m| m.name == *name) {
+            member.opened();
         }
     }
 
@@ -309,8 +323,8 @@
         match link {
             Some(link) => {
                 member.revive();
-                if member.lent + member.idle.len() < self.cap {
-                    member.idle.push(link);
+                if member.open() < self.share.cap() {
+                    member.put_idle(now, link);
                 }
             }
             None => member.failed(now),
@@ -335,12 +349,13 @@
         }
     }
 
-    /// When [`Pool::poll`] or [`Pool::probes`] may decide something without another event.
+    /// When [`Pool::poll`] or [`Pool::probes`] may do something without another event.
     pub fn wake(&self, now: Timestamp) -> Option<Timestamp> {
         let mut wake = self.line.deadline();
         for member in &self.members {
             let reopens = member.reopens(now).filter(|_| !self.line.is_empty());
-            for at in [reopens, member.probe_at()].into_iter().flatten() {
+            let expires = member.expires(self.share);
+            for at in [reopens, member.probe_at(), expires].into_iter().flatten() {
                 wake = Some(wake.map_or(at, |w| w.min(at)));
             }
         }
