Samples of the primaries' positions travel between instances

Cause: on the grown site an instance sends half a statement a second to a primary, so it often had no sample young enough for a bounded read and went to the primary; and when that one answers late, its samples are too old to be of use to anybody.

Change: questions to the zone's reader and its answers carry the newest samples. An answer dates them back from its sending, which the one that asked counts from its question; a question dates them from the arrival of the last answer, which carries a stamp of its sender's clock. So a sample never counts as younger than it is. The view is adopted before a message is judged by it. Numbers of questions differ between lives of an instance: a late answer to an earlier life was taken for a new one.

Test: exchange_fuzz.

Left: the overload of a primary feeds itself.

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -7,6 +7,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_pool::fresh;
 use cardamomhold_pool::line;
 use cardamomhold_pool::pool;
 use tokio::sync::oneshot;
@@ -292,7 +293,7 @@
         Some(Ok(answer)) => {
             lent.ended = pool::Ended::Answered(took);
             if let Some(position) = answer.position {
-                lent.seen = Some((sent, position));
+                lent.seen = Some(fresh::Sample { sent, position });
             }
             vouch(context, group, lent, call, answer).await
         }
--- a/crates/cardamomhold_entry/src/follow.rs
+++ b/crates/cardamomhold_entry/src/follow.rs
@@ -8,7 +8,7 @@
 use crate::store;
 
 /// Longest wait of one watch.
-const WAIT: time::Duration = time::Duration::from_millis(20_000);
+const WAIT: time::Duration = time::Duration::from_millis(30_000);
 
 /// Time beyond the wait after which a watch counts as lost.
 const GRACE: time::Duration = time::Duration::from_millis(1_000);
@@ -19,6 +19,15 @@
 /// Pause after a failure.
 const RETRY: time::Duration = time::Duration::from_millis(200);
 
+/// A kind that is followed.
+#[derive(Debug, Clone, Copy)]
+pub struct Followed {
+    /// The kind.
+    pub kind: &'static str,
+    /// Pause after each change, so that many at once cost one call.
+    pub pause: time::Duration,
+}
+
 /// The objects of a kind, by name.
 pub type Documents = collections::BTreeMap<String, store::Document>;
 
@@ -26,7 +35,7 @@
 /// store answers again after an outage: watches from before it are of no use.
 pub fn start<S: store::Store>(
     store: S,
-    kind: &'static str,
+    followed: Followed,
     mut restart: watch::Receiver<u64>,
     mut take: impl FnMut(&Documents) + 'static,
 ) {
@@ -34,14 +43,17 @@
         let mut last = String::new();
         loop {
             let problem = tokio::select! {
-                problem = follow(&store, kind, &mut take) => problem,
+                problem = follow(&store, followed, &mut take) => problem,
                 changed = restart.changed() => match changed {
                     Ok(()) => continue,
                     Err(_) => return,
                 },
             };
             if last != problem {
-                log::info!("event=follow_lost kind={kind} problem=\"{problem}\"");
+                log::info!(
+                    "event=follow_lost kind={} problem=\"{problem}\"",
+                    followed.kind
+                );
                 last = problem;
             }
             tokio::time::sleep(RETRY).await;
@@ -52,9 +64,10 @@
 /// Lists, then watches until something fails; returns the problem.
 async fn follow<S: store::Store>(
     store: &S,
-    kind: &str,
+    followed: Followed,
     take: &mut impl FnMut(&Documents),
 ) -> String {
+    let kind = followed.kind;
     let listing = match tokio::time::timeout(LIST_TIMEOUT, store.list(kind)).await {
         Ok(Ok(listing)) => listing,
         Ok(Err(error)) => return error.to_string(),
@@ -88,5 +101,6 @@
             }
         }
         take(&documents);
+        tokio::time::sleep(followed.pause).await;
     }
 }
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -7,6 +7,7 @@
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::suspicion;
+use cardamomhold_pool::fresh;
 use cardamomhold_pool::line;
 use cardamomhold_pool::member;
 use cardamomhold_pool::pool;
@@ -27,6 +28,9 @@
 /// Least time between two reports that the primary can't be reached.
 const REPORT_EVERY: time::Duration = time::Duration::from_millis(200);
 
+/// Least time between two samples of the primary's position that others are told.
+const SAMPLE_EVERY: time::Duration = time::Duration::from_millis(100);
+
 /// A connection, with the position of the member's log.
 pub type Opened<L> = Result<(L, Option<position::Position>), link::LinkError>;
 
@@ -49,7 +53,7 @@
         /// How its use ended.
         ended: pool::Ended,
         /// The newest position that it gave, and when that statement was sent.
-        seen: Option<(Timestamp, position::Position)>,
+        seen: Option<fresh::Sample>,
     },
     /// A connection was opened, or not.
     Opened {
@@ -91,6 +95,8 @@
     pub views: watch::Receiver<view::View>,
     /// The published lease.
     pub standing: watch::Receiver<view::Standing>,
+    /// The published samples of the primaries' positions.
+    pub samples: watch::Receiver<view::Samples>,
     /// The keeper, which hears what is seen of the primary.
     pub keeper: keeper::Handle,
     /// Where the load is shown.
@@ -109,6 +115,7 @@
     next_id: u64,
     handle: Handle<C::Link>,
     reported: Timestamp,
+    sampled: Timestamp,
     sighted: suspicion::Sight,
     /// The change of the leadership that the pool goes by.
     change: u64,
@@ -124,6 +131,7 @@
         next_id: 0,
         handle: handle.clone(),
         reported: Timestamp(0),
+        sampled: Timestamp(0),
         sighted: suspicion::Sight::Reached,
         change: 0,
     };
@@ -139,9 +147,9 @@
             let wake = self.pool.wake(now);
             let is_due = wake.is_some();
             let is_waiting = self.pool.waiting() > 0;
-            tokio::select! {
+            let message = tokio::select! {
                 message = mailbox.recv() => match message {
-                    Some(message) => self.handle(message),
+                    Some(message) => Some(message),
                     None => return,
                 },
                 changed = self.context.views.changed() => {
@@ -149,20 +157,33 @@
                         return;
                     }
                     self.context.views.mark_changed();
+                    None
+                }
+                changed = self.context.samples.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.learn_sample();
+                    None
                 }
                 changed = self.context.standing.changed(), if is_waiting => {
                     if changed.is_err() {
                         return;
                     }
+                    None
                 }
                 () = tokio::time::sleep_until(clock::instant(wake.unwrap_or(now))),
-                    if is_due => {}
-            }
-            // The lease vouches for the newest view only, so both are read together.
+                    if is_due => None,
+            };
+            // The lease vouches for the newest view only, so both are read together, and
+            // before what a member said is judged by them.
             let is_leased = self.is_leased(clock::now());
             if !self.adopt() {
                 return;
             }
+            if let Some(message) = message {
+                self.handle(message);
+            }
             self.decide(is_leased);
         }
     }
@@ -240,11 +261,10 @@
         member: &name::MemberName,
         wired: Option<lent::Wired<C::Link>>,
         ended: pool::Ended,
-        seen: Option<(Timestamp, position::Position)>,
+        seen: Option<fresh::Sample>,
     ) {
-        let is_leased = self.is_leased(now);
-        if let Some((sent, position)) = seen {
-            self.pool.observe(member, sent, position, is_leased);
+        if let Some(sample) = seen {
+            self.observe(now, member, sample);
         }
         match ended {
             pool::Ended::Failed => self.report(now, member, suspicion::Sight::Failed),
@@ -257,6 +277,29 @@
         self.pool.give_back(now, member, wired, ended);
     }
 
+    /// Takes a position that a member gave; samples of the primary go to the keeper, which
+    /// tells others.
+    fn observe(&mut self, now: Timestamp, member: &name::MemberName, sample: fresh::Sample) {
+        let is_leased = self.is_leased(now);
+        let is_news = self.pool.observe(member, sample, is_leased);
+        if !is_news || now.since(self.sampled) < SAMPLE_EVERY {
+            return;
+        }
+        self.sampled = now;
+        self.context.keeper.tell(keeper::Event::Sampled {
+            group: self.context.group.clone(),
+            sample,
+        });
+    }
+
+    /// Takes the sample that another instance made.
+    fn learn_sample(&mut self) {
+        let samples = self.context.samples.borrow_and_update();
+        if let Some(sample) = samples.get(self.context.group.as_str()) {
+            self.pool.learn(*sample);
+        }
+    }
+
     /// Tells the keeper what was seen of the primary: each change, and failures again and
     /// again.
     fn report(&mut self, now: Timestamp, member: &name::MemberName, sight: suspicion::Sight) {
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -5,6 +5,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::suspicion;
+use cardamomhold_pool::fresh;
 use cardamomhold_pool::pool;
 
 use crate::answer;
@@ -130,8 +131,7 @@
         match result {
             Ok((link, position)) => {
                 if let Some(position) = position {
-                    let is_leased = self.is_leased(now);
-                    self.pool.observe(&grant.member, sent, position, is_leased);
+                    self.observe(now, &grant.member, fresh::Sample { sent, position });
                 }
                 self.report(now, &grant.member, suspicion::Sight::Reached);
                 self.pool.opened(&grant.member);
--- a/crates/cardamomhold_entry/src/groups.rs
+++ b/crates/cardamomhold_entry/src/groups.rs
@@ -26,6 +26,8 @@
     pub views: watch::Receiver<view::View>,
     /// The published lease.
     pub standing: watch::Receiver<view::Standing>,
+    /// The published samples of the primaries' positions.
+    pub samples: watch::Receiver<view::Samples>,
     /// The keeper.
     pub keeper: keeper::Handle,
     /// Metrics of the instance.
@@ -73,6 +75,7 @@
         connector: context.connector.clone(),
         views: context.views.clone(),
         standing: context.standing.clone(),
+        samples: context.samples.clone(),
         keeper: context.keeper.clone(),
         metrics: context.metrics.clone(),
     })
--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -13,6 +13,8 @@
 use cardamomhold_lead::renewal;
 use cardamomhold_lead::round;
 use cardamomhold_lead::suspicion;
+use cardamomhold_pool::exchange;
+use cardamomhold_pool::fresh;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -69,6 +71,13 @@
         /// What was seen.
         sight: suspicion::Sight,
     },
+    /// This instance saw a primary's position.
+    Sampled {
+        /// The group.
+        group: name::GroupName,
+        /// The position, and when it was asked for.
+        sample: fresh::Sample,
+    },
     /// A probe of a primary ended.
     Probed {
         /// The group.
@@ -118,6 +127,8 @@
     pub views: watch::Sender<view::View>,
     /// The lease.
     pub standing: watch::Sender<view::Standing>,
+    /// The newest samples of the primaries' positions.
+    pub samples: watch::Sender<view::Samples>,
     /// Rises when the store answers again after an outage.
     pub epoch: watch::Sender<u64>,
 }
@@ -156,6 +167,7 @@
     /// The last question to the reader, and when it was sent.
     asked: (u64, Timestamp),
     seen: message::Seen,
+    exchange: exchange::Exchange,
     behind: Option<Timestamp>,
 }
 
@@ -188,7 +200,8 @@
             instances: registry::Instances::new(),
             roster: roster::Roster::default(),
             round: None,
-            next_round: 0,
+            // Answers to an earlier life of this instance carry other numbers.
+            next_round: clock::now().0,
             needs: needs::Needs::default(),
             running: collections::BTreeSet::new(),
             announcements: collections::BTreeMap::new(),
@@ -197,8 +210,9 @@
             unfounded: None,
             reading,
             renewal: renewal::Renewal::default(),
-            asked: (0, Timestamp(0)),
+            asked: (clock::now().0, Timestamp(0)),
             seen: message::Seen::default(),
+            exchange: exchange::Exchange::new(clock::life()),
             behind: None,
         }
     }
@@ -242,6 +256,9 @@
                 member,
                 sight,
             } => self.saw(now, &group, &member, sight),
+            Event::Sampled { group, sample } => {
+                self.exchange.learn(&group, sample);
+            }
             Event::Probed {
                 group,
                 change,
--- a/crates/cardamomhold_entry/src/keeper/hear.rs
+++ b/crates/cardamomhold_entry/src/keeper/hear.rs
@@ -49,8 +49,15 @@
                 }
                 self.count_answer(now, number, &name);
             }
-            message::Message::Renew { number, seen } => {
+            message::Message::Renew {
+                number,
+                seen,
+                report,
+            } => {
                 self.compare(now, seen);
+                if self.exchange.take_report(&report) {
+                    self.publish_samples();
+                }
                 self.hear_renew(now, from, number);
             }
             message::Message::Renewed {
@@ -59,6 +66,7 @@
                 records,
                 duty,
                 seen,
+                samples,
             } => {
                 for record in &records {
                     self.learn(record, name.as_str());
@@ -66,9 +74,13 @@
                 self.learn_duty(duty.as_ref());
                 self.compare(now, seen);
                 if number == self.asked.0 {
+                    let asked = self.asked.1;
+                    if self.exchange.take_answer(now, asked, &samples) {
+                        self.publish_samples();
+                    }
                     // What was true that long before the answer was true that long before
                     // the question at the earliest.
-                    self.confirm(now, Timestamp(self.asked.1.0.saturating_sub(age_us)));
+                    self.confirm(now, Timestamp(asked.0.saturating_sub(age_us)));
                 }
             }
             message::Message::Announce(record) => {
@@ -142,6 +154,11 @@
         }
     }
 
+    fn publish_samples(&self) {
+        let samples = self.exchange.all().clone();
+        self.published.samples.send_replace(samples.into());
+    }
+
     pub(super) fn hear_renew(&mut self, now: Timestamp, from: net::SocketAddr, number: u64) {
         let Some(age) = self.lease.age(now).filter(|_| self.lease.may_vouch()) else {
             return;
@@ -152,6 +169,7 @@
             records: self.records.iter().cloned().collect(),
             duty: self.duty.clone(),
             seen: self.seen,
+            samples: self.exchange.answer(now),
         };
         self.peers.send(from, renewed);
     }
--- a/crates/cardamomhold_entry/src/keeper/renew.rs
+++ b/crates/cardamomhold_entry/src/keeper/renew.rs
@@ -95,9 +95,12 @@
             && let Some(address) = address
         {
             self.asked = (self.asked.0 + 1, now);
-            let (number, seen) = (self.asked.0, self.seen);
-            self.peers
-                .send(address, message::Message::Renew { number, seen });
+            let renew = message::Message::Renew {
+                number: self.asked.0,
+                seen: self.seen,
+                report: self.exchange.report(),
+            };
+            self.peers.send(address, renew);
         }
         if questions.majority && !self.instances.is_empty() {
             self.ask_majority(now);
--- a/crates/cardamomhold_entry/src/lent.rs
+++ b/crates/cardamomhold_entry/src/lent.rs
@@ -2,7 +2,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::position;
-use cardamomhold_core::time::Timestamp;
+use cardamomhold_pool::fresh;
 use cardamomhold_pool::pool;
 use tokio::sync::mpsc;
 
@@ -43,7 +43,7 @@
     /// How its use ended so far.
     pub ended: pool::Ended,
     /// The newest position that it gave, and when that statement was sent.
-    pub seen: Option<(Timestamp, position::Position)>,
+    pub seen: Option<fresh::Sample>,
     group: mpsc::UnboundedSender<group::Message<L>>,
 }
 
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -4,6 +4,7 @@
 use cardamomhold_lead::duty;
 use cardamomhold_lead::record;
 use cardamomhold_lead::suspicion;
+use cardamomhold_pool::exchange;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -52,6 +53,8 @@
         number: u64,
         /// What the sender has seen of the store.
         seen: Seen,
+        /// What the sender has seen of the primaries' positions.
+        report: exchange::Report,
     },
     /// These were the newest that long ago.
     Renewed {
@@ -65,6 +68,8 @@
         duty: Option<duty::Duty>,
         /// What the sender has seen of the store.
         seen: Seen,
+        /// What the sender knows of the primaries' positions.
+        samples: exchange::Answer,
     },
     /// This leadership is in the store.
     Announce(record::Leadership),
--- a/crates/cardamomhold_entry/src/registry.rs
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -85,12 +85,20 @@
 ) -> Result<(), store::StoreError> {
     let content = serde_json::to_value(entry)
         .map_err(|error| store::StoreError::Garbled(error.to_string()))?;
+    // Most starts are first ones, for which one call does.
+    let new = store::Condition::New;
+    let written = store
+        .write(store::INSTANCES, name.as_str(), &content, new)
+        .await?;
+    if matches!(written, store::Written::Done(_)) {
+        return Ok(());
+    }
     let listing = store.list(store::INSTANCES).await?;
     let found = listing.documents.iter().find(|d| d.name == name.as_str());
     let condition = match found {
         Some(document) if document.content == content => return Ok(()),
         Some(document) => store::Condition::Revision(document.revision),
-        None => store::Condition::New,
+        None => new,
     };
     let written = store
         .write(store::INSTANCES, name.as_str(), &content, condition)
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::record;
+use cardamomhold_pool::fresh;
 use cardamomhold_pool::line;
 
 /// What reads of a route may see.
@@ -109,6 +110,9 @@
     pub born: u64,
 }
 
+/// The newest sample of each primary's position, of this instance and of others.
+pub type Samples = sync::Arc<collections::BTreeMap<name::GroupName, fresh::Sample>>;
+
 /// Everything that routing needs.
 #[derive(Debug, Clone, Default)]
 pub struct View {
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -173,6 +173,7 @@
     pub members: Members,
     pub views: watch::Sender<view::View>,
     pub standing: watch::Sender<view::Standing>,
+    pub samples: watch::Sender<view::Samples>,
     pub phases: watch::Sender<stop::Phase>,
     pub groups: watch::Receiver<groups::Groups<Member>>,
     pub heard: mpsc::UnboundedReceiver<keeper::Event>,
@@ -185,6 +186,7 @@
         let members = Members::default();
         let (views, view) = watch::channel(view_of("a", 1, instances));
         let (standing, lease) = watch::channel(view::Standing::default());
+        let (samples, sampled) = watch::channel(view::Samples::default());
         let (phases, _) = watch::channel(stop::Phase::Serving);
         let (keeper, heard) = keeper::mailbox();
         let metrics = metrics::Metrics::new().unwrap();
@@ -193,6 +195,7 @@
             connector: members.clone(),
             views: view,
             standing: lease,
+            samples: sampled,
             keeper,
             metrics: metrics.clone(),
         });
@@ -200,6 +203,7 @@
             members,
             views,
             standing,
+            samples,
             phases,
             groups,
             heard,
--- a/crates/cardamomhold_pool/src/fresh.rs
+++ b/crates/cardamomhold_pool/src/fresh.rs
@@ -14,11 +14,12 @@
 
 /// A position of the primary's log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Sample {
+pub struct Sample {
     /// When the statement left whose answer carried the position: every commit that was
     /// acknowledged before this moment is in the log up to the position.
-    sent: Timestamp,
-    position: position::Position,
+    pub sent: Timestamp,
+    /// The position.
+    pub position: position::Position,
 }
 
 /// The samples of one group, the oldest first.
@@ -28,19 +29,22 @@
 }
 
 impl Samples {
-    /// Takes a position that the primary gave in an answer to what was sent at `sent`.
+    /// Takes a position that the primary gave in answer to what was sent at `sent`, here or
+    /// at another instance; false when others of about that time are known.
     ///
     /// The lease on the leadership must have been valid when the answer came.
-    pub fn observe(&mut self, sent: Timestamp, position: position::Position) {
-        if let Some(last) = self.list.back()
-            && (sent < last.sent.after(SPACING) || position < last.position)
-        {
-            return;
+    pub fn observe(&mut self, sample: Sample) -> bool {
+        let place = self.list.partition_point(|s| s.sent <= sample.sent);
+        let before = place.checked_sub(1).and_then(|at| self.list.get(at));
+        if before.is_some_and(|b| sample.sent < b.sent.after(SPACING)) {
+            return false;
         }
-        self.list.push_back(Sample { sent, position });
-        while self.list.len() > 1 && sent.since(self.list[0].sent) > KEEP {
+        self.list.insert(place, sample);
+        let newest = self.list.back().map_or(sample.sent, |s| s.sent);
+        while self.list.len() > 1 && newest.since(self.list[0].sent) > KEEP {
             self.list.pop_front();
         }
+        true
     }
 
     /// The least position that a read which starts now must see, when it accepts data that
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert!(matches!(&decisions[0], Decision::Grant(g) if g.link.is_none()));
 //! ```
 
+pub mod exchange;
 pub mod fresh;
 pub mod line;
 pub mod member;
@@ -25,7 +26,8 @@
 
 /// The types that users of the aggregate need most.
 pub mod prelude {
-    pub use crate::fresh::Samples;
+    pub use crate::exchange::Exchange;
+    pub use crate::fresh::{Sample, Samples};
     pub use crate::line::{Ask, Want};
     pub use crate::member::MemberInfo;
     pub use crate::pool::{Decision, Ended, Grant, Pool, Reason};
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -331,22 +331,26 @@
         }
     }
 
-    /// Takes a position that a member gave in answer to what was sent at `sent`.
+    /// Takes a position that a member gave in answer to what was sent at `sent`; true when it
+    /// is a sample of the primary that is worth telling others.
     ///
     /// `is_leased`: the lease was valid when the answer came.
     pub fn observe(
         &mut self,
         name: &name::MemberName,
-        sent: Timestamp,
-        position: position::Position,
+        sample: fresh::Sample,
         is_leased: bool,
-    ) {
-        if is_leased && self.primary.as_ref() == Some(name) {
-            self.samples.observe(sent, position);
-        }
+    ) -> bool {
         if let Some(member) = self.members.iter_mut().find(|m| m.name == *name) {
-            member.observe(position);
+            member.observe(sample.position);
         }
+        is_leased && self.primary.as_ref() == Some(name) && self.samples.observe(sample)
+    }
+
+    /// Takes a sample of the primary's position that another instance made under a valid
+    /// lease.
+    pub fn learn(&mut self, sample: fresh::Sample) {
+        self.samples.observe(sample);
     }
 
     /// When [`Pool::poll`] or [`Pool::probes`] may do something without another event.
