Few instances own a contended member's connections, the others go through them

Change: two owners of each member a zone, by rendezvous hashing. The other instances send commands to an owner of their own zone, which lends a connection with the first one and takes it back when no transaction is open; nothing of a session stays on it. The instance that the caller asked chooses the member and judges the answer by its own lease, so an owner that freezes can't make a stale answer pass. An owner that fails or is silent is passed over for 1 s; without one, connections are shared in time as before. Work given to a member at once is limited: the limit shrinks when the member refuses for want of a slot.

Tests: relayed_work (others_refuse failed first: an instance that owned nothing opened a connection all the same), owner_choice.

--- a/crates/cardamomhold_entry/src/answer.rs
+++ b/crates/cardamomhold_entry/src/answer.rs
@@ -3,7 +3,7 @@
 use cardamomhold_core::position;
 
 /// Where a session stands with its transaction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
 pub enum State {
     /// No transaction is open.
     #[default]
@@ -15,7 +15,7 @@
 }
 
 /// Why a statement has no regular answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub enum Code {
     /// Not run: no slot, connection or time for it.
     Busy,
@@ -90,7 +90,7 @@
 }
 
 /// How an answer ends.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum End {
     /// Success, with the member's signature; none when the proxy answers itself.
     Done(Option<String>),
@@ -104,7 +104,7 @@
 }
 
 /// A whole answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// Rows in the encoding that the front and the link share; not read here.
     pub rows: Vec<u8>,
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -11,7 +11,6 @@
 use cardamomhold_pool::line;
 use cardamomhold_pool::member;
 use cardamomhold_pool::pool;
-use cardamomhold_pool::share;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -20,10 +19,13 @@
 use crate::keeper;
 use crate::lent;
 use crate::link;
+use crate::link::Link;
 use crate::metrics;
+use crate::session;
 use crate::view;
 
 mod open;
+mod routes;
 
 /// Least time between two reports that the primary can't be reached.
 const REPORT_EVERY: time::Duration = time::Duration::from_millis(200);
@@ -87,6 +89,8 @@
 pub struct Context<C: link::Connector> {
     /// The group.
     pub group: name::GroupName,
+    /// This instance.
+    pub instance: name::InstanceName,
     /// The zone of this instance.
     pub zone: String,
     /// Opens connections.
@@ -119,6 +123,7 @@
     sighted: suspicion::Sight,
     /// The change of the leadership that the pool goes by.
     change: u64,
+    routes: routes::Routes,
 }
 
 /// Starts the task; it ends when the group is no longer configured.
@@ -134,6 +139,7 @@
         sampled: Timestamp(0),
         sighted: suspicion::Sight::Reached,
         change: 0,
+        routes: routes::Routes::default(),
     };
     tokio::task::spawn_local(task.run(mailbox));
     handle
@@ -144,7 +150,8 @@
         self.context.views.mark_changed();
         loop {
             let now = clock::now();
-            let wake = self.pool.wake(now);
+            let wake = [self.pool.wake(now), self.routes.wake()];
+            let wake = wake.into_iter().flatten().min();
             let is_due = wake.is_some();
             let is_waiting = self.pool.waiting() > 0;
             let message = tokio::select! {
@@ -190,7 +197,8 @@
 
     /// Takes over the view if it is new; false when the group is no longer configured.
     fn adopt(&mut self) -> bool {
-        if !self.context.views.has_changed().unwrap_or(false) {
+        let is_due = self.routes.wake().is_some_and(|at| at <= clock::now());
+        if !is_due && !self.context.views.has_changed().unwrap_or(false) {
             return true;
         }
         let view = self.context.views.borrow_and_update().clone();
@@ -199,6 +207,13 @@
         let Some(spec) = spec else {
             return false;
         };
+        let place = routes::Place {
+            own: &self.context.instance,
+            zone: &self.context.zone,
+            fleet: &view.fleet,
+            connections: spec.connections,
+            now: clock::now(),
+        };
         let mut infos = Vec::new();
         for member in view.members.values() {
             if member.group != *group {
@@ -208,13 +223,13 @@
                 name: &member.name,
                 is_near: member.zone == self.context.zone,
                 is_ready: member.state == view::MemberState::Ready,
+                share: self.routes.share(&member.name, &place),
             });
         }
-        let share = share::Share::of(spec.connections, view.instances);
         let record = view.leaderships.get(group.as_str());
         self.change = record.map_or(0, |r| r.change);
         self.pool.set_primary(view.primary(group.as_str()));
-        self.pool.set_members(&infos, share);
+        self.pool.set_members(&infos);
         true
     }
 
@@ -244,6 +259,7 @@
                 result,
             } => self.opened(now, grant, change, sent, result),
             Message::Doubt(member) => {
+                self.suspect(now, &member);
                 self.pool.doubt(now, &member);
                 self.report(now, &member, suspicion::Sight::Failed);
             }
@@ -266,6 +282,9 @@
         if let Some(sample) = seen {
             self.observe(now, member, sample);
         }
+        if ended == pool::Ended::Failed {
+            self.suspect(now, member);
+        }
         match ended {
             pool::Ended::Failed => self.report(now, member, suspicion::Sight::Failed),
             pool::Ended::Answered(_) => self.report(now, member, suspicion::Sight::Reached),
@@ -274,6 +293,12 @@
             | pool::Ended::Lacks(_)
             | pool::Ended::Unused => {}
         }
+        let wired = wired.map(|mut wired| {
+            if !wired.link.keeps_state() {
+                wired.applied = session::Applied::default();
+            }
+            wired
+        });
         self.pool.give_back(now, member, wired, ended);
     }
 
@@ -292,6 +317,13 @@
         });
     }
 
+    /// Takes note that an owner may be out of reach; work goes through another one for now.
+    fn suspect(&mut self, now: Timestamp, member: &name::MemberName) {
+        if self.routes.suspect(now, member) {
+            self.context.views.mark_changed();
+        }
+    }
+
     /// Takes the sample that another instance made.
     fn learn_sample(&mut self) {
         let samples = self.context.samples.borrow_and_update();
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -15,6 +15,7 @@
 use crate::group::Task;
 use crate::lent;
 use crate::link;
+use crate::link::Link;
 
 /// Longest time to open a connection.
 const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -117,6 +118,7 @@
             group: self.context.group.clone(),
             member: member.clone(),
             address: found.address,
+            via: self.routes.via(member),
         })
     }
 
@@ -137,6 +139,17 @@
                 self.pool.opened(&grant.member);
                 self.lend(lent::Wired::new(link), grant, change);
             }
+            Err(error) if self.routes.via(&grant.member).is_some() => {
+                log::info!(
+                    "event=owner_unreachable group={} member={} error=\"{error}\"",
+                    self.context.group,
+                    grant.member
+                );
+                self.suspect(now, &grant.member);
+                self.pool
+                    .give_back(now, &grant.member, None, pool::Ended::Unused);
+                self.ask_again(grant.id);
+            }
             Err(error) => {
                 log::info!(
                     "event=open_failed group={} member={} took_ms={} error=\"{error}\"",
@@ -173,6 +186,9 @@
         let Some(waiting) = self.waiting.remove(&grant.id) else {
             return;
         };
+        let mut wired = wired;
+        let ask = &waiting.ask;
+        wired.link.assign(ask.rank, ask.deadline);
         let change = grant.is_primary.then_some(change);
         let lent = lent::Lent::new(wired, grant, change, self.handle.clone());
         // A caller that has left drops the connection, which sends it back.
--- a/crates/cardamomhold_entry/src/groups.rs
+++ b/crates/cardamomhold_entry/src/groups.rs
@@ -18,6 +18,8 @@
 /// What the task works with.
 #[derive(Debug, Clone)]
 pub struct Context<C: link::Connector> {
+    /// This instance.
+    pub instance: name::InstanceName,
     /// The zone of this instance.
     pub zone: String,
     /// Opens connections.
@@ -71,6 +73,7 @@
 ) -> group::Handle<C::Link> {
     group::start(group::Context {
         group: group.clone(),
+        instance: context.instance.clone(),
         zone: context.zone.clone(),
         connector: context.connector.clone(),
         views: context.views.clone(),
--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -3,6 +3,7 @@
 
 use std::collections;
 use std::net;
+use std::sync;
 use std::time;
 
 use cardamomhold_core::name;
@@ -312,8 +313,8 @@
         }
         log::info!("event=instances count={}", instances.len());
         self.instances = instances;
-        let count = self.instances.len();
-        self.published.views.send_modify(|v| v.instances = count);
+        let fleet = sync::Arc::new(self.instances.clone());
+        self.published.views.send_modify(|v| v.fleet = fleet);
     }
 
     fn publish_members(&mut self, now: Timestamp) {
--- a/crates/cardamomhold_entry/src/keeper/act.rs
+++ b/crates/cardamomhold_entry/src/keeper/act.rs
@@ -77,6 +77,7 @@
                 group: group.clone(),
                 member: member.name.clone(),
                 address: member.address,
+                via: None,
             });
         }
         handover::Job {
--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`caller`]: one for each caller's connection,
 //! - [`group`]: one for each database group, with its pool,
 //! - [`keeper`]: leaderships, the lease on them, other instances,
+//! - [`relay::owner`]: one for each connection of another instance that borrows members'
+//!   connections here,
 //! - [`follow`]: one for each kind of object that is watched,
 //! - [`handover`]: one while another member takes over.
 //!
@@ -28,6 +30,7 @@
 pub mod caller;
 pub mod clock;
 pub mod confirm;
+pub mod connect;
 pub mod control;
 pub mod explain;
 pub mod follow;
@@ -42,9 +45,11 @@
 pub mod message;
 pub mod metrics;
 pub mod needs;
+pub mod owners;
 pub mod peers;
 pub mod promoter;
 pub mod registry;
+pub mod relay;
 pub mod report;
 pub mod roster;
 pub mod session;
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -6,13 +6,14 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::candidate;
 
 use crate::answer;
 use crate::statement;
 
 /// What a member is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Command<'a> {
     /// Starts a transaction, of a caller's or to read.
     Begin {
@@ -81,6 +82,8 @@
     pub member: name::MemberName,
     /// Its address.
     pub address: net::SocketAddr,
+    /// The owner to go through; none for a connection to the member itself.
+    pub via: Option<net::SocketAddr>,
 }
 
 /// Why a member could not be asked.
@@ -111,6 +114,15 @@
 
 /// One connection to a member.
 pub trait Link: 'static {
+    /// Says for which work the connection is used from now on, as far as others must know:
+    /// its rank, and until when it is of use.
+    fn assign(&mut self, _rank: u8, _deadline: Timestamp) {}
+
+    /// Whether the connection holds the session's state after its work is done.
+    fn keeps_state(&self) -> bool {
+        true
+    }
+
     /// Runs a statement.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/cardamomhold_entry/src/relay.rs
@@ -0,0 +1,99 @@
+//! Members reached through another instance, which owns the connections to them.
+//!
+//! An instance sends its commands to the [`owner`] over a connection between instances. The
+//! owner lends it one of the member's connections with the first command, and takes it back
+//! when no transaction is open. The instance that was asked by the caller decides which
+//! member runs a statement, and judges the answer by its own lease; the owner only queues.
+
+use std::io;
+
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::candidate;
+
+use crate::answer;
+use crate::connect;
+use crate::link;
+
+pub mod borrow;
+pub mod frame;
+pub mod owner;
+
+/// A connection to a member, direct or through its owner.
+#[derive(Debug)]
+pub enum Relayed<L> {
+    /// To the member itself.
+    Direct(L),
+    /// To the owner.
+    Via(Box<borrow::Borrower>),
+}
+
+/// Opens connections to members, through the owner where the target names one.
+#[derive(Debug, Clone)]
+pub struct Relaying<C>(pub C);
+
+impl<C: link::Connector> link::Connector for Relaying<C> {
+    type Link = Relayed<C::Link>;
+
+    async fn open(
+        &self,
+        target: &link::Target,
+    ) -> Result<(Self::Link, Option<position::Position>), link::LinkError> {
+        let Some(owner) = target.via else {
+            let (link, position) = self.0.open(target).await?;
+            return Ok((Relayed::Direct(link), position));
+        };
+        let stream = connect::open(owner)
+            .await
+            .map_err(link::LinkError::Unreachable)?;
+        let borrower = Box::new(borrow::Borrower::new(stream, target));
+        Ok((Relayed::Via(borrower), None))
+    }
+
+    async fn reach(&self, target: &link::Target) -> Result<(), link::LinkError> {
+        self.0.reach(target).await
+    }
+}
+
+impl<L: link::Link> link::Link for Relayed<L> {
+    fn assign(&mut self, rank: u8, deadline: Timestamp) {
+        match self {
+            Self::Direct(_) => {}
+            Self::Via(borrower) => borrower.assign(rank, deadline),
+        }
+    }
+
+    fn keeps_state(&self) -> bool {
+        matches!(self, Self::Direct(_))
+    }
+
+    async fn call(
+        &mut self,
+        command: link::Command<'_>,
+    ) -> Result<answer::Answer, link::LinkError> {
+        match self {
+            Self::Direct(link) => link.call(command).await,
+            Self::Via(borrower) => borrower.call(command).await,
+        }
+    }
+
+    async fn prepare(
+        &mut self,
+        commands: &[link::Command<'_>],
+    ) -> Result<Option<position::Position>, link::LinkError> {
+        match self {
+            Self::Direct(link) => link.prepare(commands).await,
+            Self::Via(borrower) => borrower.prepare(commands).await,
+        }
+    }
+
+    async fn order(&mut self, order: link::Order) -> Result<candidate::Status, link::LinkError> {
+        match self {
+            Self::Direct(link) => link.order(order).await,
+            Self::Via(_) => {
+                let unsupported = io::Error::from(io::ErrorKind::Unsupported);
+                Err(link::LinkError::Broken(unsupported))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/src/relay/borrow.rs
@@ -0,0 +1,94 @@
+//! The side that sends commands to an owner.
+
+use std::io;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
+use tokio::net::TcpStream;
+
+use crate::answer;
+use crate::clock;
+use crate::link;
+use crate::relay::frame;
+
+/// A connection to an owner, for one member.
+#[derive(Debug)]
+pub struct Borrower {
+    frames: frame::Frames,
+    group: name::GroupName,
+    member: name::MemberName,
+    rank: u8,
+    deadline: Timestamp,
+}
+
+impl Borrower {
+    /// Uses a stream to the owner of the target's connections.
+    pub fn new(stream: TcpStream, target: &link::Target) -> Self {
+        Self {
+            frames: frame::Frames::new(stream),
+            group: target.group.clone(),
+            member: target.member.clone(),
+            rank: 0,
+            deadline: Timestamp(0),
+        }
+    }
+
+    /// Says for which work the connection is used from now on.
+    pub fn assign(&mut self, rank: u8, deadline: Timestamp) {
+        self.rank = rank;
+        self.deadline = deadline;
+    }
+
+    /// Runs a statement.
+    ///
+    /// # Errors
+    /// [`link::LinkError`].
+    pub async fn call(
+        &mut self,
+        command: link::Command<'_>,
+    ) -> Result<answer::Answer, link::LinkError> {
+        match self.ask(frame::Order::Call(command)).await? {
+            frame::Reply::Answered(answer) => Ok(answer),
+            frame::Reply::Failed(failure) => Err(failure.into()),
+            frame::Reply::Prepared(_) => Err(link::LinkError::Garbled),
+        }
+    }
+
+    /// Runs several commands.
+    ///
+    /// # Errors
+    /// [`link::LinkError`].
+    pub async fn prepare(
+        &mut self,
+        commands: &[link::Command<'_>],
+    ) -> Result<Option<position::Position>, link::LinkError> {
+        match self.ask(frame::Order::Prepare(commands.to_vec())).await? {
+            frame::Reply::Prepared(position) => Ok(position),
+            frame::Reply::Failed(failure) => Err(failure.into()),
+            frame::Reply::Answered(_) => Err(link::LinkError::Garbled),
+        }
+    }
+
+    async fn ask(&mut self, order: frame::Order<'_>) -> Result<frame::Reply, link::LinkError> {
+        let left = self.deadline.since(clock::now());
+        let work = frame::Work {
+            group: self.group.clone(),
+            member: self.member.clone(),
+            rank: self.rank,
+            left_us: left.as_micros() as u64,
+        };
+        let request = frame::Request { work, order };
+        self.frames.send(&request).await.map_err(broken)?;
+        let reply = self.frames.next().await.map_err(broken)?;
+        frame::decode(&reply).map_err(broken)
+    }
+}
+
+fn broken(error: frame::FrameError) -> link::LinkError {
+    match error {
+        frame::FrameError::Io(error) => link::LinkError::Broken(error),
+        frame::FrameError::Closed => link::LinkError::Broken(io::ErrorKind::UnexpectedEof.into()),
+        frame::FrameError::Codec(_) => link::LinkError::Garbled,
+    }
+}
--- a/crates/cardamomhold_entry/src/session.rs
+++ b/crates/cardamomhold_entry/src/session.rs
@@ -50,6 +50,8 @@
 pub struct Applied {
     values: collections::BTreeMap<String, String>,
     prepared: collections::HashSet<String>,
+    /// Whether it holds what is not known here.
+    is_unknown: bool,
 }
 
 /// What a connection lacks of a session.
@@ -106,7 +108,10 @@
         applied: &Applied,
         needed: Option<&'a Prepared>,
     ) -> Difference<'a> {
-        let mut difference = Difference::default();
+        let mut difference = Difference {
+            is_foreign: applied.is_unknown,
+            ..Difference::default()
+        };
         for name in applied.values.keys() {
             difference.is_foreign |= !self.values.contains_key(name);
         }
@@ -123,11 +128,22 @@
 }
 
 impl Applied {
+    /// Whether the connection holds nothing.
+    pub fn is_empty(&self) -> bool {
+        !self.is_unknown && self.values.is_empty() && self.prepared.is_empty()
+    }
+
+    /// Takes note that somebody else's state was brought to the connection.
+    pub fn forget(&mut self) {
+        self.is_unknown = true;
+    }
+
     /// Takes note that the session's state was brought to the connection.
     pub fn take(&mut self, session: &Session, needed: Option<&Prepared>) {
         let is_foreign = session.difference(self, None).is_foreign;
         if is_foreign {
             self.prepared.clear();
+            self.is_unknown = false;
         }
         if is_foreign || self.values != session.values {
             self.values.clone_from(&session.values);
--- a/crates/cardamomhold_entry/src/statement.rs
+++ b/crates/cardamomhold_entry/src/statement.rs
@@ -1,7 +1,9 @@
 //! Statements by class, as a front decodes them.
 
 /// Whether a statement may change data.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub enum Access {
     /// It only reads.
     Read,
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -12,6 +12,8 @@
 use cardamomhold_pool::fresh;
 use cardamomhold_pool::line;
 
+use crate::registry;
+
 /// What reads of a route may see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Consistency {
@@ -123,7 +125,7 @@
     /// The leaderships.
     pub leaderships: sync::Arc<record::Leaderships>,
     /// Registered instances, this one among them.
-    pub instances: usize,
+    pub fleet: sync::Arc<registry::Instances>,
 }
 
 impl View {
@@ -136,7 +138,7 @@
     pub fn is_complete(&self) -> bool {
         let groups = &self.catalog.groups;
         let is_led = |g: &GroupSpec| self.leaderships.get(g.name.as_str()).is_some();
-        self.catalog.version > 0 && self.instances > 0 && groups.iter().any(is_led)
+        self.catalog.version > 0 && !self.fleet.is_empty() && groups.iter().any(is_led)
     }
 }
 
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -20,6 +20,7 @@
 use cardamomhold_entry::keeper;
 use cardamomhold_entry::link;
 use cardamomhold_entry::metrics;
+use cardamomhold_entry::registry;
 use cardamomhold_entry::stop;
 use cardamomhold_entry::view;
 use cardamomhold_lead::candidate;
@@ -170,6 +171,7 @@
 
 /// One instance with a single group of the members a, b and c.
 pub struct World {
+    pub instance: name::InstanceName,
     pub members: Members,
     pub views: watch::Sender<view::View>,
     pub standing: watch::Sender<view::Standing>,
@@ -183,6 +185,12 @@
 impl World {
     /// A world whose primary is a, under a valid lease, seen by one instance of `instances`.
     pub fn new(instances: usize) -> Self {
+        let instance = name::InstanceName::parse("entry-0").unwrap();
+        Self::of(&instance, instances)
+    }
+
+    /// The same, seen by a given instance.
+    pub fn of(instance: &name::InstanceName, instances: usize) -> Self {
         let members = Members::default();
         let (views, view) = watch::channel(view_of("a", 1, instances));
         let (standing, lease) = watch::channel(view::Standing::default());
@@ -191,6 +199,7 @@
         let (keeper, heard) = keeper::mailbox();
         let metrics = metrics::Metrics::new().unwrap();
         let groups = groups::start(groups::Context {
+            instance: instance.clone(),
             zone: "zone-a".to_owned(),
             connector: members.clone(),
             views: view,
@@ -200,6 +209,7 @@
             metrics: metrics.clone(),
         });
         let world = Self {
+            instance: instance.clone(),
             members,
             views,
             standing,
@@ -292,8 +302,22 @@
         catalog: sync::Arc::new(catalog),
         members: sync::Arc::new(members),
         leaderships: sync::Arc::new(leaderships),
-        instances,
+        fleet: sync::Arc::new(fleet(instances)),
+    }
+}
+
+/// So many instances of one zone.
+pub fn fleet(count: usize) -> registry::Instances {
+    let mut fleet = registry::Instances::new();
+    for i in 0..count {
+        let name = name::InstanceName::parse(&format!("entry-{i}")).unwrap();
+        let entry = registry::Entry {
+            address: ([127, 0, 0, 1], 7000 + i as u16).into(),
+            zone: "zone-a".to_owned(),
+        };
+        fleet.insert(name, entry);
     }
+    fleet
 }
 
 /// Runs a test in one thread.
@@ -305,3 +329,12 @@
         .unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
+
+/// Runs a test with sockets, whose time can't be paused.
+pub fn run_in_real_time(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -9,8 +9,9 @@
 //!
 //! let mut pool: Pool<&str> = Pool::new();
 //! let member = MemberName::parse("db-1").unwrap();
-//! let infos = [MemberInfo { name: &member, is_near: true, is_ready: true }];
-//! pool.set_members(&infos, Share::of(47, 15));
+//! let share = Share::Owned(3);
+//! let info = MemberInfo { name: &member, is_near: true, is_ready: true, share };
+//! pool.set_members(&[info]);
 //! pool.set_primary(Some(&member));
 //! pool.ask(Ask { id: 1, rank: 0, want: Want::Primary, avoid: vec![], deadline: Timestamp(9) });
 //! let decisions = pool.poll(Timestamp(1), true);
--- a/crates/cardamomhold_pool/src/line.rs
+++ b/crates/cardamomhold_pool/src/line.rs
@@ -8,10 +8,12 @@
 use cardamomhold_core::time::Timestamp;
 
 /// What a transaction or single statement needs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Want {
     /// The primary, under a valid lease.
     Primary,
+    /// This member, chosen by another instance.
+    Member(name::MemberName),
     /// A member whose data is fresh enough.
     Read {
         /// Greatest accepted age.
--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -32,6 +32,12 @@
 /// Longest pause after the member had no connection left.
 const MAX_CROWDED: time::Duration = time::Duration::from_millis(80);
 
+/// Growth of the limit with each answer.
+const LIMIT_GROWTH: f64 = 0.2;
+
+/// What is left of the limit after a refusal for want of a slot.
+const LIMIT_SHRINK: f64 = 0.8;
+
 /// Cost of opening a connection, as a time, in microseconds.
 const OPEN_US: f64 = 15_000.0;
 
@@ -44,6 +50,8 @@
     pub is_near: bool,
     /// Whether it takes new work.
     pub is_ready: bool,
+    /// How this instance comes to its connections.
+    pub share: share::Share,
 }
 
 /// One member.
@@ -54,7 +62,10 @@
     pub(crate) is_ready: bool,
     /// Idle connections and when each came back, the newest last.
     idle: Vec<(L, Timestamp)>,
+    share: share::Share,
     keep: share::Keep,
+    /// Pieces of work that it is given at once; shrinks when it refuses.
+    limit: f64,
     /// Refusals for want of a connection since the last one that was opened.
     crowded: u32,
     /// Connections that work uses or that are being opened.
@@ -75,7 +86,9 @@
             is_near: info.is_near,
             is_ready: info.is_ready,
             idle: Vec::new(),
+            share: info.share,
             keep: share::Keep::new(info.is_near),
+            limit: info.share.cap() as f64,
             crowded: 0,
             lent: 0,
             service_us: FIRST_SERVICE_US,
@@ -89,8 +102,25 @@
     }
 
     /// Whether a connection is free or may be opened.
-    pub(crate) fn has_room(&self, now: Timestamp, cap: usize) -> bool {
-        self.lent < cap && !self.is_down() && now >= self.full_until
+    pub(crate) fn has_room(&self, now: Timestamp) -> bool {
+        self.lent < self.limit as usize && !self.is_down() && now >= self.full_until
+    }
+
+    /// Takes what the configuration and the entry say now.
+    pub(crate) fn update(&mut self, info: &MemberInfo<'_>) {
+        self.is_near = info.is_near;
+        self.is_ready = info.is_ready;
+        if self.share != info.share {
+            self.share = info.share;
+            self.limit = info.share.cap() as f64;
+            self.idle.clear();
+        }
+    }
+
+    /// Whether one more idle connection is of use.
+    pub(crate) fn lacks_idle(&self) -> bool {
+        let has_room = self.lent + self.idle.len() < self.share.cap();
+        has_room && self.share != share::Share::Relayed
     }
 
     /// Takes out an idle connection.
@@ -108,15 +138,10 @@
         self.idle.clear();
     }
 
-    /// Connections that are open or being opened.
-    pub(crate) fn open(&self) -> usize {
-        self.lent + self.idle.len()
-    }
-
     /// When the oldest idle connection is to be closed, where others wait for one.
-    pub(crate) fn expires(&self, share: share::Share) -> Option<Timestamp> {
-        match share {
-            share::Share::Owned(_) => None,
+    pub(crate) fn expires(&self) -> Option<Timestamp> {
+        match self.share {
+            share::Share::Owned(_) | share::Share::Relayed => None,
             share::Share::Contended => {
                 let (_, since) = self.idle.first()?;
                 Some(since.after(self.keep.time()))
@@ -125,12 +150,17 @@
     }
 
     /// Closes connections that were idle for too long.
-    pub(crate) fn expire(&mut self, now: Timestamp, share: share::Share) {
-        while self.expires(share).is_some_and(|at| at <= now) {
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        while self.expires().is_some_and(|at| at <= now) {
             self.idle.remove(0);
         }
     }
 
+    /// Whether this instance has connections of its own to it.
+    pub(crate) fn is_owned(&self) -> bool {
+        matches!(self.share, share::Share::Owned(_))
+    }
+
     /// Whether the member failed, and no probe has succeeded since.
     pub(crate) fn is_down(&self) -> bool {
         self.failures > 0
@@ -158,7 +188,8 @@
     pub(crate) fn cost_us(&self) -> f64 {
         let queue = self.service_us * (self.lent + 1) as f64;
         let far = if self.is_near { 0.0 } else { FAR_US };
-        let open = if self.idle.is_empty() { OPEN_US } else { 0.0 };
+        let is_open = !self.idle.is_empty() || self.share == share::Share::Relayed;
+        let open = if is_open { 0.0 } else { OPEN_US };
         queue + far + open
     }
 
@@ -190,6 +221,7 @@
     pub(crate) fn answered(&mut self, took: time::Duration) {
         let sample = took.as_micros() as f64;
         self.service_us += (sample - self.service_us) * WEIGHT;
+        self.limit = (self.limit + LIMIT_GROWTH).min(self.share.cap() as f64);
         self.revive();
     }
 
@@ -200,6 +232,8 @@
 
     /// Takes note that the member has no slot left.
     pub(crate) fn full(&mut self, now: Timestamp) {
+        let used = (self.lent + 1) as f64;
+        self.limit = (self.limit.min(used) * LIMIT_SHRINK).max(1.0);
         self.full_until = now.after(FULL);
     }
 
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -9,7 +9,6 @@
 use crate::fresh;
 use crate::line;
 use crate::member;
-use crate::share;
 
 /// A replica's usual delay: an own commit that is younger is read at the primary.
 const OWN_DELAY: time::Duration = time::Duration::from_millis(150);
@@ -78,7 +77,6 @@
     primary: Option<name::MemberName>,
     samples: fresh::Samples,
     line: line::Line,
-    share: share::Share,
 }
 
 impl<L> Default for Pool<L> {
@@ -88,7 +86,6 @@
             primary: None,
             samples: fresh::Samples::default(),
             line: line::Line::default(),
-            share: share::Share::Owned(1),
         }
     }
 }
@@ -99,17 +96,13 @@
         Self::default()
     }
 
-    /// Takes the members and this instance's share of their connections.
-    pub fn set_members(&mut self, infos: &[member::MemberInfo<'_>], share: share::Share) {
-        self.share = share;
+    /// Takes the members.
+    pub fn set_members(&mut self, infos: &[member::MemberInfo<'_>]) {
         self.members
             .retain(|m| infos.iter().any(|i| *i.name == m.name));
         for info in infos {
             match self.members.iter_mut().find(|m| m.name == *info.name) {
-                Some(member) => {
-                    member.is_near = info.is_near;
-                    member.is_ready = info.is_ready;
-                }
+                Some(member) => member.update(info),
                 None => self.members.push(member::Member::new(info)),
             }
         }
@@ -134,13 +127,13 @@
     /// Decides what gets a connection and what is refused now.
     pub fn poll(&mut self, now: Timestamp, is_leased: bool) -> Vec<Decision<L>> {
         for member in &mut self.members {
-            member.expire(now, self.share);
+            member.expire(now);
         }
         let mut decisions = Vec::new();
         let mut done = Vec::new();
         let line = std::mem::take(&mut self.line);
         for ask in line.iter() {
-            if ask.deadline <= now {
+            if ask.deadline <= now || !self.may_serve(ask) {
                 let reason = self.reason(ask, is_leased);
                 decisions.push(Decision::Refuse { id: ask.id, reason });
                 done.push((ask.rank, ask.id));
@@ -159,6 +152,16 @@
         decisions
     }
 
+    /// Whether waiting may help: what another instance wants of a member that is down, or
+    /// whose connections are not owned here, is better sought elsewhere.
+    fn may_serve(&self, ask: &line::Ask) -> bool {
+        let line::Want::Member(name) = &ask.want else {
+            return true;
+        };
+        let member = self.members.iter().find(|m| m.name == *name);
+        member.is_some_and(|m| m.is_owned() && !m.is_down())
+    }
+
     fn lend(&mut self, at: usize, id: u64, after: Option<position::Position>) -> Grant<L> {
         let is_primary = self.is_primary(at);
         let member = &mut self.members[at];
@@ -183,13 +186,17 @@
         ask: &line::Ask,
         is_leased: bool,
     ) -> Option<(usize, Option<position::Position>)> {
-        match ask.want {
+        match &ask.want {
             line::Want::Primary => {
                 let at = self.primary_at(now, ask, is_leased)?;
                 Some((at, None))
             }
+            line::Want::Member(name) => {
+                let at = self.members.iter().position(|m| m.name == *name)?;
+                self.members[at].has_room(now).then_some((at, None))
+            }
             line::Want::Read { staleness, own } => {
-                let replica = self.replica_for(now, ask, staleness, own);
+                let replica = self.replica_for(now, ask, *staleness, *own);
                 if let Some((at, needed)) = replica {
                     return Some((at, Some(needed)));
                 }
@@ -205,7 +212,7 @@
         }
         let at = (0..self.members.len()).find(|at| self.is_primary(*at))?;
         let member = &self.members[at];
-        let is_free = member.has_room(now, self.share.cap()) && !ask.avoid.contains(&member.name);
+        let is_free = member.has_room(now) && !ask.avoid.contains(&member.name);
         is_free.then_some(at)
     }
 
@@ -227,7 +234,7 @@
             if !member.is_ready || self.is_primary(at) {
                 continue;
             }
-            if !member.has_room(now, self.share.cap()) || ask.avoid.contains(&member.name) {
+            if !member.has_room(now) || ask.avoid.contains(&member.name) {
                 continue;
             }
             if !member.may_hold(now, needed) {
@@ -245,6 +252,13 @@
     }
 
     fn reason(&self, ask: &line::Ask, is_leased: bool) -> Reason {
+        if let line::Want::Member(name) = &ask.want {
+            let member = self.members.iter().find(|m| m.name == *name);
+            return match member {
+                Some(member) if member.is_owned() && !member.is_down() => Reason::Full,
+                Some(_) | None => Reason::Unreachable,
+            };
+        }
         if ask.want == line::Want::Primary && (self.primary.is_none() || !is_leased) {
             return Reason::NoPrimary;
         }
@@ -323,7 +337,7 @@
         match link {
             Some(link) => {
                 member.revive();
-                if member.open() < self.share.cap() {
+                if member.lacks_idle() {
                     member.put_idle(now, link);
                 }
             }
@@ -358,7 +372,7 @@
         let mut wake = self.line.deadline();
         for member in &self.members {
             let reopens = member.reopens(now).filter(|_| !self.line.is_empty());
-            let expires = member.expires(self.share);
+            let expires = member.expires();
             for at in [reopens, member.probe_at(), expires].into_iter().flatten() {
                 wake = Some(wake.map_or(at, |w| w.min(at)));
             }
--- a/crates/cardamomhold_pool/src/share.rs
+++ b/crates/cardamomhold_pool/src/share.rs
@@ -1,52 +1,70 @@
-//! How many of a member's connections one instance may hold.
+//! How an instance comes to a member's connections, and how many it may hold.
+//!
+//! Where a member takes fewer connections than there are instances, a few owners in each
+//! zone hold them and the other instances go through an owner. An instance that finds no
+//! owner opens a connection for as long as it has work.
 //!
 //! ```
 //! use cardamomhold_pool::share;
 //!
-//! assert_eq!(share::Share::of(47, 15), share::Share::Owned(3));
-//! assert_eq!(share::Share::of(73, 146), share::Share::Contended);
+//! assert_eq!(share::equal(47, 15), Some(3));
+//! assert_eq!(share::equal(73, 146), None);
+//! assert_eq!(share::owned(73, 6), 11);
 //! ```
 
 use std::time;
 
-/// Connections of each member that are left for orders and for restarted instances.
+/// Connections of each member that are left for orders, for restarted instances and for
+/// those that find no owner.
 const SPARE: usize = 2;
 
+/// The same where owners hold the connections.
+const SPARE_BESIDE_OWNERS: usize = 7;
+
 /// Connections to a contended member that an instance lends at once.
 const CONTENDED_CAP: usize = 4;
 
-/// An instance's part of each member's connections.
+/// Pieces of work for one member that an instance sends through its owner at once.
+const RELAYED_CAP: usize = 64;
+
+/// An instance's part of a member's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Share {
     /// So many are the instance's own, and stay open.
     Owned(usize),
-    /// There are fewer connections than instances: each opens one when it has work, and
-    /// closes it soon after.
+    /// Others own them; work goes through one of those.
+    Relayed,
+    /// No owner can be reached: connections are opened for work, and closed soon after.
     Contended,
 }
 
 impl Share {
-    /// The share of one of `instances` in the `connections` that a member takes.
-    pub fn of(connections: usize, instances: usize) -> Self {
-        if instances == 0 {
-            // Until the instances are known, one connection each stays within any limit.
-            return Self::Owned(1);
-        }
-        match connections.saturating_sub(SPARE) / instances {
-            0 => Self::Contended,
-            own => Self::Owned(own),
-        }
-    }
-
     /// Connections that may be lent at once.
     pub fn cap(self) -> usize {
         match self {
             Self::Owned(own) => own,
+            Self::Relayed => RELAYED_CAP,
             Self::Contended => CONTENDED_CAP,
         }
     }
 }
 
+/// Connections for each of `instances` out of those that a member takes; none when there are
+/// too few for all.
+pub fn equal(connections: usize, instances: usize) -> Option<usize> {
+    if instances == 0 {
+        // Until the instances are known, one connection each stays within any limit.
+        return Some(1);
+    }
+    Some(connections.saturating_sub(SPARE) / instances).filter(|own| *own > 0)
+}
+
+/// Connections for each of `owners`.
+pub fn owned(connections: usize, owners: usize) -> usize {
+    let shared = connections.saturating_sub(SPARE_BESIDE_OWNERS);
+    (shared / owners.max(1)).max(1)
+}
+
 /// How long an idle connection to a contended member stays open. The time shrinks fast
 /// when the member has none left, and grows slowly otherwise, so that the instances settle
 /// where nearly all connections are in use.
--- a/crates/cardamomhold_pool/tests/scarce_connections.rs
+++ b/crates/cardamomhold_pool/tests/scarce_connections.rs
@@ -63,8 +63,9 @@
                 name: &member,
                 is_near: at % 3 == 0,
                 is_ready: true,
+                share: share::Share::Contended,
             };
-            pool.set_members(&[info], share::Share::of(CONNECTIONS, INSTANCES));
+            pool.set_members(&[info]);
             pool.set_primary(Some(&member));
             pools.push(pool);
         }
@@ -157,8 +158,9 @@
         name: &member,
         is_near: false,
         is_ready: true,
+        share: share::Share::Owned(3),
     };
-    pool.set_members(&[info], share::Share::of(47, 15));
+    pool.set_members(&[info]);
     pool.set_primary(Some(&member));
     pool.ask(ask(1, Timestamp::from_millis(100)));
     assert_eq!(pool.poll(Timestamp(1), true).len(), 1);
