Fewer calls to the store from a large fleet

An instance whose reader is silent for 0.4 s asks the next of its zone, which reads the store as long as it is asked. An instance that is no reader asks a store that is away once a second.

Tests: silent_reader, away_seldom. few_readers now takes 200 instances and its bound from PER_READER.

--- a/crates/cardamomhold_entry/src/keeper/hear.rs
+++ b/crates/cardamomhold_entry/src/keeper/hear.rs
@@ -55,6 +55,7 @@
                 report,
             } => {
                 self.compare(now, seen);
+                self.renewal.asked(now);
                 if self.exchange.take_report(&report) {
                     self.publish_samples();
                 }
@@ -74,6 +75,7 @@
                 self.learn_duty(duty.as_ref());
                 self.compare(now, seen);
                 if number == self.asked.0 {
+                    self.renewal.answered();
                     let asked = self.asked.1;
                     if self.exchange.take_answer(now, asked, &samples) {
                         self.publish_samples();
--- a/crates/cardamomhold_entry/src/keeper/renew.rs
+++ b/crates/cardamomhold_entry/src/keeper/renew.rs
@@ -83,8 +83,13 @@
     /// Asks whoever can confirm the leaderships.
     pub(super) fn renew(&mut self, now: Timestamp) {
         let left = self.lease.until().since(now);
-        let reader = registry::reader(&self.instances, &self.own);
-        let is_reader = *reader == self.own;
+        let first = registry::reader(&self.instances, &self.own, 0);
+        let silent = match *first == self.own {
+            true => 0,
+            false => self.renewal.silent(now),
+        };
+        let reader = registry::reader(&self.instances, &self.own, silent);
+        let is_reader = *reader == self.own || self.renewal.is_relied_on(now);
         let address = self.instances.get(reader.as_str()).map(|e| e.address);
         let is_away = self.outage.is_some();
         let questions = self.renewal.next(now, left, is_reader, is_away);
--- a/crates/cardamomhold_entry/src/registry.rs
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -58,8 +58,13 @@
     turn.unwrap_or(line.len()) as u32
 }
 
-/// The instance of the same zone that reads the store for `own`; itself when it is a reader.
-pub fn reader<'a>(instances: &'a Instances, own: &'a name::InstanceName) -> &'a name::InstanceName {
+/// The instance of the same zone that reads the store for `own`, `silent` others passed
+/// over; itself when it is a reader.
+pub fn reader<'a>(
+    instances: &'a Instances,
+    own: &'a name::InstanceName,
+    silent: usize,
+) -> &'a name::InstanceName {
     let Some(entry) = instances.get(own.as_str()) else {
         return own;
     };
@@ -70,7 +75,7 @@
         }
     }
     let place = zone.iter().position(|n| *n == own).unwrap_or_default();
-    let reader = zone.get(renewal::reader(place, zone.len()));
+    let reader = zone.get(renewal::reader(place, zone.len(), silent));
     reader.copied().unwrap_or(own)
 }
 
--- a/crates/cardamomhold_entry/tests/duty_line.rs
+++ b/crates/cardamomhold_entry/tests/duty_line.rs
@@ -5,6 +5,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_entry::registry;
+use cardamomhold_lead::renewal;
 
 fn instance(text: &str) -> name::InstanceName {
     name::InstanceName::parse(text).unwrap()
@@ -35,7 +36,7 @@
 #[test]
 fn few_readers() {
     let mut instances = registry::Instances::new();
-    for i in 10..60 {
+    for i in 100..300 {
         let entry = registry::Entry {
             address: ([127, 0, 0, 1], 7000).into(),
             zone: "a".to_owned(),
@@ -44,9 +45,9 @@
     }
     let mut readers = std::collections::BTreeSet::new();
     for name in instances.keys() {
-        let reader = registry::reader(&instances, name);
-        assert_eq!(registry::reader(&instances, reader), reader);
+        let reader = registry::reader(&instances, name, 0);
+        assert_eq!(registry::reader(&instances, reader, 0), reader);
         readers.insert(reader);
     }
-    assert_eq!(readers.len(), 4);
+    assert_eq!(readers.len(), 200_usize.div_ceil(renewal::PER_READER));
 }
--- a/crates/cardamomhold_lead/tests/lease_renewal.rs
+++ b/crates/cardamomhold_lead/tests/lease_renewal.rs
@@ -55,11 +55,40 @@
 
 #[test]
 fn readers_grow_slowly() {
-    for count in [1, 4, 16, 17, 50, 1_500] {
+    for count in [1, 4, 16, 17, 50, 64, 65, 1_500] {
         let mut readers = std::collections::BTreeSet::new();
         for place in 0..count {
-            readers.insert(renewal::reader(place, count));
+            readers.insert(renewal::reader(place, count, 0));
         }
         assert_eq!(readers.len(), count.div_ceil(renewal::PER_READER));
     }
 }
+
+/// An instance whose reader is silent asks another one, which then reads the store.
+#[test]
+fn silent_reader() {
+    let mut renewal = renewal::Renewal::default();
+    let at = Timestamp::from_millis;
+    assert_eq!(renewal.silent(at(1_000)), 0);
+    renewal.answered();
+    assert_eq!(renewal.silent(at(1_300)), 0);
+    assert_eq!(renewal.silent(at(1_600)), 0);
+    assert_eq!(renewal.silent(at(1_700)), 1);
+    assert_ne!(renewal::reader(9, 50, 0), renewal::reader(9, 50, 1));
+    let mut other = renewal::Renewal::default();
+    assert!(!other.is_relied_on(at(1_700)));
+    other.asked(at(1_700));
+    assert!(other.is_relied_on(at(2_600)));
+    assert!(!other.is_relied_on(at(2_800)));
+    renewal.answered();
+    assert_eq!(renewal.silent(at(6_600)), 1);
+    renewal.answered();
+    assert_eq!(renewal.silent(at(6_800)), 0, "the first one is tried again");
+}
+
+/// While the store is away an instance that is no reader seldom asks it.
+#[test]
+fn away_seldom() {
+    let (store, _, _) = count(800, false, true);
+    assert!((9..=11).contains(&store), "{store}");
+}
