Owners: asked before they are passed over, and no stand-in for a member's life

A second limit before the owner and the list of members to avoid kept writes from a primary that had refused them. A probe that went through an owner said that a dead member lived.

Work at the owner waits while a member is only doubted. The limit of work at once is the owner's. The primary is never avoided. Probes look at the member itself. Owners hold half of a member's connections, so that as many again may still count after a loss of power. Nothing is opened before the other instances are known. A replica that lacks something rests longer each time.

Tests, failing first: doubt_waits, owner_limits, dead_behind_owner; owner_lives, less_when_full, rank_first, unknown_fleet.

--- a/crates/cardamomhold_entry/src/attempt/retry.rs
+++ b/crates/cardamomhold_entry/src/attempt/retry.rs
@@ -36,6 +36,10 @@
     ask: &mut line::Ask,
     error: &link::LinkError,
 ) -> Failure {
+    if let link::LinkError::Refused(answer::Code::Busy | answer::Code::TooMany) = error {
+        lent.ended = pool::Ended::Full;
+        return failure(answer::Code::Busy, "no slot in time, try again in 200 ms");
+    }
     ask.avoid.push(lent.member.clone());
     match error {
         link::LinkError::Refused(answer::Code::Behind) => {
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -70,14 +70,16 @@
     },
     /// A statement has been without an answer for long.
     Doubt(name::MemberName),
+    /// The owner of a member's connections was asked whether it lives, and did not say so.
+    OwnerSilent(name::MemberName),
     /// A probe ended.
     Probed {
         /// The member.
         member: name::MemberName,
         /// When it was begun.
         sent: Timestamp,
-        /// The connection, with the position of the member's log.
-        result: Opened<L>,
+        /// The connection, if one was opened for it.
+        result: Result<Option<L>, link::LinkError>,
     },
 }
 
@@ -214,6 +216,7 @@
             connections: spec.connections,
             now: clock::now(),
         };
+        self.routes.renew(place.now);
         let mut infos = Vec::new();
         for member in view.members.values() {
             if member.group != *group {
@@ -259,10 +262,11 @@
                 result,
             } => self.opened(now, grant, change, sent, result),
             Message::Doubt(member) => {
-                self.suspect(now, &member);
+                self.check_owner(&member);
                 self.pool.doubt(now, &member);
                 self.report(now, &member, suspicion::Sight::Failed);
             }
+            Message::OwnerSilent(member) => self.suspect(now, &member),
             Message::Probed {
                 member,
                 sent,
@@ -283,7 +287,7 @@
             self.observe(now, member, sample);
         }
         if ended == pool::Ended::Failed {
-            self.suspect(now, member);
+            self.check_owner(member);
         }
         match ended {
             pool::Ended::Failed => self.report(now, member, suspicion::Sight::Failed),
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -16,6 +16,7 @@
 use crate::lent;
 use crate::link;
 use crate::link::Link;
+use crate::relay;
 
 /// Longest time to open a connection.
 const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -25,14 +26,14 @@
     pub(super) fn probe(&mut self, now: Timestamp) {
         for member in self.pool.probes(now) {
             let Some(target) = self.target(&member) else {
-                self.pool.probed(now, &member, None);
+                self.pool.probed(now, &member, false, None);
                 continue;
             };
-            let opening = self.open(&target);
+            let looking = self.look(&target);
             let handle = self.handle.clone();
             tokio::task::spawn_local(async move {
                 let sent = clock::now();
-                let result = opening.await;
+                let result = looking.await;
                 // A group task that has ended needs no connection.
                 let _ = handle.send(Message::Probed {
                     member,
@@ -48,7 +49,7 @@
         now: Timestamp,
         member: &name::MemberName,
         sent: Timestamp,
-        result: Opened<C::Link>,
+        result: Result<Option<C::Link>, link::LinkError>,
     ) {
         let is_reached = match &result {
             Ok(_) => true,
@@ -65,8 +66,25 @@
             suspicion::Sight::Failed
         };
         self.report(now, member, sight);
-        let link = result.ok().map(|(link, _)| lent::Wired::new(link));
-        self.pool.probed(now, member, link);
+        let link = result.ok().flatten().map(lent::Wired::new);
+        self.pool.probed(now, member, is_reached, link);
+    }
+
+    /// Opens a connection to a member whose connections this instance owns; looks only
+    /// whether the member takes connections where others own them.
+    fn look(
+        &self,
+        target: &link::Target,
+    ) -> impl Future<Output = Result<Option<C::Link>, link::LinkError>> + use<C> {
+        let opening = target.via.is_none().then(|| self.open(target));
+        let connector = self.context.connector.clone();
+        let target = target.clone();
+        async move {
+            match opening {
+                Some(opening) => opening.await.map(|(link, _)| Some(link)),
+                None => connector.reach(&target).await.map(|()| None),
+            }
+        }
     }
 
     /// Opens a connection within its time.
@@ -111,6 +129,21 @@
         });
     }
 
+    /// Asks the owner through which a member is reached whether it lives.
+    pub(super) fn check_owner(&self, member: &name::MemberName) {
+        let target = self.target(member).filter(|t| t.via.is_some());
+        let Some(target) = target else {
+            return;
+        };
+        let handle = self.handle.clone();
+        tokio::task::spawn_local(async move {
+            if !relay::is_alive(&target).await {
+                // A group task that has ended has no owners.
+                let _ = handle.send(Message::OwnerSilent(target.member));
+            }
+        });
+    }
+
     pub(super) fn target(&self, member: &name::MemberName) -> Option<link::Target> {
         let view = self.context.views.borrow();
         let found = view.members.get(member.as_str())?;
@@ -135,7 +168,9 @@
                 if let Some(position) = position {
                     self.observe(now, &grant.member, fresh::Sample { sent, position });
                 }
-                self.report(now, &grant.member, suspicion::Sight::Reached);
+                if self.routes.via(&grant.member).is_none() {
+                    self.report(now, &grant.member, suspicion::Sight::Reached);
+                }
                 self.pool.opened(&grant.member);
                 self.lend(lent::Wired::new(link), grant, change);
             }
@@ -147,7 +182,7 @@
                 );
                 self.suspect(now, &grant.member);
                 self.pool
-                    .give_back(now, &grant.member, None, pool::Ended::Unused);
+                    .give_back(now, &grant.member, None, pool::Ended::Full);
                 self.ask_again(grant.id);
             }
             Err(error) => {
--- a/crates/cardamomhold_entry/src/groups.rs
+++ b/crates/cardamomhold_entry/src/groups.rs
@@ -48,7 +48,15 @@
     published: watch::Sender<Groups<C::Link>>,
 ) {
     loop {
-        let catalog = context.views.borrow_and_update().catalog.clone();
+        let view = context.views.borrow_and_update().clone();
+        if view.fleet.is_empty() {
+            // How many connections each instance may open is not known yet.
+            if context.views.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let catalog = view.catalog;
         let known = published.borrow().clone();
         let mut next = collections::BTreeMap::new();
         for spec in &catalog.groups {
--- a/crates/cardamomhold_entry/src/relay.rs
+++ b/crates/cardamomhold_entry/src/relay.rs
@@ -6,6 +6,7 @@
 //! member runs a statement, and judges the answer by its own lease; the owner only queues.
 
 use std::io;
+use std::time;
 
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
@@ -28,6 +29,26 @@
     Via(Box<borrow::Borrower>),
 }
 
+/// Longest wait for an owner's sign of life.
+const PING_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
+/// Whether the owner that a target names lives; without one there is nothing to doubt.
+pub async fn is_alive(target: &link::Target) -> bool {
+    let Some(owner) = target.via else {
+        return true;
+    };
+    let pinging = async {
+        let stream = connect::open(owner)
+            .await
+            .map_err(link::LinkError::Unreachable)?;
+        borrow::Borrower::new(stream, target).ping().await
+    };
+    matches!(
+        tokio::time::timeout(PING_TIMEOUT, pinging).await,
+        Ok(Ok(()))
+    )
+}
+
 /// Opens connections to members, through the owner where the target names one.
 #[derive(Debug, Clone)]
 pub struct Relaying<C>(pub C);
--- a/crates/cardamomhold_entry/src/relay/borrow.rs
+++ b/crates/cardamomhold_entry/src/relay/borrow.rs
@@ -51,7 +51,7 @@
         match self.ask(frame::Order::Call(command)).await? {
             frame::Reply::Answered(answer) => Ok(answer),
             frame::Reply::Failed(failure) => Err(failure.into()),
-            frame::Reply::Prepared(_) => Err(link::LinkError::Garbled),
+            frame::Reply::Prepared(_) | frame::Reply::Pong => Err(link::LinkError::Garbled),
         }
     }
 
@@ -66,7 +66,20 @@
         match self.ask(frame::Order::Prepare(commands.to_vec())).await? {
             frame::Reply::Prepared(position) => Ok(position),
             frame::Reply::Failed(failure) => Err(failure.into()),
-            frame::Reply::Answered(_) => Err(link::LinkError::Garbled),
+            frame::Reply::Answered(_) | frame::Reply::Pong => Err(link::LinkError::Garbled),
+        }
+    }
+
+    /// Asks the owner whether it lives.
+    ///
+    /// # Errors
+    /// [`link::LinkError`].
+    pub async fn ping(&mut self) -> Result<(), link::LinkError> {
+        match self.ask(frame::Order::Ping).await? {
+            frame::Reply::Pong => Ok(()),
+            frame::Reply::Prepared(_) | frame::Reply::Answered(_) | frame::Reply::Failed(_) => {
+                Err(link::LinkError::Garbled)
+            }
         }
     }
 
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -48,6 +48,8 @@
     /// A statement.
     #[serde(borrow)]
     Call(link::Command<'a>),
+    /// Nothing; the owner says that it lives.
+    Ping,
 }
 
 /// What came of it.
@@ -59,6 +61,8 @@
     Answered(answer::Answer),
     /// There is no answer.
     Failed(Failure),
+    /// The owner lives.
+    Pong,
 }
 
 /// Why there is no answer.
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -76,6 +76,9 @@
 
 impl<L: link::Link> Owner<L> {
     async fn handle(&mut self, request: &frame::Request<'_>) -> frame::Reply {
+        if matches!(request.order, frame::Order::Ping) {
+            return frame::Reply::Pong;
+        }
         let left = time::Duration::from_micros(request.work.left_us) + GRACE;
         let limit = tokio::time::Instant::now() + left;
         if self.lent.is_none() {
@@ -142,6 +145,7 @@
         let wired = lent.wired.as_mut().ok_or(frame::Failure::Unreachable)?;
         let sent = clock::now();
         match order {
+            frame::Order::Ping => Ok(frame::Reply::Pong),
             frame::Order::Prepare(commands) => {
                 let prepared = wired.link.prepare(commands).await;
                 let position = prepared.map_err(|error| frame::Failure::from(&error))?;
--- a/crates/cardamomhold_entry/tests/owner_choice.rs
+++ b/crates/cardamomhold_entry/tests/owner_choice.rs
@@ -44,3 +44,13 @@
         assert!(all <= connections, "{all} of {connections}");
     }
 }
+
+/// An instance that does not know the others opens no connections.
+#[test]
+fn unknown_fleet() {
+    world::run(async {
+        let world = world::World::new(0);
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+        assert!(world.groups.borrow().is_empty());
+    });
+}
--- a/crates/cardamomhold_entry/tests/relayed_work.rs
+++ b/crates/cardamomhold_entry/tests/relayed_work.rs
@@ -11,12 +11,15 @@
 use cardamomhold_core::name;
 use cardamomhold_entry::answer;
 use cardamomhold_entry::clock;
+use cardamomhold_entry::group;
+use cardamomhold_entry::keeper;
 use cardamomhold_entry::link;
 use cardamomhold_entry::link::Connector;
 use cardamomhold_entry::link::Link;
 use cardamomhold_entry::owners;
 use cardamomhold_entry::registry;
 use cardamomhold_entry::relay;
+use cardamomhold_lead::suspicion;
 use tokio::net::TcpListener;
 
 /// More instances than a member takes connections.
@@ -157,3 +160,52 @@
         assert_eq!(connections(&world, "READ x"), [0_u64; 0]);
     });
 }
+
+/// An owner that lives says so while it has no connection to lend; one that hangs does not.
+#[test]
+fn owner_lives() {
+    world::run_in_real_time(async {
+        let (_world, via) = owner().await;
+        let mut target = link::Target {
+            group: world::group_name(),
+            member: world::member("a"),
+            address: ([127, 0, 0, 1], 1).into(),
+            via: Some(via),
+        };
+        assert!(relay::is_alive(&target).await);
+        let hung = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        target.via = Some(hung.local_addr().unwrap());
+        assert!(!relay::is_alive(&target).await);
+    });
+}
+
+/// A member that can't be reached is reported, though its owner lives.
+#[test]
+fn dead_behind_owner() {
+    world::run_in_real_time(async {
+        let (_owner, via) = owner().await;
+        let mut world = world::World::relayed(via, INSTANCES);
+        let group = world.group().await;
+        world
+            .members
+            .script
+            .borrow_mut()
+            .dead
+            .insert(world::member("a"));
+        let doubted = group::Message::Doubt(world::member("a"));
+        assert!(group.send(doubted).is_ok());
+        loop {
+            let heard = world.heard.recv().await.unwrap();
+            if let keeper::Event::Sight { member, sight, .. } = heard {
+                assert_eq!(member, world::member("a"));
+                assert_eq!(sight, suspicion::Sight::Failed);
+                let later =
+                    tokio::time::timeout(time::Duration::from_millis(300), world.heard.recv());
+                if let Ok(Some(keeper::Event::Sight { sight, .. })) = later.await {
+                    assert_eq!(sight, suspicion::Sight::Failed);
+                }
+                return;
+            }
+        }
+    });
+}
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -20,6 +20,7 @@
 use cardamomhold_entry::keeper;
 use cardamomhold_entry::link;
 use cardamomhold_entry::metrics;
+use cardamomhold_entry::owners;
 use cardamomhold_entry::registry;
 use cardamomhold_entry::stop;
 use cardamomhold_entry::view;
@@ -51,6 +52,8 @@
     pub open: collections::BTreeSet<u64>,
     /// Members that do not answer.
     pub silent: collections::BTreeSet<name::MemberName>,
+    /// Members that can't be reached.
+    pub dead: collections::BTreeSet<name::MemberName>,
     /// Time that a member takes to accept a connection.
     pub accept: time::Duration,
     connections: u64,
@@ -89,7 +92,11 @@
         Ok((member, Some(at(1, 1))))
     }
 
-    async fn reach(&self, _: &link::Target) -> Result<(), link::LinkError> {
+    async fn reach(&self, target: &link::Target) -> Result<(), link::LinkError> {
+        if self.script.borrow().dead.contains(target.member.as_str()) {
+            let refused = std::io::ErrorKind::ConnectionRefused.into();
+            return Err(link::LinkError::Unreachable(refused));
+        }
         Ok(())
     }
 }
@@ -189,6 +196,20 @@
         Self::of(&instance, instances)
     }
 
+    /// A world whose instance reaches a through an owner that serves at `via`.
+    pub fn relayed(via: net::SocketAddr, instances: usize) -> Self {
+        let members = fleet(instances);
+        let owners = owners::of_member(&members, "zone-a", &member("a"));
+        let own = members.keys().find(|n| !owners.contains(n)).unwrap();
+        let world = Self::of(own, instances);
+        let mut fleet = members.clone();
+        for entry in fleet.values_mut() {
+            entry.address = via;
+        }
+        world.views.send_modify(|v| v.fleet = sync::Arc::new(fleet));
+        world
+    }
+
     /// The same, seen by a given instance.
     pub fn of(instance: &name::InstanceName, instances: usize) -> Self {
         let members = Members::default();
--- a/crates/cardamomhold_pool/src/line.rs
+++ b/crates/cardamomhold_pool/src/line.rs
@@ -32,7 +32,7 @@
     pub rank: u8,
     /// What it needs.
     pub want: Want,
-    /// Members that just failed it.
+    /// Replicas that just failed it.
     pub avoid: Vec<name::MemberName>,
     /// When a connection is no longer of use.
     pub deadline: Timestamp,
--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -17,9 +17,13 @@
 /// Cost of leaving the zone, as a time, in microseconds.
 const FAR_US: f64 = 15_000.0;
 
-/// Time in which a replica usually applies what it lacked.
+/// Time in which a replica usually applies what it lacked; doubled each time that it still
+/// lacks something.
 const CATCH_UP: time::Duration = time::Duration::from_millis(60);
 
+/// Longest time for which a replica that lacked something is left out.
+const MAX_CATCH_UP: time::Duration = time::Duration::from_millis(960);
+
 /// Pause after a failed connection; doubled with each further one.
 const RETRY: time::Duration = time::Duration::from_millis(50);
 
@@ -73,6 +77,8 @@
     service_us: f64,
     position: Option<position::Position>,
     lacked: Option<(position::Position, Timestamp)>,
+    /// Times in a row that it lacked something.
+    lacks: u32,
     failures: u32,
     closed_until: Timestamp,
     pub(crate) is_probed: bool,
@@ -94,6 +100,7 @@
             service_us: FIRST_SERVICE_US,
             position: None,
             lacked: None,
+            lacks: 0,
             failures: 0,
             closed_until: Timestamp(0),
             is_probed: false,
@@ -166,6 +173,11 @@
         self.failures > 0
     }
 
+    /// Whether a probe failed, so that waiting for it is of no use.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.failures > 1
+    }
+
     /// When a pause ends, if one is under way.
     pub(crate) fn reopens(&self, now: Timestamp) -> Option<Timestamp> {
         (self.full_until > now).then_some(self.full_until)
@@ -203,8 +215,9 @@
         if self.holds(needed) {
             return true;
         }
+        let pause = CATCH_UP * 2u32.pow(self.lacks.saturating_sub(1).min(4));
         self.lacked
-            .is_none_or(|(p, at)| needed < p || now >= at.after(CATCH_UP))
+            .is_none_or(|(p, at)| needed < p || now >= at.after(pause.min(MAX_CATCH_UP)))
     }
 
     /// Takes note of a position that the member gave.
@@ -214,6 +227,8 @@
 
     /// Takes note that the member lacked a position.
     pub(crate) fn lacks(&mut self, now: Timestamp, needed: position::Position) {
+        let is_news = self.lacked.is_none_or(|(_, at)| now >= at.after(CATCH_UP));
+        self.lacks += u32::from(is_news);
         self.lacked = Some((needed, now));
     }
 
@@ -221,6 +236,7 @@
     pub(crate) fn answered(&mut self, took: time::Duration) {
         let sample = took.as_micros() as f64;
         self.service_us += (sample - self.service_us) * WEIGHT;
+        self.lacks = 0;
         self.limit = (self.limit + LIMIT_GROWTH).min(self.share.cap() as f64);
         self.revive();
     }
@@ -233,7 +249,10 @@
     /// Takes note that the member has no slot left.
     pub(crate) fn full(&mut self, now: Timestamp) {
         let used = (self.lent + 1) as f64;
-        self.limit = (self.limit.min(used) * LIMIT_SHRINK).max(1.0);
+        if self.share != share::Share::Relayed {
+            // Where an owner stands between, it limits the work of all.
+            self.limit = (self.limit.min(used) * LIMIT_SHRINK).max(1.0);
+        }
         self.full_until = now.after(FULL);
     }
 
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -159,7 +159,7 @@
             return true;
         };
         let member = self.members.iter().find(|m| m.name == *name);
-        member.is_some_and(|m| m.is_owned() && !m.is_down())
+        member.is_some_and(|m| m.is_owned() && !m.is_lost())
     }
 
     fn lend(&mut self, at: usize, id: u64, after: Option<position::Position>) -> Grant<L> {
@@ -188,7 +188,7 @@
     ) -> Option<(usize, Option<position::Position>)> {
         match &ask.want {
             line::Want::Primary => {
-                let at = self.primary_at(now, ask, is_leased)?;
+                let at = self.primary_at(now, is_leased)?;
                 Some((at, None))
             }
             line::Want::Member(name) => {
@@ -200,20 +200,20 @@
                 if let Some((at, needed)) = replica {
                     return Some((at, Some(needed)));
                 }
-                let at = self.primary_at(now, ask, is_leased)?;
+                let at = self.primary_at(now, is_leased)?;
                 Some((at, None))
             }
         }
     }
 
-    fn primary_at(&self, now: Timestamp, ask: &line::Ask, is_leased: bool) -> Option<usize> {
+    fn primary_at(&self, now: Timestamp, is_leased: bool) -> Option<usize> {
         if !is_leased {
             return None;
         }
         let at = (0..self.members.len()).find(|at| self.is_primary(*at))?;
         let member = &self.members[at];
-        let is_free = member.has_room(now) && !ask.avoid.contains(&member.name);
-        is_free.then_some(at)
+        // There is no other primary to go to.
+        member.has_room(now).then_some(at)
     }
 
     fn replica_for(
@@ -255,7 +255,7 @@
         if let line::Want::Member(name) = &ask.want {
             let member = self.members.iter().find(|m| m.name == *name);
             return match member {
-                Some(member) if member.is_owned() && !member.is_down() => Reason::Full,
+                Some(member) if member.is_owned() && !member.is_lost() => Reason::Full,
                 Some(_) | None => Reason::Unreachable,
             };
         }
@@ -328,20 +328,27 @@
         names
     }
 
-    /// Takes the connection that a probe opened; none when it failed.
-    pub fn probed(&mut self, now: Timestamp, name: &name::MemberName, link: Option<L>) {
+    /// Takes the end of a probe, with the connection that it opened, if any.
+    pub fn probed(
+        &mut self,
+        now: Timestamp,
+        name: &name::MemberName,
+        is_reached: bool,
+        link: Option<L>,
+    ) {
         let Some(member) = self.members.iter_mut().find(|m| m.name == *name) else {
             return;
         };
         member.is_probed = false;
-        match link {
-            Some(link) => {
-                member.revive();
-                if member.lacks_idle() {
-                    member.put_idle(now, link);
-                }
-            }
-            None => member.failed(now),
+        if !is_reached {
+            member.failed(now);
+            return;
+        }
+        member.revive();
+        if let Some(link) = link
+            && member.lacks_idle()
+        {
+            member.put_idle(now, link);
         }
     }
 
--- a/crates/cardamomhold_pool/src/share.rs
+++ b/crates/cardamomhold_pool/src/share.rs
@@ -9,17 +9,17 @@
 //!
 //! assert_eq!(share::equal(47, 15), Some(3));
 //! assert_eq!(share::equal(73, 146), None);
-//! assert_eq!(share::owned(73, 6), 11);
+//! assert_eq!(share::owned(73, 6), 6);
 //! ```
 
 use std::time;
 
-/// Connections of each member that are left for orders, for restarted instances and for
-/// those that find no owner.
+/// Connections of each member that are left for orders and for restarted instances.
 const SPARE: usize = 2;
 
-/// The same where owners hold the connections.
-const SPARE_BESIDE_OWNERS: usize = 7;
+/// Part of a member's connections that its owners hold: as many again may still count for a
+/// while after all owners have lost power.
+const OWNED_PART: usize = 2;
 
 /// Connections to a contended member that an instance lends at once.
 const CONTENDED_CAP: usize = 4;
@@ -52,17 +52,13 @@
 /// Connections for each of `instances` out of those that a member takes; none when there are
 /// too few for all.
 pub fn equal(connections: usize, instances: usize) -> Option<usize> {
-    if instances == 0 {
-        // Until the instances are known, one connection each stays within any limit.
-        return Some(1);
-    }
-    Some(connections.saturating_sub(SPARE) / instances).filter(|own| *own > 0)
+    let own = connections.saturating_sub(SPARE).checked_div(instances)?;
+    Some(own).filter(|own| *own > 0)
 }
 
 /// Connections for each of `owners`.
 pub fn owned(connections: usize, owners: usize) -> usize {
-    let shared = connections.saturating_sub(SPARE_BESIDE_OWNERS);
-    (shared / owners.max(1)).max(1)
+    (connections / OWNED_PART / owners.max(1)).max(1)
 }
 
 /// How long an idle connection to a contended member stays open. The time shrinks fast
--- /dev/null
+++ b/crates/cardamomhold_pool/tests/relayed_asks.rs
@@ -0,0 +1,141 @@
+//! Work that another instance gives to the owner of a member's connections.
+
+// Helpers of tests unwrap as tests do.
+#![allow(clippy::unwrap_used)]
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_pool::line;
+use cardamomhold_pool::member;
+use cardamomhold_pool::pool;
+use cardamomhold_pool::share;
+
+const TAKES: time::Duration = time::Duration::from_millis(20);
+
+fn pool_of(share: share::Share) -> (pool::Pool<u32>, name::MemberName) {
+    let name = name::MemberName::parse("db-1").unwrap();
+    let mut pool = pool::Pool::new();
+    pool.set_members(&[member::MemberInfo {
+        name: &name,
+        is_near: true,
+        is_ready: true,
+        share,
+    }]);
+    (pool, name)
+}
+
+fn ask(id: u64, rank: u8, name: &name::MemberName) -> line::Ask {
+    line::Ask {
+        id,
+        rank,
+        want: line::Want::Member(name.clone()),
+        avoid: Vec::new(),
+        deadline: Timestamp::from_millis(10_000),
+    }
+}
+
+fn granted(decisions: &[pool::Decision<u32>]) -> Vec<u64> {
+    let mut ids = Vec::new();
+    for decision in decisions {
+        if let pool::Decision::Grant(grant) = decision {
+            ids.push(grant.id);
+        }
+    }
+    ids
+}
+
+fn refused(decisions: &[pool::Decision<u32>]) -> Vec<pool::Reason> {
+    let mut reasons = Vec::new();
+    for decision in decisions {
+        if let pool::Decision::Refuse { reason, .. } = decision {
+            reasons.push(*reason);
+        }
+    }
+    reasons
+}
+
+/// The owner's line is served by rank, whoever asks.
+#[test]
+fn rank_first() {
+    let (mut pool, name) = pool_of(share::Share::Owned(1));
+    pool.ask(ask(1, 2, &name));
+    assert_eq!(granted(&pool.poll(Timestamp(1), true)), [1]);
+    pool.ask(ask(2, 2, &name));
+    pool.ask(ask(3, 0, &name));
+    assert!(pool.poll(Timestamp(2), true).is_empty());
+    pool.give_back(Timestamp(3), &name, Some(7), pool::Ended::Answered(TAKES));
+    assert_eq!(granted(&pool.poll(Timestamp(4), true)), [3]);
+}
+
+/// Work waits while a slow member is only doubted, and is refused once a probe has failed.
+#[test]
+fn doubt_waits() {
+    let (mut pool, name) = pool_of(share::Share::Owned(1));
+    pool.doubt(Timestamp(1), &name);
+    pool.ask(ask(1, 0, &name));
+    assert!(pool.poll(Timestamp(2), true).is_empty());
+    assert_eq!(pool.probes(Timestamp(3)).len(), 1);
+    pool.probed(Timestamp(4), &name, false, None);
+    let decisions = pool.poll(Timestamp(5), true);
+    assert_eq!(refused(&decisions), [pool::Reason::Unreachable]);
+}
+
+/// An instance that owns nothing of the member refuses at once.
+#[test]
+fn others_refuse() {
+    for share in [share::Share::Relayed, share::Share::Contended] {
+        let (mut pool, name) = pool_of(share);
+        pool.ask(ask(1, 0, &name));
+        let decisions = pool.poll(Timestamp(2), true);
+        assert_eq!(refused(&decisions), [pool::Reason::Unreachable]);
+    }
+}
+
+/// A member that refuses for want of a slot is given less at once.
+#[test]
+fn less_when_full() {
+    let (mut pool, name) = pool_of(share::Share::Owned(10));
+    for id in 0..10 {
+        pool.ask(ask(id, 0, &name));
+    }
+    assert_eq!(granted(&pool.poll(Timestamp(1), true)).len(), 10);
+    for _ in 0..5 {
+        pool.give_back(Timestamp(2), &name, Some(0), pool::Ended::Full);
+    }
+    for id in 10..20 {
+        pool.ask(ask(id, 0, &name));
+    }
+    let later = Timestamp::from_millis(100);
+    assert!(granted(&pool.poll(later, true)).is_empty());
+    for _ in 0..5 {
+        pool.give_back(later, &name, Some(0), pool::Ended::Answered(TAKES));
+    }
+    let more = granted(&pool.poll(later, true)).len();
+    assert!((2..8).contains(&more), "{more} at once");
+}
+
+/// An instance that goes through an owner does not limit itself as well.
+#[test]
+fn owner_limits() {
+    let (mut pool, name) = pool_of(share::Share::Relayed);
+    pool.set_primary(Some(&name));
+    let wants_primary = |id| line::Ask {
+        want: line::Want::Primary,
+        avoid: vec![name.clone()],
+        ..ask(id, 0, &name)
+    };
+    for id in 0..8 {
+        pool.ask(wants_primary(id));
+    }
+    assert_eq!(granted(&pool.poll(Timestamp(1), true)).len(), 8);
+    for _ in 0..8 {
+        pool.give_back(Timestamp(2), &name, None, pool::Ended::Full);
+    }
+    for id in 8..16 {
+        pool.ask(wants_primary(id));
+    }
+    let later = Timestamp::from_millis(100);
+    assert_eq!(granted(&pool.poll(later, true)).len(), 8);
+}
