An owner that leaves begins nothing new; what it refused has not run

Cause, found by reading: an owner told to stop went on taking work until it ended, and broke what was under way; and a single write that an owner refused before it reached the member was reported as in doubt.

Change: an owner that leaves finishes what it has begun and refuses the rest, its sign of life too, so that others go elsewhere. A refusal by an owner is passed on as 'not run', and such a write is tried again.

Tests: owner_leaves, refused_is_not_run (in doubt before, by the code).

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -142,7 +142,9 @@
             },
             Err(failed) => {
                 retry::note_attempt(&call, attempt, &member, failed);
-                let is_safe = !call.may_keep || call.access == statement::Access::Read;
+                let is_unsent = failed.code == answer::Code::Aborted;
+                let only_reads = call.access == statement::Access::Read;
+                let is_safe = !call.may_keep || only_reads || is_unsent;
                 if !is_safe || failed.code == answer::Code::Timeout || clock::now() >= call.deadline
                 {
                     return Err(failed);
@@ -297,6 +299,16 @@
             }
             vouch(context, group, lent, call, answer).await
         }
+        Some(Err(link::LinkError::Refused(code))) if code.is_not_run() => {
+            lent.ended = pool::Ended::Full;
+            let text = "refused before it reached the member, try again in 200 ms";
+            Ok(answer::Answer::refused(code, text, answer::State::Idle))
+        }
+        Some(Err(link::LinkError::Unreachable(_))) => {
+            lent.close(pool::Ended::Failed);
+            let unsent = "the owner of the connections does not serve the member";
+            Err(failure(answer::Code::Aborted, unsent))
+        }
         Some(Err(_)) => {
             lent.close(pool::Ended::Failed);
             let lost = "the connection to the member broke";
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -20,18 +20,36 @@
 use crate::link;
 use crate::relay::frame;
 use crate::session;
+use crate::stop;
 
 /// Time beyond the work's own after which a member's answer is no longer awaited.
 const GRACE: time::Duration = time::Duration::from_millis(50);
 
-/// Serves other instances until the process ends.
-pub fn start<L: link::Link>(listener: TcpListener, groups: watch::Receiver<groups::Groups<L>>) {
+/// What the tasks work with.
+#[derive(Debug)]
+pub struct Context<L> {
+    /// The group tasks.
+    pub groups: watch::Receiver<groups::Groups<L>>,
+    /// Where the instance is between start and end.
+    pub phase: watch::Receiver<stop::Phase>,
+}
+
+impl<L> Clone for Context<L> {
+    fn clone(&self) -> Self {
+        Self {
+            groups: self.groups.clone(),
+            phase: self.phase.clone(),
+        }
+    }
+}
+
+/// Serves other instances until the process ends. One that leaves finishes what it has begun.
+pub fn start<L: link::Link>(listener: TcpListener, context: Context<L>) {
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    let groups = groups.clone();
-                    tokio::task::spawn_local(serve(stream, from, groups));
+                    tokio::task::spawn_local(serve(stream, from, context.clone()));
                 }
                 Err(error) => log::warn!("event=relay_accept_failed error=\"{error}\""),
             }
@@ -39,15 +57,14 @@
     });
 }
 
-async fn serve<L: link::Link>(
-    stream: TcpStream,
-    from: net::SocketAddr,
-    groups: watch::Receiver<groups::Groups<L>>,
-) {
+async fn serve<L: link::Link>(stream: TcpStream, from: net::SocketAddr, context: Context<L>) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=relay_slow from={from} error=\"{error}\"");
     }
-    let mut owner = Owner { groups, lent: None };
+    let mut owner = Owner {
+        context,
+        lent: None,
+    };
     let mut frames = frame::Frames::new(stream);
     let error = loop {
         let request = match frames.next().await {
@@ -70,12 +87,16 @@
 
 /// What one connection of another instance has borrowed.
 struct Owner<L> {
-    groups: watch::Receiver<groups::Groups<L>>,
+    context: Context<L>,
     lent: Option<lent::Lent<L>>,
 }
 
 impl<L: link::Link> Owner<L> {
     async fn handle(&mut self, request: &frame::Request<'_>) -> frame::Reply {
+        let is_leaving = *self.context.phase.borrow() != stop::Phase::Serving;
+        if is_leaving && self.lent.is_none() {
+            return frame::Reply::Failed(frame::Failure::Unreachable);
+        }
         if matches!(request.order, frame::Order::Ping) {
             return frame::Reply::Pong;
         }
@@ -109,7 +130,8 @@
     }
 
     async fn acquire(&self, work: &frame::Work) -> Result<lent::Lent<L>, frame::Failure> {
-        let group = self.groups.borrow().get(work.group.as_str()).cloned();
+        let group = self.context.groups.borrow();
+        let group = group.get(work.group.as_str()).cloned();
         let group = group.ok_or(frame::Failure::Unreachable)?;
         let (reply, granted) = oneshot::channel();
         let ask = line::Ask {
--- a/crates/cardamomhold_entry/tests/relayed_work.rs
+++ b/crates/cardamomhold_entry/tests/relayed_work.rs
@@ -10,16 +10,23 @@
 
 use cardamomhold_core::name;
 use cardamomhold_entry::answer;
+use cardamomhold_entry::attempt;
+use cardamomhold_entry::call;
 use cardamomhold_entry::clock;
 use cardamomhold_entry::group;
 use cardamomhold_entry::keeper;
+use cardamomhold_entry::lent;
 use cardamomhold_entry::link;
 use cardamomhold_entry::link::Connector;
 use cardamomhold_entry::link::Link;
+use cardamomhold_entry::metrics;
 use cardamomhold_entry::owners;
 use cardamomhold_entry::registry;
 use cardamomhold_entry::relay;
+use cardamomhold_entry::statement;
+use cardamomhold_entry::stop;
 use cardamomhold_lead::suspicion;
+use cardamomhold_pool::pool;
 use tokio::net::TcpListener;
 
 /// More instances than a member takes connections.
@@ -35,7 +42,11 @@
     world.group().await;
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
-    relay::owner::start(listener, world.groups.clone());
+    let context = relay::owner::Context {
+        groups: world.groups.clone(),
+        phase: world.phases.subscribe(),
+    };
+    relay::owner::start(listener, context);
     (world, address)
 }
 
@@ -209,3 +220,65 @@
         }
     });
 }
+
+/// An owner that leaves begins nothing new, and finishes what it has begun.
+#[test]
+fn owner_leaves() {
+    world::run_in_real_time(async {
+        let (world, via) = owner().await;
+        let mut first = borrow(&world, "a", via).await;
+        let begin = link::Command::Begin {
+            read_only: false,
+            after: None,
+        };
+        first.prepare(&[begin]).await.unwrap();
+        world.phases.send_replace(stop::Phase::Leaving);
+        let mut second = borrow(&world, "a", via).await;
+        let refused = second.call(pass("WRITE b 1")).await;
+        assert!(
+            matches!(refused, Err(link::LinkError::Unreachable(_))),
+            "{refused:?}"
+        );
+        first.call(pass("WRITE a 1")).await.unwrap();
+        let ended = first.call(pass("COMMIT")).await.unwrap();
+        assert_eq!(ended.code(), None);
+        assert_eq!(connections(&world, "WRITE b 1"), [0_u64; 0]);
+    });
+}
+
+/// A write that an owner refused has not run: the caller is told so, or it runs elsewhere.
+#[test]
+fn refused_is_not_run() {
+    world::run_in_real_time(async {
+        let (owner, via) = owner().await;
+        owner.phases.send_replace(stop::Phase::Leaving);
+        let mut world = world::World::relayed(via, INSTANCES);
+        world.group().await;
+        let link = borrow(&world, "a", via).await;
+        let grant = pool::Grant {
+            id: 1,
+            member: world::member("a"),
+            is_primary: false,
+            after: None,
+            link: None,
+        };
+        let (group, _kept) = tokio::sync::mpsc::unbounded_channel();
+        let mut lent = lent::Lent::new(lent::Wired::new(link), grant, None, group);
+        let call = call::Call {
+            id: "q1",
+            form: call::Form::Text("WRITE a 1"),
+            access: statement::Access::Write,
+            may_keep: true,
+            deadline: clock::now().after(time::Duration::from_secs(5)),
+        };
+        let context = attempt::Context {
+            views: world.views.subscribe(),
+            standing: world.standing.subscribe(),
+            groups: tokio::sync::watch::channel(Default::default()).1,
+            phase: world.phases.subscribe(),
+            metrics: metrics::Metrics::new().unwrap(),
+        };
+        let ran = attempt::run(&context, &world::group_name(), &mut lent, &call, None).await;
+        assert_eq!(ran.unwrap_err().code, answer::Code::Aborted);
+    });
+}
