A primary that takes connections and fails all work is replaced

Change: an instance whose work at a primary all failed (three times or more over 0.7 s, no success between) reports it as failed although it takes connections; as before a majority decides. Work without an answer in time and a lost owner do not count.

Tests: reached_but_failing (failed before: the probe's success was the last word), slow_is_not_failing.

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One statement at a member: the right connection, the session's state on it, and what
 //! may be tried again.
 
+use std::io;
 use std::sync;
 use std::time;
 
@@ -222,11 +223,14 @@
         .await
         .unwrap_or_else(|elapsed| Err(link::LinkError::Broken(elapsed.into())));
     if let Err(error) = prepared {
-        if !matches!(error, link::LinkError::Refused(_)) {
-            lent.close(pool::Ended::Failed);
-        } else {
-            lent.close(pool::Ended::Unused);
-        }
+        lent.close(match &error {
+            link::LinkError::Refused(_) => pool::Ended::Unused,
+            link::LinkError::OwnerLost(_) => pool::Ended::OwnerLost,
+            link::LinkError::Broken(error) if error.kind() == io::ErrorKind::TimedOut => {
+                pool::Ended::Silent
+            }
+            _ => pool::Ended::Failed,
+        });
         return Err(error);
     }
     wired.applied.take(session, needed);
@@ -293,7 +297,10 @@
     let took = clock::now().since(sent);
     match result {
         Some(Ok(answer)) => {
-            lent.ended = pool::Ended::Answered(took);
+            lent.ended = match answer.code() {
+                Some(answer::Code::Failed) => pool::Ended::Erred,
+                Some(_) | None => pool::Ended::Answered(took),
+            };
             if let Some(position) = answer.position {
                 lent.seen = Some(fresh::Sample { sent, position });
             }
@@ -309,13 +316,16 @@
             let unsent = "the owner of the connections does not serve the member";
             Err(failure(answer::Code::Aborted, unsent))
         }
-        Some(Err(_)) => {
-            lent.close(pool::Ended::Failed);
+        Some(Err(error)) => {
+            lent.close(match error {
+                link::LinkError::OwnerLost(_) => pool::Ended::OwnerLost,
+                _ => pool::Ended::Failed,
+            });
             let lost = "the connection to the member broke";
             Err(failure(lost_code(call, answer::Code::Aborted), lost))
         }
         None => {
-            lent.close(pool::Ended::Failed);
+            lent.close(pool::Ended::Silent);
             let late = "no answer of the member in time";
             let code = if limit < call.deadline {
                 answer::Code::Aborted
--- a/crates/cardamomhold_entry/src/attempt/retry.rs
+++ b/crates/cardamomhold_entry/src/attempt/retry.rs
@@ -51,6 +51,7 @@
         link::LinkError::Refused(_)
         | link::LinkError::Unreachable(_)
         | link::LinkError::Broken(_)
+        | link::LinkError::OwnerLost(_)
         | link::LinkError::Garbled => failure(
             answer::Code::Busy,
             "a connection broke, try again in 100 ms",
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -6,6 +6,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::experience;
 use cardamomhold_lead::suspicion;
 use cardamomhold_pool::fresh;
 use cardamomhold_pool::line;
@@ -126,6 +127,8 @@
     /// The change of the leadership that the pool goes by.
     change: u64,
     routes: routes::Routes,
+    /// How the primary's work ended lately.
+    experience: experience::Experience,
 }
 
 /// Starts the task; it ends when the group is no longer configured.
@@ -142,6 +145,7 @@
         sighted: suspicion::Sight::Reached,
         change: 0,
         routes: routes::Routes::default(),
+        experience: experience::Experience::default(),
     };
     tokio::task::spawn_local(task.run(mailbox));
     handle
@@ -230,7 +234,11 @@
             });
         }
         let record = view.leaderships.get(group.as_str());
-        self.change = record.map_or(0, |r| r.change);
+        let change = record.map_or(0, |r| r.change);
+        if change != self.change {
+            self.change = change;
+            self.experience = experience::Experience::default();
+        }
         self.pool.set_primary(view.primary(group.as_str()));
         self.pool.set_members(&infos);
         true
@@ -286,15 +294,19 @@
         if let Some(sample) = seen {
             self.observe(now, member, sample);
         }
-        if ended == pool::Ended::Failed {
+        if matches!(ended, pool::Ended::Failed | pool::Ended::OwnerLost) {
             self.check_owner(member);
         }
+        self.learn_from(now, member, ended);
         match ended {
-            pool::Ended::Failed => self.report(now, member, suspicion::Sight::Failed),
+            pool::Ended::Failed | pool::Ended::Silent | pool::Ended::Erred => {
+                self.report(now, member, suspicion::Sight::Failed);
+            }
             pool::Ended::Answered(_) => self.report(now, member, suspicion::Sight::Reached),
             pool::Ended::Full
             | pool::Ended::Crowded
             | pool::Ended::Lacks(_)
+            | pool::Ended::OwnerLost
             | pool::Ended::Unused => {}
         }
         let wired = wired.map(|mut wired| {
@@ -336,14 +348,31 @@
         }
     }
 
+    /// Takes note of how the primary's work ends.
+    fn learn_from(&mut self, now: Timestamp, member: &name::MemberName, ended: pool::Ended) {
+        if self.primary_change(member).is_none() {
+            return;
+        }
+        match ended {
+            pool::Ended::Failed | pool::Ended::Erred => self.experience.failed(now),
+            pool::Ended::Answered(_) => self.experience.succeeded(),
+            _ => {}
+        }
+    }
+
+    /// The change of the leadership, if a member is the primary.
+    fn primary_change(&self, member: &name::MemberName) -> Option<u64> {
+        let view = self.context.views.borrow();
+        let record = view.leaderships.get(self.context.group.as_str())?;
+        (record.primary.as_ref() == Some(member)).then_some(record.change)
+    }
+
     /// Tells the keeper what was seen of the primary: each change, and failures again and
     /// again.
     fn report(&mut self, now: Timestamp, member: &name::MemberName, sight: suspicion::Sight) {
-        let view = self.context.views.borrow();
-        if view.primary(self.context.group.as_str()) != Some(member) {
+        if self.primary_change(member).is_none() {
             return;
         }
-        drop(view);
         let is_news = sight != self.sighted;
         let is_due = now.since(self.reported) >= REPORT_EVERY;
         if !is_news && (sight == suspicion::Sight::Reached || !is_due) {
@@ -355,6 +384,7 @@
             group: self.context.group.clone(),
             member: member.clone(),
             sight,
+            is_failing: self.experience.is_failing(now),
         });
     }
 
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -60,7 +60,8 @@
             self.context.group,
             now.since(sent).as_millis()
         );
-        let sight = if is_reached {
+        let is_failing = self.experience.is_failing(now);
+        let sight = if is_reached && !is_failing {
             suspicion::Sight::Reached
         } else {
             suspicion::Sight::Failed
@@ -168,7 +169,8 @@
                 if let Some(position) = position {
                     self.observe(now, &grant.member, fresh::Sample { sent, position });
                 }
-                if self.routes.via(&grant.member).is_none() {
+                let is_direct = self.routes.via(&grant.member).is_none();
+                if is_direct && !self.experience.is_failing(now) {
                     self.report(now, &grant.member, suspicion::Sight::Reached);
                 }
                 self.pool.opened(&grant.member);
--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -71,6 +71,8 @@
         member: name::MemberName,
         /// What was seen.
         sight: suspicion::Sight,
+        /// Whether it fails all work, though it may take connections.
+        is_failing: bool,
     },
     /// This instance saw a primary's position.
     Sampled {
@@ -167,6 +169,8 @@
     renewal: renewal::Renewal,
     /// The last question to the reader, and when it was sent.
     asked: (u64, Timestamp),
+    /// Groups whose primary fails all work of this instance, since when that is known.
+    failing: collections::BTreeMap<name::GroupName, Timestamp>,
     seen: message::Seen,
     exchange: exchange::Exchange,
     behind: Option<Timestamp>,
@@ -212,6 +216,7 @@
             reading,
             renewal: renewal::Renewal::default(),
             asked: (clock::now().0, Timestamp(0)),
+            failing: collections::BTreeMap::new(),
             seen: message::Seen::default(),
             exchange: exchange::Exchange::new(clock::life()),
             behind: None,
@@ -256,7 +261,11 @@
                 group,
                 member,
                 sight,
-            } => self.saw(now, &group, &member, sight),
+                is_failing,
+            } => {
+                self.note_failing(now, &group, is_failing);
+                self.saw(now, &group, &member, sight);
+            }
             Event::Sampled { group, sample } => {
                 self.exchange.learn(&group, sample);
             }
--- a/crates/cardamomhold_entry/src/keeper/act.rs
+++ b/crates/cardamomhold_entry/src/keeper/act.rs
@@ -9,6 +9,7 @@
 use cardamomhold_lead::record;
 use cardamomhold_lead::suspicion;
 
+use crate::clock;
 use crate::handover;
 use crate::keeper::Event;
 use crate::keeper::Keeper;
@@ -21,6 +22,9 @@
 use crate::store;
 use crate::view;
 
+/// Time for which a primary that failed all work counts as failing.
+const FAILING_FOR: time::Duration = time::Duration::from_millis(1_000);
+
 /// Longest wait for a primary that is probed.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
@@ -119,6 +123,22 @@
         self.needs.learn(now, group, change, &own, sight);
     }
 
+    /// Takes note of a primary that fails all work of this instance, or does not.
+    pub(super) fn note_failing(
+        &mut self,
+        now: Timestamp,
+        group: &name::GroupName,
+        is_failing: bool,
+    ) {
+        if !is_failing {
+            self.failing.remove(group.as_str());
+            return;
+        }
+        if self.failing.insert(group.clone(), now).is_none() {
+            log::warn!("event=primary_failing group={group}");
+        }
+    }
+
     /// Opens a connection to a primary and reports what came of it.
     pub(super) fn probe(
         &self,
@@ -137,11 +157,13 @@
         let target = job.members.into_iter().find(|t| t.member == primary);
         let connector = self.edges.connector.clone();
         let handle = self.handle.clone();
+        let known = self.failing.get(group.as_str());
+        let is_failing = known.is_some_and(|at| clock::now().since(*at) < FAILING_FOR);
         let group = group.clone();
         tokio::task::spawn_local(async move {
             let sight = match target {
-                Some(target) => sight_of(&connector, &target).await,
-                None => suspicion::Sight::Failed,
+                Some(target) if !is_failing => sight_of(&connector, &target).await,
+                Some(_) | None => suspicion::Sight::Failed,
             };
             handle.tell(Event::Probed {
                 group,
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -93,6 +93,8 @@
     Unreachable(io::Error),
     /// The connection broke.
     Broken(io::Error),
+    /// The connection to the owner broke; it may have passed on what it was sent.
+    OwnerLost(io::Error),
     /// The member sent what can't be read.
     Garbled,
     /// The member refused.
@@ -104,6 +106,7 @@
         match self {
             Self::Unreachable(error) => write!(f, "unreachable: {error}"),
             Self::Broken(error) => write!(f, "broken: {error}"),
+            Self::OwnerLost(error) => write!(f, "owner lost: {error}"),
             Self::Garbled => f.write_str("unreadable answer"),
             Self::Refused(code) => write!(f, "refused: {}", code.as_str()),
         }
--- a/crates/cardamomhold_entry/src/relay/borrow.rs
+++ b/crates/cardamomhold_entry/src/relay/borrow.rs
@@ -100,8 +100,10 @@
 
 fn broken(error: frame::FrameError) -> link::LinkError {
     match error {
-        frame::FrameError::Io(error) => link::LinkError::Broken(error),
-        frame::FrameError::Closed => link::LinkError::Broken(io::ErrorKind::UnexpectedEof.into()),
+        frame::FrameError::Io(error) => link::LinkError::OwnerLost(error),
+        frame::FrameError::Closed => {
+            link::LinkError::OwnerLost(io::ErrorKind::UnexpectedEof.into())
+        }
         frame::FrameError::Codec(_) => link::LinkError::Garbled,
     }
 }
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -93,7 +93,7 @@
     fn from(error: &link::LinkError) -> Self {
         match error {
             link::LinkError::Unreachable(_) => Self::Unreachable,
-            link::LinkError::Broken(_) => Self::Broken,
+            link::LinkError::Broken(_) | link::LinkError::OwnerLost(_) => Self::Broken,
             link::LinkError::Garbled => Self::Garbled,
             link::LinkError::Refused(code) => Self::Refused(*code),
         }
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -182,6 +182,7 @@
                 let answer = called.map_err(|error| frame::Failure::from(&error))?;
                 lent.ended = match answer.code() {
                     Some(answer::Code::Busy) => pool::Ended::Full,
+                    Some(answer::Code::Failed) => pool::Ended::Erred,
                     Some(_) | None => pool::Ended::Answered(clock::now().since(sent)),
                 };
                 if let Some(position) = answer.position {
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod acks;
 pub mod candidate;
 pub mod duty;
+pub mod experience;
 pub mod lease;
 pub mod record;
 pub mod renewal;
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -66,6 +66,12 @@
     Lacks(position::Position),
     /// The connection broke, or could not be opened.
     Failed,
+    /// The member did not answer in time.
+    Silent,
+    /// The member ran the work without success.
+    Erred,
+    /// The way to the owner of the connection broke, which says nothing of the member.
+    OwnerLost,
     /// The connection was not used.
     Unused,
 }
@@ -290,8 +296,9 @@
             Ended::Full => member.full(now),
             Ended::Crowded => member.crowd(now),
             Ended::Lacks(needed) => member.lacks(now, needed),
-            Ended::Failed => member.failed(now),
-            Ended::Unused => {}
+            Ended::Failed | Ended::Silent => member.failed(now),
+            Ended::Erred => member.revive(),
+            Ended::OwnerLost | Ended::Unused => {}
         }
         let is_primary = self.primary.as_ref() == Some(&member.name);
         if let Some(link) = link
