An instance that was cut off does not act on what it knew before

The second was in the zone that was cut off until 38.7 s: it still knew of a change that had been finished, its 5 s of patience had run out in the cut, and so it took the duty as soon as the store answered, ended the new leadership and promoted again.

Change: a handover is for one change of a leadership and ends before it touches the duty when the store holds another one; the keeper learns what was found. An instance begins none while the store does not answer it, and counts the holder's silence only from the end of such an outage.

--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -62,6 +62,8 @@
     pub own: name::InstanceName,
     /// The group.
     pub group: name::GroupName,
+    /// The change of the leadership that is to be seen to.
+    pub change: u64,
     /// Why.
     pub cause: suspicion::Cause,
     /// The group's members that are known.
@@ -133,9 +135,14 @@
     ) -> Result<Self, HandoverError> {
         let looked = clock::now();
         let known = look(&edges.store).await?;
-        let duty = take_duty(edges, job, &known).await?;
         let found = known.records.get(job.group.as_str());
         let (record, revision) = found.cloned().ok_or(HandoverError::Overtaken)?;
+        if record.change != job.change {
+            // Others have seen to it while this instance did not hear of it.
+            keeper.tell(keeper::Event::Confirmed(looked, known));
+            return Err(HandoverError::Overtaken);
+        }
+        let duty = take_duty(edges, job, &known).await?;
         let mut run = Self {
             edges,
             job,
--- a/crates/cardamomhold_entry/src/keeper.rs
+++ b/crates/cardamomhold_entry/src/keeper.rs
@@ -163,7 +163,10 @@
     running: collections::BTreeSet<name::GroupName>,
     announcements: collections::BTreeMap<name::GroupName, Announcement>,
     answered: Option<Timestamp>,
-    outage: Option<String>,
+    /// Since when the store does not answer, and the problem.
+    outage: Option<(Timestamp, String)>,
+    /// When the store last answered again after an outage that others may not have had.
+    regained: Option<Timestamp>,
     unfounded: Option<Timestamp>,
     reading: confirm::Handle,
     renewal: renewal::Renewal,
@@ -212,6 +215,7 @@
             announcements: collections::BTreeMap::new(),
             answered: None,
             outage: None,
+            regained: None,
             unfounded: None,
             reading,
             renewal: renewal::Renewal::default(),
@@ -253,7 +257,7 @@
                 self.roster.hold(now);
                 if self.outage.is_none() {
                     log::warn!("event=store_lost problem=\"{problem}\"");
-                    self.outage = Some(problem);
+                    self.outage = Some((now, problem));
                 }
             }
             Event::Datagram(from, envelope) => self.hear(now, from, envelope),
--- a/crates/cardamomhold_entry/src/keeper/act.rs
+++ b/crates/cardamomhold_entry/src/keeper/act.rs
@@ -87,6 +87,7 @@
         handover::Job {
             own: self.own.clone(),
             group: group.clone(),
+            change: self.records.get(group.as_str()).map_or(0, |r| r.change),
             cause,
             members,
             leaving,
@@ -196,6 +197,8 @@
         let place = needs::Place {
             is_holder: self.is_holder(),
             heard: self.heard,
+            regained: self.regained,
+            is_away: self.outage.is_some(),
             turn: registry::turn(
                 &self.instances,
                 &self.own,
--- a/crates/cardamomhold_entry/src/keeper/renew.rs
+++ b/crates/cardamomhold_entry/src/keeper/renew.rs
@@ -29,9 +29,12 @@
         }
         self.learn_duty(control.duty.as_ref().map(|(d, _)| d));
         self.answered = Some(now);
-        if let Some(problem) = self.outage.take() {
+        if let Some((since, problem)) = self.outage.take() {
             log::info!("event=store_regained after=\"{problem}\"");
             self.published.epoch.send_modify(|e| *e += 1);
+            if now.since(since) >= duty::SILENCE {
+                self.regained = Some(now);
+            }
         }
         self.confirm(now, asked);
         self.found_missing(now);
--- a/crates/cardamomhold_entry/src/needs.rs
+++ b/crates/cardamomhold_entry/src/needs.rs
@@ -44,6 +44,11 @@
     pub is_holder: bool,
     /// When the holder last gave a sign of life.
     pub heard: Option<Timestamp>,
+    /// When the store last answered this instance again after an outage. What it took for
+    /// the holder's silence before may have been its own cut.
+    pub regained: Option<Timestamp>,
+    /// Whether the store does not answer this instance, which can't act then.
+    pub is_away: bool,
     /// Its place in the line of successors.
     pub turn: u32,
     /// Registered instances.
@@ -141,10 +146,14 @@
         let Some(need) = self.needs.get(group) else {
             return false;
         };
+        if place.is_away {
+            return false;
+        }
         if place.is_holder {
             return true;
         }
-        let is_stuck = now >= need.since.after(STUCK + duty::STAGGER * place.turn);
-        is_stuck || duty::may_take(now, need.since, place.heard, place.turn)
+        let since = place.regained.map_or(need.since, |at| at.max(need.since));
+        let is_stuck = now >= since.after(STUCK + duty::STAGGER * place.turn);
+        is_stuck || duty::may_take(now, since, place.heard, place.turn)
     }
 }
