Answers leave out the leaderships that are known already

A reader's answer, four a second to each of up to 64 instances, carried every leadership, and groups grow with instances.

Change: a question says by a digest what its sender knows, and the answer carries the leaderships only when the digest differs.

--- a/crates/cardamomhold_entry/src/keeper/hear.rs
+++ b/crates/cardamomhold_entry/src/keeper/hear.rs
@@ -5,6 +5,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::record;
 
 use crate::keeper::Keeper;
 use crate::link;
@@ -36,9 +37,9 @@
         } = envelope;
         let is_holder = self.duty.as_ref().is_some_and(|d| d.holder == name);
         match message {
-            message::Message::Ask { number } => {
+            message::Message::Ask { number, known } => {
                 if self.lease.may_vouch() {
-                    let records = self.records.iter().cloned().collect();
+                    let records = self.records_beyond(known);
                     let answer = message::Message::Answer { number, records };
                     self.peers.send(from, answer);
                 }
@@ -51,6 +52,7 @@
             }
             message::Message::Renew {
                 number,
+                known,
                 seen,
                 report,
             } => {
@@ -59,7 +61,7 @@
                 if self.exchange.take_report(&report) {
                     self.publish_samples();
                 }
-                self.hear_renew(now, from, number);
+                self.hear_renew(now, from, number, known);
             }
             message::Message::Renewed {
                 number,
@@ -156,19 +158,33 @@
         }
     }
 
+    /// The leaderships, for one whose knowledge has a digest; none when it is the same.
+    fn records_beyond(&self, known: u64) -> Vec<record::Leadership> {
+        if known == self.records.digest() {
+            return Vec::new();
+        }
+        self.records.iter().cloned().collect()
+    }
+
     fn publish_samples(&self) {
         let samples = self.exchange.all().clone();
         self.published.samples.send_replace(samples.into());
     }
 
-    pub(super) fn hear_renew(&mut self, now: Timestamp, from: net::SocketAddr, number: u64) {
+    pub(super) fn hear_renew(
+        &mut self,
+        now: Timestamp,
+        from: net::SocketAddr,
+        number: u64,
+        known: u64,
+    ) {
         let Some(age) = self.lease.age(now).filter(|_| self.lease.may_vouch()) else {
             return;
         };
         let renewed = message::Message::Renewed {
             number,
             age_us: age.as_micros() as u64,
-            records: self.records.iter().cloned().collect(),
+            records: self.records_beyond(known),
             duty: self.duty.clone(),
             seen: self.seen,
             samples: self.exchange.answer(now),
--- a/crates/cardamomhold_entry/src/keeper/renew.rs
+++ b/crates/cardamomhold_entry/src/keeper/renew.rs
@@ -105,6 +105,7 @@
             self.asked = (self.asked.0 + 1, now);
             let renew = message::Message::Renew {
                 number: self.asked.0,
+                known: self.records.digest(),
                 seen: self.seen,
                 report: self.exchange.report(),
             };
@@ -119,7 +120,8 @@
         self.next_round += 1;
         let number = self.next_round;
         self.round = Some(round::Round::new(number, now, self.instances.len()));
-        self.broadcast(&message::Message::Ask { number });
+        let known = self.records.digest();
+        self.broadcast(&message::Message::Ask { number, known });
         if self.lease.may_vouch() {
             let own = self.own.clone();
             self.count_answer(now, number, &own);
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -38,19 +38,23 @@
     Ask {
         /// Number of the question.
         number: u64,
+        /// Digest of the leaderships that the sender knows.
+        known: u64,
     },
     /// These are the newest that I know; only said by those that have seen the store's
     /// since they started.
     Answer {
         /// Number of the question.
         number: u64,
-        /// The leaderships.
+        /// The leaderships; none when the one that asked knows the same.
         records: Vec<record::Leadership>,
     },
     /// How old is what you know of the leaderships?
     Renew {
         /// Number of the question.
         number: u64,
+        /// Digest of the leaderships that the sender knows.
+        known: u64,
         /// What the sender has seen of the store.
         seen: Seen,
         /// What the sender has seen of the primaries' positions.
@@ -62,7 +66,7 @@
         number: u64,
         /// Age of the confirmation when this was sent, in microseconds.
         age_us: u64,
-        /// The leaderships.
+        /// The leaderships; none when the one that asked knows the same.
         records: Vec<record::Leadership>,
         /// Who holds the duty to promote.
         duty: Option<duty::Duty>,
--- a/crates/cardamomhold_lead/src/record.rs
+++ b/crates/cardamomhold_lead/src/record.rs
@@ -4,6 +4,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::position;
+use xxhash_rust::xxh3;
 
 /// Who is a group's primary.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -83,6 +84,8 @@
 /// The newest leaderships that an instance knows.
 #[derive(Debug, Clone, Default)]
 pub struct Leaderships {
+    /// Sum of the digests of all records.
+    digest: u64,
     records: collections::BTreeMap<name::GroupName, Leadership>,
 }
 
@@ -93,10 +96,19 @@
         if known.is_some_and(|k| k.change >= record.change) {
             return false;
         }
-        self.records.insert(record.group.clone(), record.clone());
+        if let Some(known) = self.records.insert(record.group.clone(), record.clone()) {
+            self.digest = self.digest.wrapping_sub(digest_of(&known));
+        }
+        self.digest = self.digest.wrapping_add(digest_of(record));
         true
     }
 
+    /// A number that tells this knowledge from any other: instances with the same one know
+    /// the same changes.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// The record of a group.
     pub fn get(&self, group: &str) -> Option<&Leadership> {
         self.records.get(group)
@@ -107,3 +119,7 @@
         self.records.values()
     }
 }
+
+fn digest_of(record: &Leadership) -> u64 {
+    xxh3::xxh3_64_with_seed(record.group.as_str().as_bytes(), record.change)
+}
