--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -50,6 +50,7 @@
     let verdict = match trial.as_str() {
         "config" => trials::config::run(&record, has_trouble),
         "fence" => trials::fence::run(&record, has_trouble),
+        "replaced" => trials::replaced::run(&record, has_trouble),
         "recover" => trials::recover::run(&record, has_trouble),
         _ => Err(format!("no trial {trial}")),
     };
--- a/review/standin/src/trials.rs
+++ b/review/standin/src/trials.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod fence;
 pub mod recover;
+pub mod replaced;
 
 /// A platform with its services, and the folder for settings and logs.
 pub struct World {
--- a/review/standin/src/trials/recover.rs
+++ b/review/standin/src/trials/recover.rs
@@ -2,6 +2,7 @@
 //! primary crashes. The promotion service is down meanwhile, and back some seconds later. Are
 //! callers served again `recoveryS` after the instances are back?
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -34,7 +35,7 @@
 ];
 
 /// Requests of the callers: time of sending, and whether it was served.
-type Log = Arc<Mutex<Vec<(f64, bool)>>>;
+pub type Log = Arc<Mutex<Vec<(f64, bool)>>>;
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<Verdict, String> {
     let services = [("bookings", ["i-book1", "i-book2", "i-book3"])];
@@ -58,10 +59,15 @@
     let log: Log = Arc::default();
     let mut tasks = Vec::new();
     for node in &nodes {
-        let (record, stop, log, front) = (record.clone(), stop.clone(), log.clone(), node.front);
+        let (record, stop, log, front) = (
+            record.clone(),
+            stop.clone(),
+            log.clone(),
+            Mutex::new(node.front),
+        );
         let name = format!("caller-at-{}", node.name);
         tasks.push(std::thread::spawn(move || {
-            call(&record, &name, front, &stop, &log)
+            call(&record, &name, &front, &stop, &log)
         }));
     }
     std::thread::sleep(Duration::from_secs(5));
@@ -132,7 +138,7 @@
 }
 
 /// Share of the requests sent in a span that were served.
-fn share(record: &Record, log: &[(f64, bool)], title: &str, from: f64, to: f64) -> f64 {
+pub fn share(record: &Record, log: &[(f64, bool)], title: &str, from: f64, to: f64) -> f64 {
     let sent: Vec<_> = log
         .iter()
         .filter(|(at, _)| *at >= from && *at < to)
@@ -146,7 +152,7 @@
 }
 
 /// Writes and reads by turns until `stop`; a session that ends is opened again.
-fn call(record: &Record, name: &str, front: std::net::SocketAddr, stop: &AtomicBool, log: &Log) {
+pub fn call(record: &Record, name: &str, front: &Mutex<SocketAddr>, stop: &AtomicBool, log: &Log) {
     let mut caller = None;
     let mut number = 0;
     while !stop.load(Ordering::SeqCst) {
@@ -154,7 +160,8 @@
         number += 1;
         let sent = record.now();
         if caller.is_none() {
-            caller = Caller::start(record, name, front, "huvo").ok();
+            let address = *front.lock().unwrap();
+            caller = Caller::start(record, name, address, "huvo").ok();
         }
         let Some(open) = caller.as_mut() else {
             log.lock().unwrap().push((sent, false));
