--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -17,6 +17,7 @@
 use cardamomhold_pool::exchange;
 use cardamomhold_pool::sample;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::clock;
@@ -24,6 +25,7 @@
 use crate::control_reader;
 use crate::failovers;
 use crate::handover;
+use crate::handover::permit;
 use crate::lag;
 use crate::link;
 use crate::message;
@@ -36,6 +38,7 @@
 
 mod failover;
 mod lease_renewal;
+mod lock;
 mod messages;
 
 /// Interval at which the task renews the lease, repeats announcements and checks for
@@ -101,6 +104,22 @@
     },
     /// A handover of the group ended.
     HandoverEnded(name::GroupName),
+    /// A handover has acquired the promotion lock, or found that this instance holds it.
+    LockAcquired {
+        /// The lock.
+        lock: promotion_lock::PromotionLock,
+        /// The holder before, if it was another instance.
+        former: Option<name::InstanceName>,
+    },
+    /// A handover is about to promote a member.
+    PromotionRequested {
+        /// Token of the handover's lock.
+        token: u64,
+        /// Receives the permission or its denial.
+        reply: oneshot::Sender<permit::Answer>,
+    },
+    /// A permitted promotion has ended.
+    PromotionEnded,
 }
 
 /// Sends messages to the coordinator.
@@ -173,9 +192,8 @@
     records: record::Leaderships,
     lease: lease::Lease,
     is_leased: bool,
-    lock: Option<promotion_lock::PromotionLock>,
-    /// When the promotion lock's holder last acknowledged a failover request.
-    holder_seen: Option<Timestamp>,
+    /// The promotion lock.
+    tenure: promotion_lock::Tenure,
     instances: registry::Instances,
     roster: roster::Roster,
     round: Option<round::Round>,
@@ -230,6 +248,7 @@
         control_reader: control_reader::Handle,
         published: Published,
     ) -> Self {
+        let tenure = promotion_lock::Tenure::new(clock::now(), &own);
         Self {
             own,
             adapters,
@@ -239,8 +258,7 @@
             records: record::Leaderships::default(),
             lease: lease::Lease::new(clock::now()),
             is_leased: false,
-            lock: None,
-            holder_seen: None,
+            tenure,
             instances: registry::Instances::new(),
             roster: roster::Roster::default(),
             round: None,
@@ -322,6 +340,9 @@
             Event::HandoverEnded(group) => {
                 self.running.remove(group.as_str());
             }
+            Event::LockAcquired { lock, former } => self.handle_acquired(now, &lock, former),
+            Event::PromotionRequested { token, reply } => self.permit_promotion(now, token, reply),
+            Event::PromotionEnded => self.tenure.end_call(now),
         }
     }
 
@@ -436,6 +457,7 @@
             self.publish_members(now);
         }
         self.repeat_announcements(now);
+        self.request_release(now);
         self.check_failovers(now);
     }
 
--- a/crates/cardamomhold_entry/src/coordinator/failover.rs
+++ b/crates/cardamomhold_entry/src/coordinator/failover.rs
@@ -262,20 +262,17 @@
     /// holder does, and its first successors while it is silent.
     fn may_poll(&self, now: Timestamp, local: &failovers::LocalState) -> bool {
         let is_silent = local
-            .holder_seen
+            .holder
+            .seen
             .is_none_or(|at| now.since(at) >= MAX_HOLDER_SILENCE);
         local.is_holder || (is_silent && local.rank < POLLING_SUCCESSORS)
     }
 
-    pub(super) fn is_holder(&self) -> bool {
-        self.lock.as_ref().is_some_and(|l| l.holder == self.own)
-    }
-
     fn local_state(&self) -> failovers::LocalState {
-        let holder = self.lock.as_ref().map(|l| &l.holder);
+        let holder = self.tenure.holder();
         failovers::LocalState {
-            is_holder: self.is_holder(),
-            holder_seen: self.holder_seen,
+            is_holder: self.tenure.is_holder(),
+            holder: self.tenure.signs(),
             store_regained: self.store_regained,
             is_disconnected: self.outage.is_some(),
             rank: registry::successor_rank(&self.instances, &self.own, holder),
@@ -312,15 +309,17 @@
             if !self.running.contains(group)
                 && self.failovers.is_responsible(now, group.as_str(), local)
             {
-                self.start_handover(group, cause);
+                self.start_handover(now, group, cause);
             }
         }
     }
 
     /// Asks the promotion lock's holder for a failover, if the holder is known.
     pub(super) fn request_failover(&self, record: &record::Leadership, has_failed: bool) {
-        let holder = self.lock.as_ref().map(|l| &l.holder);
-        let entry = holder.and_then(|h| self.instances.get(h.as_str()));
+        let entry = self
+            .tenure
+            .holder()
+            .and_then(|h| self.instances.get(h.as_str()));
         if let Some(entry) = entry {
             let message = message::Message::FailoverRequest {
                 group: record.group.clone(),
@@ -331,11 +330,17 @@
         }
     }
 
-    pub(super) fn start_handover(&mut self, group: &name::GroupName, cause: suspicion::Cause) {
+    fn start_handover(&mut self, now: Timestamp, group: &name::GroupName, cause: suspicion::Cause) {
+        let signs = self.tenure.signs();
+        let millis = |sign: Option<Timestamp>| sign.map(|at| now.since(at).as_millis());
         log::info!(
-            "event=handover_begun group={group} cause={} holder={}",
+            "event=handover_begun group={group} cause={} holder={} token={} holder_seen_ms_ago={:?} \
+             holder_learned_ms_ago={:?}",
             cause.as_str(),
-            self.lock.as_ref().map_or("none", |l| l.holder.as_str())
+            self.tenure.holder().map_or("none", |h| h.as_str()),
+            self.tenure.lock().map_or(0, |l| l.token),
+            millis(signs.seen),
+            millis(signs.learned)
         );
         self.running.insert(group.clone());
         let job = self.handover_job(group, cause);
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -39,7 +39,7 @@
         for (record, _) in control.records.values() {
             self.update_record(record, "store");
         }
-        self.update_lock(control.lock.as_ref().map(|(l, _)| l));
+        self.update_lock(now, control.lock.as_ref().map(|(l, _)| l));
         self.store_answered = Some(now);
         if let Some((since, problem)) = self.outage.take() {
             log::info!("event=store_regained after=\"{problem}\"");
@@ -52,23 +52,6 @@
         self.create_leaderships(now);
     }
 
-    /// Stores the promotion lock if its token is newer.
-    pub(super) fn update_lock(&mut self, lock: Option<&promotion_lock::PromotionLock>) {
-        let Some(lock) = lock else {
-            return;
-        };
-        if self
-            .lock
-            .as_ref()
-            .is_some_and(|known| known.token >= lock.token)
-        {
-            return;
-        }
-        log::info!("event=duty holder={} token={}", lock.holder, lock.token);
-        self.lock = Some(lock.clone());
-        self.holder_seen = None;
-    }
-
     /// Extends the lease by a confirmation as of `sent`, and publishes its end.
     pub(super) fn extend_lease(&mut self, now: Timestamp, sent: Timestamp) {
         let before = self.lease.expiry();
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -6,6 +6,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::record;
+use cardamomhold_lead::renewal;
 
 use crate::coordinator::Coordinator;
 use crate::coordinator::HeldRequest;
@@ -34,7 +35,6 @@
             from: name,
             message,
         } = envelope;
-        let is_from_holder = self.lock.as_ref().is_some_and(|l| l.holder == name);
         match message {
             message::Message::LeadershipRequest { number, digest } => {
                 if self.lease.may_confirm_others() {
@@ -80,7 +80,7 @@
                 for record in &records {
                     self.update_record(record, name.as_str());
                 }
-                self.update_lock(lock.as_ref());
+                self.update_lock(now, lock.as_ref());
                 self.check_lag(now, seen);
                 let request = self.requests.iter().find(|r| r.number == number);
                 if let Some(request) = request.copied() {
@@ -108,8 +108,7 @@
                 change,
                 has_failed,
             } => self.handle_failover_request(now, from, &group, change, has_failed),
-            message::Message::FailoverAck if is_from_holder => self.holder_seen = Some(now),
-            message::Message::FailoverAck => {}
+            message::Message::FailoverAck => self.tenure.record_life(now, &name),
             message::Message::ProbeRequest { group, change } => {
                 self.probe(now, &group, change, Some(from))
             }
@@ -120,6 +119,13 @@
             } => self
                 .failovers
                 .observe(now, &group, change, &name, observation),
+            message::Message::LockAcquired { lock, former } => {
+                self.release_lock(now, from, &lock, former.as_ref())
+            }
+            message::Message::LockReleased(release) => {
+                log::info!("event=duty_free former={name} {release:?}");
+                self.tenure.record_release(now, &name, &release);
+            }
         }
     }
 
@@ -134,12 +140,18 @@
         if has_failed {
             self.poll_instances(now, group, change);
         }
-        let is_store_recent = self
-            .store_answered
-            .is_some_and(|t| now.since(t) < MAX_STORE_AGE);
-        if is_store_recent && self.is_holder() {
+        if !self.tenure.is_holder() {
+            return;
+        }
+        let store_age = self.store_answered.map(|t| now.since(t));
+        if store_age.is_some_and(|age| age < MAX_STORE_AGE) {
             self.peers.send(from, message::Message::FailoverAck);
         }
+        // A holder that isn't the fleet's reader doesn't read the store otherwise, and would seem
+        // to be cut off from it.
+        if store_age.is_none_or(|age| age >= renewal::RENEWAL_INTERVAL) {
+            self.control_reader.read();
+        }
     }
 
     pub(super) fn handle_ack(
@@ -199,7 +211,7 @@
             age_us: age.as_micros() as u64,
             held_us: now.since(request.since).as_micros() as u64,
             records: self.records_unless_known(request.digest),
-            lock: self.lock.clone(),
+            lock: self.tenure.lock().cloned(),
             seen: self.seen,
             samples: self.exchange.answer(now),
         };
--- a/crates/cardamomhold_entry/src/failovers.rs
+++ b/crates/cardamomhold_entry/src/failovers.rs
@@ -15,9 +15,6 @@
 /// entries that expired during a store outage to be written again.
 pub const MISSING_ENTRY_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
-/// Time without progress after which other instances act in place of the lock holder.
-const HOLDER_STALL_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
-
 /// Minimum interval between two probes of the same primary by an instance, longer than a probe.
 const MIN_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(450);
 
@@ -74,8 +71,8 @@
 pub struct LocalState {
     /// Whether it holds the promotion lock.
     pub is_holder: bool,
-    /// When the holder last acknowledged a failover request.
-    pub holder_seen: Option<Timestamp>,
+    /// Signs of life of the holder.
+    pub holder: promotion_lock::Signs,
     /// End of this instance's last long store outage. Until then, the holder's silence may have
     /// been caused by this instance's own disconnection.
     pub store_regained: Option<Timestamp>,
@@ -235,8 +232,6 @@
         let since = local
             .store_regained
             .map_or(failover.since, |at| at.max(failover.since));
-        let is_stalled =
-            now >= since.after(HOLDER_STALL_TIMEOUT + promotion_lock::RANK_DELAY * local.rank);
-        is_stalled || promotion_lock::may_acquire(now, since, local.holder_seen, local.rank)
+        local.holder.may_acquire(now, since, local.rank)
     }
 }
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -25,6 +25,7 @@
 
 mod admin;
 pub mod error;
+pub mod permit;
 mod promote;
 
 pub use error::HandoverError;
@@ -83,7 +84,7 @@
     record: record::Leadership,
     /// Revision of the record in the store.
     revision: u64,
-    /// When the control objects were last read, or the candidate was written.
+    /// When the last read of the control objects that showed the lock began.
     read_at: Timestamp,
 }
 
@@ -146,6 +147,11 @@
             return Err(HandoverError::Superseded);
         }
         let lock = acquire_lock(adapters, job, &control).await?;
+        let former = control.lock.map(|(l, _)| l.holder);
+        coordinator.send(coordinator::Event::LockAcquired {
+            lock: lock.clone(),
+            former: former.filter(|f| *f != job.own),
+        });
         let mut run = Self {
             adapters,
             job,
@@ -235,21 +241,24 @@
             if !awaited.is_over(clock::now()) || !is_caught_up {
                 continue;
             }
+            let Some(permit) = self.permit().await? else {
+                continue;
+            };
             let member = best.name.clone();
             if chosen != Some(&member) {
                 let max_term = candidates.iter().map(|c| c.status.term).max();
                 let max_term = max_term.unwrap_or_default();
                 self.write(self.record.with_candidate(&member, max_term))
                     .await?;
-                self.read_at = clock::now();
             }
             if best.status.role == candidate::Role::Primary && !self.step_down(&member).await {
                 tried.push(member);
                 continue;
             }
-            match self.promote(&member).await? {
-                Some(term) => return self.complete(&member, term).await,
-                None => tried.push(member),
+            match self.promote(permit, &member).await? {
+                promote::Outcome::Promoted(term) => return self.complete(&member, term).await,
+                promote::Outcome::Failed => tried.push(member),
+                promote::Outcome::Unsent => {}
             }
         }
     }
--- a/crates/cardamomhold_entry/src/handover/promote.rs
+++ b/crates/cardamomhold_entry/src/handover/promote.rs
@@ -12,6 +12,7 @@
 use crate::handover::POLL_INTERVAL;
 use crate::handover::Run;
 use crate::handover::admin;
+use crate::handover::permit;
 use crate::handover::read_control;
 use crate::link;
 use crate::promoter;
@@ -23,37 +24,53 @@
 /// Longest wait for a promoted member to report that it is the primary.
 const PROMOTION_TIMEOUT: time::Duration = time::Duration::from_millis(4_000);
 
+/// Age of the last read of the control objects above which they are read again before a promotion.
+/// The rest of the right's duration is for the connection to the platform.
+const MAX_READ_AGE: time::Duration = time::Duration::from_millis(250);
+
+/// Result of an attempt to promote a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// The member is the primary of this term.
+    Promoted(position::Term),
+    /// The promotion was refused or not confirmed in time.
+    Failed,
+    /// The right to promote ended before the call was sent.
+    Unsent,
+}
+
 impl<S, C, P> Run<'_, S, C, P>
 where
     S: store::Store,
     C: link::Connector,
     P: promoter::Promoter,
 {
-    /// Promotes a member; returns its new term, or none when the promotion was refused or not
-    /// confirmed in time.
+    /// Promotes a member, if the promotion lock is still this instance's. The permission ends with
+    /// the call.
     pub(super) async fn promote(
         &mut self,
+        permit: permit::Permit,
         member: &name::MemberName,
-    ) -> Result<Option<position::Term>, HandoverError> {
-        if clock::now().since(self.read_at) > promotion_lock::MAX_STORE_AGE {
+    ) -> Result<Outcome, HandoverError> {
+        if clock::now().since(self.read_at) > MAX_READ_AGE {
             self.check_control().await?;
         }
-        if clock::now().since(self.read_at) > promotion_lock::MAX_STORE_AGE {
-            return Err(HandoverError::TimedOut);
-        }
         let sent = clock::now();
+        let until = self.read_at.after(promotion_lock::RIGHT_DURATION);
         let promoting = self
             .adapters
             .promoter
-            .promote(&self.job.group, member, &self.lock);
+            .promote(&self.job.group, member, &self.lock, until);
         let lost = promoter::PromoteError::Lost("timeout".to_owned());
         let promoted = tokio::time::timeout(PROMOTE_CALL_TIMEOUT, promoting)
             .await
             .unwrap_or(Err(lost));
+        drop(permit);
         log::info!(
-            "event=promotion group={} member={member} token={} took_ms={} result=\"{}\"",
+            "event=promotion group={} member={member} token={} read_ms_ago={} took_ms={} result=\"{}\"",
             self.job.group,
             self.lock.token,
+            sent.since(self.read_at).as_millis(),
             clock::now().since(sent).as_millis(),
             promoted
                 .as_ref()
@@ -61,14 +78,16 @@
                 .map_or("ok".to_owned(), ToString::to_string)
         );
         match promoted {
-            Err(promoter::PromoteError::Rejected(_)) => return Ok(None),
+            Err(promoter::PromoteError::Expired) => return Ok(Outcome::Unsent),
+            Err(promoter::PromoteError::Rejected(_)) => return Ok(Outcome::Failed),
             Err(promoter::PromoteError::Refused(_)) => {
                 tokio::time::sleep(POLL_INTERVAL).await;
-                return Ok(None);
+                return Ok(Outcome::Failed);
             }
             Ok(()) | Err(promoter::PromoteError::Lost(_)) => {}
         }
-        self.wait_for_promotion(member).await
+        let term = self.wait_for_promotion(member).await?;
+        Ok(term.map_or(Outcome::Failed, Outcome::Promoted))
     }
 
     /// Reads the control objects again; fails if another instance changed the promotion lock or
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -121,4 +121,14 @@
         /// Result of the probe.
         observation: suspicion::Observation,
     },
+    /// Tells that the sender has acquired the promotion lock.
+    LockAcquired {
+        /// The lock.
+        lock: promotion_lock::PromotionLock,
+        /// The holder before, which is asked to release it.
+        former: Option<name::InstanceName>,
+    },
+    /// Tells the new holder of the promotion lock that the sender, the holder before, promotes
+    /// nothing any more.
+    LockReleased(promotion_lock::Release),
 }
--- a/crates/cardamomhold_entry/src/promoter.rs
+++ b/crates/cardamomhold_entry/src/promoter.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use cardamomhold_core::name;
+use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::promotion_lock;
 
 /// Why a promotion was not confirmed.
@@ -14,6 +15,8 @@
     Refused(u16),
     /// Rejected with this status: the member isn't running, or the call was invalid.
     Rejected(u16),
+    /// Not sent, since its deadline had passed.
+    Expired,
 }
 
 impl fmt::Display for PromoteError {
@@ -22,6 +25,7 @@
             Self::Lost(problem) => write!(f, "no answer: {problem}"),
             Self::Refused(status) => write!(f, "refused with status {status}"),
             Self::Rejected(status) => write!(f, "rejected with status {status}"),
+            Self::Expired => f.write_str("not sent in time"),
         }
     }
 }
@@ -32,6 +36,10 @@
 pub trait Promoter: Clone + 'static {
     /// Makes `member` the group's primary; the token of the lock is sent along for fencing.
     ///
+    /// The call must not be sent at `until` or later: the clock is read immediately before the
+    /// bytes leave. It must not be delivered later than
+    /// [`promotion_lock::DELIVERY_TIMEOUT`] after that either.
+    ///
     /// # Errors
     /// [`PromoteError`].
     fn promote(
@@ -39,5 +47,6 @@
         group: &name::GroupName,
         member: &name::MemberName,
         lock: &promotion_lock::PromotionLock,
+        until: Timestamp,
     ) -> impl Future<Output = Result<(), PromoteError>>;
 }
--- a/crates/cardamomhold_entry/tests/stale_handover.rs
+++ b/crates/cardamomhold_entry/tests/stale_handover.rs
@@ -80,6 +80,7 @@
         _: &name::GroupName,
         _: &name::MemberName,
         _: &promotion_lock::PromotionLock,
+        _: Timestamp,
     ) -> Result<(), promoter::PromoteError> {
         self.0.set(self.0.get() + 1);
         Ok(())
@@ -147,7 +148,7 @@
     assert_eq!(cause, Some(suspicion::Cause::Unfinished));
     let local = failovers::LocalState {
         is_holder: false,
-        holder_seen: None,
+        holder: promotion_lock::Signs::default(),
         store_regained: None,
         is_disconnected: false,
         rank: 2,
