--- a/crates/cardamomhold_entry/tests/owner_queue.rs
+++ b/crates/cardamomhold_entry/tests/owner_queue.rs
@@ -183,7 +183,7 @@
 /// Connections are opened two at a time, however many statements wait.
 #[test]
 fn openings_are_paced() {
-    world::run_in_real_time(async {
+    world::run(async {
         let members = world::Members::default();
         members.script.borrow_mut().accept_delay = time::Duration::from_millis(12);
         let owner = owner(&members);
