--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -23,6 +23,7 @@
 use crate::clock;
 use crate::control;
 use crate::control_reader;
+use crate::currency;
 use crate::failovers;
 use crate::handover;
 use crate::handover::permit;
@@ -60,6 +61,9 @@
         /// Newest revision among the entries.
         revision: u64,
     },
+    /// The store has answered a call that was sent at this time: no configuration from before it is
+    /// missing.
+    CatalogChecked(Timestamp),
     /// The registered instances.
     Instances(registry::Instances),
     /// The store's control objects, with the time at which the read was sent.
@@ -154,6 +158,8 @@
     /// Incremented when the store's watches must be restarted: after an outage, or when this
     /// instance lags behind others.
     pub epoch: watch::Sender<u64>,
+    /// Whether another instance would tell this one of newer versions in the store.
+    pub informed: watch::Sender<bool>,
 }
 
 /// A leadership that is announced repeatedly.
@@ -231,6 +237,8 @@
     exchange: exchange::Exchange,
     /// Whether other instances have newer versions from the store.
     lag: lag::Lag,
+    /// How recently the configuration has been compared with the store.
+    currency: currency::Currency,
 }
 
 impl<S, C, P> Coordinator<S, C, P>
@@ -282,6 +290,7 @@
             seen: message::Seen::default(),
             exchange: exchange::Exchange::new(clock::run_id()),
             lag: lag::Lag::default(),
+            currency: currency::Currency::default(),
         }
     }
 
@@ -309,6 +318,7 @@
                 self.roster.update(now, members);
                 self.publish_members(now);
             }
+            Event::CatalogChecked(sent) => self.currency.record_check(sent),
             Event::Instances(instances) => self.update_instances(instances),
             Event::ControlRead(sent, control) => self.handle_control(now, sent, &control),
             Event::ControlReadFailed(problem) => {
@@ -451,6 +461,7 @@
         let now = clock::now();
         self.log_lease_change(now);
         self.publish_isolation(now);
+        self.publish_informed(now);
         self.answer_overdue(now);
         self.renew_lease(now);
         if self.roster.has_missing() {
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -85,6 +85,7 @@
                 let request = self.requests.iter().find(|r| r.number == number);
                 if let Some(request) = request.copied() {
                     self.renewal.record_answer(request.level);
+                    self.currency.record_report(now, seen);
                     // The request arrived after it was sent, and was kept for some time before the
                     // answer was sent.
                     let answered = request.sent.0.saturating_add(held_us);
@@ -212,12 +213,20 @@
             held_us: now.since(request.since).as_micros() as u64,
             records: self.records_unless_known(request.digest),
             lock: self.tenure.lock().cloned(),
-            seen: self.seen,
+            seen: self.currency.report(now, self.lag.known(self.seen)),
             samples: self.exchange.answer(now),
         };
         self.peers.send(request.from, reply);
     }
 
+    /// Publishes whether a reader would tell this instance of newer versions, if that has changed.
+    pub(super) fn publish_informed(&self, now: Timestamp) {
+        let is_informed = self.currency.is_informed(now);
+        self.published
+            .informed
+            .send_if_modified(|i| is_informed != std::mem::replace(i, is_informed));
+    }
+
     /// Restarts the watches of the store when other instances have been ahead for a while.
     pub(super) fn check_lag(&mut self, now: Timestamp, other: message::Seen) {
         if self.lag.record(now, self.seen, other) {
--- a/crates/cardamomhold_entry/src/follow.rs
+++ b/crates/cardamomhold_entry/src/follow.rs
@@ -3,16 +3,17 @@
 use std::collections;
 use std::time;
 
+use cardamomhold_core::time::Timestamp;
 use tokio::sync::watch;
 use tokio::task;
 
 use crate::clock;
 use crate::store;
 
-/// Wait time of one long-polling watch.
+/// Wait time of one long-polling watch while others would tell of newer versions.
 const WATCH_WAIT: time::Duration = time::Duration::from_millis(30_000);
 
-/// Time beyond its wait after which a watch is considered lost.
+/// Time beyond this wait after which a watch is considered lost.
 const WATCH_GRACE: time::Duration = time::Duration::from_millis(1_000);
 
 /// Timeout of a listing.
@@ -36,28 +37,63 @@
     /// How recent the watches must be. The listings before them are always the latest: what left
     /// before a restart must not be used after it.
     pub freshness: store::Freshness,
+    /// Longest time for which a watch may be silent without being noticed, while no other instance
+    /// would tell of newer versions. A connection may stop carrying anything without a sign.
+    pub silence: time::Duration,
+}
+
+impl Watched {
+    /// Wait time of the next watch, and the time beyond it after which the watch is lost.
+    fn wait(&self, is_informed: bool) -> (time::Duration, time::Duration) {
+        match is_informed {
+            true => (WATCH_WAIT, WATCH_GRACE),
+            false => (self.silence / 2, self.silence / 2),
+        }
+    }
+}
+
+/// What the coordinator tells the tasks that watch.
+#[derive(Debug, Clone)]
+pub struct Control {
+    /// Changes when the watches must be restarted with a listing.
+    pub restart: watch::Receiver<u64>,
+    /// Whether another instance would tell this one of newer versions.
+    pub informed: watch::Receiver<bool>,
+}
+
+/// What a task that watches a kind has found.
+#[derive(Debug)]
+pub enum Progress<'a> {
+    /// All objects, after a listing or a batch of changes.
+    Changed(&'a Documents),
+    /// The store has answered a call that was sent at this time; all changes before are known.
+    Checked(Timestamp),
 }
 
 /// The objects of a kind, by name.
 pub type Documents = collections::BTreeMap<String, store::Document>;
 
-/// Watches a kind until the sender of `restart` is dropped; calls `on_change` with all its
+/// Watches a kind until the senders of `control` are dropped; calls `on_progress` with all its
 /// objects after each listing and each batch of changes. A change of `restart` starts again with
 /// a listing: watches from before a store outage can't be relied on. Returns the task, which
 /// otherwise ends only by a fault.
 pub fn start<S: store::Store>(
     store: S,
     watched: Watched,
-    mut restart: watch::Receiver<u64>,
-    mut on_change: impl FnMut(&Documents) + 'static,
+    control: Control,
+    mut on_progress: impl FnMut(Progress<'_>) + 'static,
 ) -> task::JoinHandle<()> {
     task::spawn_local(async move {
+        let Control {
+            mut restart,
+            mut informed,
+        } = control;
         let mut last_problem = String::new();
         let mut pause = RETRY_PAUSE;
         loop {
             let started = clock::now();
             let problem = tokio::select! {
-                problem = list_and_watch(&store, watched, &mut on_change) => problem,
+                problem = list_and_watch(&store, watched, &mut informed, &mut on_progress) => problem,
                 changed = restart.changed() => match changed {
                     Ok(()) => continue,
                     Err(_) => return,
@@ -89,9 +125,11 @@
 async fn list_and_watch<S: store::Store>(
     store: &S,
     watched: Watched,
-    on_change: &mut impl FnMut(&Documents),
+    informed: &mut watch::Receiver<bool>,
+    on_progress: &mut impl FnMut(Progress<'_>),
 ) -> String {
     let kind = watched.kind;
+    let sent = clock::now();
     let listing = store.list(kind, store::Freshness::Latest);
     let listed = tokio::time::timeout(LIST_TIMEOUT, listing).await;
     let listing = match listed {
@@ -104,32 +142,53 @@
         documents.insert(document.name.clone(), document);
     }
     let mut revision = listing.revision;
-    on_change(&documents);
+    on_progress(Progress::Changed(&documents));
+    on_progress(Progress::Checked(sent));
     loop {
-        let watching = tokio::time::timeout(
-            WATCH_WAIT + WATCH_GRACE,
-            store.watch(kind, watched.freshness, revision, WATCH_WAIT),
-        );
-        let (changes, next) = match watching.await {
+        let sent = clock::now();
+        let (wait, grace) = watched.wait(*informed.borrow_and_update());
+        let watching = store.watch(kind, watched.freshness, revision, wait);
+        let watching = tokio::time::timeout(wait + grace, watching);
+        let answer = tokio::select! {
+            answer = watching => answer,
+            () = uninformed(informed) => continue,
+        };
+        let (changes, next) = match answer {
             Ok(Ok(batch)) => batch,
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "watch timed out".to_owned(),
         };
         // A cached answer may be older than the listing.
         revision = revision.max(next);
-        if changes.is_empty() {
-            continue;
-        }
-        for change in changes {
-            match change {
-                store::Change::Put(document) => put(&mut documents, document),
-                store::Change::Removed(name) => {
-                    documents.remove(&name);
+        if !changes.is_empty() {
+            for change in changes {
+                match change {
+                    store::Change::Put(document) => put(&mut documents, document),
+                    store::Change::Removed(name) => {
+                        documents.remove(&name);
+                    }
                 }
             }
+            on_progress(Progress::Changed(&documents));
+            on_progress(Progress::Checked(sent));
+            tokio::time::sleep(watched.pause).await;
+            continue;
+        }
+        on_progress(Progress::Checked(sent));
+    }
+}
+
+/// Waits until no other instance would tell of newer versions any more: a watch with a long wait
+/// can't be relied on then.
+async fn uninformed(informed: &mut watch::Receiver<bool>) {
+    loop {
+        if informed.changed().await.is_err() {
+            // The coordinator has ended; the process ends as well.
+            std::future::pending::<()>().await;
+        }
+        if !*informed.borrow() {
+            return;
         }
-        on_change(&documents);
-        tokio::time::sleep(watched.pause).await;
     }
 }
 
--- a/crates/cardamomhold_entry/src/lag.rs
+++ b/crates/cardamomhold_entry/src/lag.rs
@@ -28,6 +28,15 @@
 }
 
 impl Lag {
+    /// The versions to report to other instances: the newest configuration that anybody has
+    /// reported, so that those that are behind learn of it together, and the own members.
+    pub fn known(&self, own: message::Seen) -> message::Seen {
+        message::Seen {
+            config: own.config.max(self.newest.config),
+            members: own.members,
+        }
+    }
+
     /// Records the versions that another instance reports; returns whether the watches must be
     /// restarted now. `own` are the versions that this instance has.
     pub fn record(&mut self, now: Timestamp, own: message::Seen, other: message::Seen) -> bool {
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -80,7 +80,8 @@
         records: Vec<record::Leadership>,
         /// The promotion lock.
         lock: Option<promotion_lock::PromotionLock>,
-        /// Newest versions that the sender has received from the store.
+        /// Newest versions that the sender knows to be in the store; none if it may have missed
+        /// newer ones.
         seen: Seen,
         /// Samples of the primaries' log positions that the sender has collected.
         samples: exchange::Answer,
--- a/crates/cardamomhold_entry/tests/followed_kinds.rs
+++ b/crates/cardamomhold_entry/tests/followed_kinds.rs
@@ -94,10 +94,17 @@
         kind: "members",
         pause: time::Duration::from_millis(10),
         freshness: store::Freshness::Cached,
+        silence: time::Duration::from_millis(1_000),
     };
-    follow::start(store.clone(), watched, restart.clone(), move |documents| {
-        let all = documents.values().map(|d| (d.name.clone(), d.revision));
-        *published.borrow_mut() = all.collect();
+    let control = follow::Control {
+        restart: restart.clone(),
+        informed: watch::channel(true).1,
+    };
+    follow::start(store.clone(), watched, control, move |progress| {
+        if let follow::Progress::Changed(documents) = progress {
+            let all = documents.values().map(|d| (d.name.clone(), d.revision));
+            *published.borrow_mut() = all.collect();
+        }
     });
     seen
 }
