A restarted instance ignores confirmations from before its start

Cause: an instance that had acknowledged the end of a leadership and then restarted took another instance's older confirmation for a lease, while the promoter, having its acknowledgement, did not wait. Callers could write at a replaced primary.

Change: a confirmation that was requested before the start counts for nothing.

--- a/crates/cardamomhold_lead/src/lease.rs
+++ b/crates/cardamomhold_lead/src/lease.rs
@@ -30,16 +30,18 @@
     }
 
     /// Whether the instance may confirm to others that it has no newer leadership: its copy
-    /// was confirmed by a request since its start, and so includes every record that the
-    /// instance acknowledged before a restart.
+    /// has been confirmed since its start.
     pub fn may_confirm_others(&self) -> bool {
-        self.confirmed
-            .is_some_and(|requested| requested >= self.started)
+        self.confirmed.is_some()
     }
 
     /// Records that the leaderships in the copy were the newest at some time after `requested`.
+    /// A confirmation from before the start counts for nothing: the instance may have
+    /// acknowledged a newer record before it restarted.
     pub fn confirm(&mut self, requested: Timestamp) {
-        self.confirmed = self.confirmed.max(Some(requested));
+        if requested >= self.started {
+            self.confirmed = self.confirmed.max(Some(requested));
+        }
     }
 
     /// Age of the newest confirmation.
