--- a/crates/cardamomhold_entry/src/control.rs
+++ b/crates/cardamomhold_entry/src/control.rs
@@ -1,16 +1,20 @@
-//! Leaderships and the promotion lock as objects in the store.
+//! Leaderships, the promotion lock and the voters as objects in the store.
 
 use std::collections;
 
 use cardamomhold_core::name;
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
+use cardamomhold_lead::voters;
 
 use crate::store;
 
 /// Name of the promotion lock's object.
 const LOCK_NAME: &str = "duty";
 
+/// Name of the voters' object.
+const VOTERS_NAME: &str = "voters";
+
 /// Prefix of the names of the leaderships' objects.
 const GROUP_PREFIX: &str = "group.";
 
@@ -19,6 +23,8 @@
 pub struct Control {
     /// The promotion lock.
     pub lock: Option<(promotion_lock::PromotionLock, u64)>,
+    /// The voters.
+    pub voters: Option<(voters::Voters, u64)>,
     /// The leaderships.
     pub records: collections::BTreeMap<name::GroupName, (record::Leadership, u64)>,
 }
@@ -42,6 +48,8 @@
         let content = document.content.clone();
         if document.name == LOCK_NAME {
             self.lock = Some((serde_json::from_value(content)?, document.revision));
+        } else if document.name == VOTERS_NAME {
+            self.voters = Some((serde_json::from_value(content)?, document.revision));
         } else if document.name.starts_with(GROUP_PREFIX) {
             let record: record::Leadership = serde_json::from_value(content)?;
             let group = record.group.clone();
@@ -63,6 +71,18 @@
     write(store, LOCK_NAME, lock, condition).await
 }
 
+/// Writes the voters.
+///
+/// # Errors
+/// [`store::StoreError`].
+pub async fn write_voters<S: store::Store>(
+    store: &S,
+    voters: &voters::Voters,
+    condition: store::Condition,
+) -> Result<store::WriteOutcome, store::StoreError> {
+    write(store, VOTERS_NAME, voters, condition).await
+}
+
 /// Writes a leadership.
 ///
 /// # Errors
--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -34,9 +34,11 @@
 use crate::promoter;
 use crate::registry;
 use crate::roster;
+use crate::stop;
 use crate::store;
 use crate::view;
 
+mod electorate;
 mod failover;
 mod lease_renewal;
 mod lock;
@@ -124,6 +126,8 @@
     },
     /// A permitted promotion has ended.
     PromotionEnded,
+    /// A write of the voters has ended.
+    VotersWritten,
 }
 
 /// Sends messages to the coordinator.
@@ -200,6 +204,8 @@
     is_leased: bool,
     /// The promotion lock.
     tenure: promotion_lock::Tenure,
+    electorate: electorate::Electorate,
+    phase: watch::Receiver<stop::Phase>,
     instances: registry::Instances,
     roster: roster::Roster,
     round: Option<round::Round>,
@@ -255,6 +261,7 @@
         handle: Handle,
         control_reader: control_reader::Handle,
         published: Published,
+        phase: watch::Receiver<stop::Phase>,
     ) -> Self {
         let tenure = promotion_lock::Tenure::new(clock::now(), &own);
         Self {
@@ -267,6 +274,8 @@
             lease: lease::Lease::new(clock::now()),
             is_leased: false,
             tenure,
+            electorate: electorate::Electorate::default(),
+            phase,
             instances: registry::Instances::new(),
             roster: roster::Roster::default(),
             round: None,
@@ -353,6 +362,10 @@
             Event::LockAcquired { lock, former } => self.handle_acquired(now, &lock, former),
             Event::PromotionRequested { token, reply } => self.permit_promotion(now, token, reply),
             Event::PromotionEnded => self.tenure.end_call(now),
+            Event::VotersWritten => {
+                self.electorate.end_write();
+                self.control_reader.read();
+            }
         }
     }
 
@@ -384,6 +397,7 @@
             return;
         }
         log::info!("event=instances count={}", instances.len());
+        self.electorate.record_instances(clock::now());
         self.instances = instances;
         let fleet = sync::Arc::new(self.instances.clone());
         self.published.views.send_modify(|v| v.fleet = fleet);
--- a/crates/cardamomhold_entry/src/coordinator/failover.rs
+++ b/crates/cardamomhold_entry/src/coordinator/failover.rs
@@ -40,8 +40,12 @@
     P: promoter::Promoter,
 {
     /// For each group without a leadership, starts a task that writes the first one, after a
-    /// delay that depends on the rank of this instance.
+    /// delay that depends on the rank of this instance. Without voters nobody could confirm it while
+    /// the store is away, so they come first.
     pub(super) fn create_leaderships(&mut self, now: Timestamp) {
+        if self.electorate.voters().is_none() {
+            return;
+        }
         let view = self.published.views.borrow().clone();
         for spec in &view.catalog.groups {
             let group = &spec.name;
@@ -101,7 +105,7 @@
             cause,
             members,
             leaving,
-            voters: self.instances.keys().cloned().collect(),
+            instances: self.instances.keys().cloned().collect(),
         }
     }
 
@@ -276,7 +280,7 @@
             store_regained: self.store_regained,
             is_disconnected: self.outage.is_some(),
             rank: registry::successor_rank(&self.instances, &self.own, holder),
-            witnesses: registry::witness_count(&self.instances),
+            witnesses: self.electorate.witnesses(&self.instances),
         }
     }
 
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -39,6 +39,9 @@
         for (record, _) in control.records.values() {
             self.update_record(record, "store");
         }
+        self.update_voters(control.voters.as_ref().map(|(v, _)| v));
+        self.electorate
+            .record_revision(control.voters.as_ref().map(|(_, revision)| *revision));
         self.update_lock(now, control.lock.as_ref().map(|(l, _)| l));
         self.store_answered = Some(now);
         if let Some((since, problem)) = self.outage.take() {
@@ -103,6 +106,8 @@
         let remaining = self.lease.expiry().since(now);
         let (level, reader) = self.choose_reader(now);
         let is_reader = reader == self.own;
+        let keeps_voters = is_reader && level == renewal::Level::Fleet;
+        self.keep_voters(now, keeps_voters && self.outage.is_none());
         let address = self.instances.get(reader.as_str()).map(|e| e.address);
         let is_disconnected = self.outage.is_some();
         let requests = self
@@ -156,7 +161,7 @@
         }
         let request = message::Message::RenewalRequest {
             number,
-            digest: self.records.digest(),
+            digest: self.digest(),
             seen: self.seen,
             report: self.exchange.report(),
         };
@@ -199,16 +204,28 @@
         }
     }
 
-    /// Starts a majority round: asks all other instances for their leaderships.
+    /// Starts a majority round: asks all voters for their leaderships.
     pub(super) fn start_round(&mut self, now: Timestamp) {
+        let Some(voters) = self.electorate.voters() else {
+            return;
+        };
         self.last_round += 1;
         let number = self.last_round;
-        self.round = Some(round::Round::new(number, now, self.instances.len()));
-        let digest = self.records.digest();
-        self.broadcast(&message::Message::LeadershipRequest { number, digest });
+        self.round = Some(round::Round::new(number, now, voters));
+        let request = message::Message::LeadershipRequest {
+            number,
+            digest: self.digest(),
+        };
+        for name in voters.names() {
+            let entry = self.instances.get(name.as_str());
+            if let Some(entry) = entry.filter(|_| name != self.own) {
+                self.peers.send(entry.address, request.clone());
+            }
+        }
         if self.lease.may_confirm_others() {
             let own = self.own.clone();
-            self.count_answer(now, number, &own);
+            let generation = self.electorate.generation();
+            self.count_answer(now, number, generation, &own);
         }
     }
 }
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -5,7 +5,6 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
-use cardamomhold_lead::record;
 use cardamomhold_lead::renewal;
 
 use crate::coordinator::Coordinator;
@@ -38,16 +37,21 @@
         match message {
             message::Message::LeadershipRequest { number, digest } => {
                 if self.lease.may_confirm_others() {
-                    let records = self.records_unless_known(digest);
-                    let reply = message::Message::LeadershipReply { number, records };
+                    let reply = message::Message::LeadershipReply {
+                        number,
+                        generation: self.electorate.generation(),
+                        state: self.state_unless_known(digest),
+                    };
                     self.peers.send(from, reply);
                 }
             }
-            message::Message::LeadershipReply { number, records } => {
-                for record in &records {
-                    self.update_record(record, name.as_str());
-                }
-                self.count_answer(now, number, &name);
+            message::Message::LeadershipReply {
+                number,
+                generation,
+                state,
+            } => {
+                self.update_state(state, &name);
+                self.count_answer(now, number, generation, &name);
             }
             message::Message::RenewalRequest {
                 number,
@@ -72,14 +76,12 @@
                 number,
                 age_us,
                 held_us,
-                records,
+                state,
                 lock,
                 seen,
                 samples,
             } => {
-                for record in &records {
-                    self.update_record(record, name.as_str());
-                }
+                self.update_state(state, &name);
                 self.update_lock(now, lock.as_ref());
                 self.check_lag(now, seen);
                 let request = self.requests.iter().find(|r| r.number == number);
@@ -127,6 +129,13 @@
                 log::info!("event=duty_free former={name} {release:?}");
                 self.tenure.record_release(now, &name, &release);
             }
+            message::Message::VoterPing => self.peers.send(from, self.voter_pong()),
+            message::Message::VoterPong {
+                generation,
+                is_leaving,
+            } => self
+                .electorate
+                .record_answer(now, &name, generation, is_leaving),
         }
     }
 
@@ -174,11 +183,17 @@
         }
     }
 
-    pub(super) fn count_answer(&mut self, now: Timestamp, number: u64, name: &name::InstanceName) {
+    pub(super) fn count_answer(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        generation: u64,
+        name: &name::InstanceName,
+    ) {
         let Some(round) = &mut self.round else {
             return;
         };
-        round.record_answer(number, name);
+        round.record_answer(number, generation, name);
         if round.is_majority() {
             let sent = round.requested;
             self.round = None;
@@ -186,12 +201,31 @@
         }
     }
 
-    /// All leaderships, or none when `digest` is the digest of this instance's leaderships.
-    fn records_unless_known(&self, digest: u64) -> Vec<record::Leadership> {
-        if digest == self.records.digest() {
-            return Vec::new();
+    /// Stores the leaderships and voters of an answer.
+    fn update_state(&mut self, state: Option<message::State>, source: &name::InstanceName) {
+        let Some(state) = state else {
+            return;
+        };
+        for record in &state.records {
+            self.update_record(record, source.as_str());
+        }
+        self.update_voters(state.voters.as_ref());
+    }
+
+    /// Digest of the leaderships and voters.
+    pub(super) fn digest(&self) -> u64 {
+        self.records.digest() ^ self.electorate.generation().rotate_left(32)
+    }
+
+    /// All leaderships and the voters, or none when `digest` is this instance's.
+    fn state_unless_known(&self, digest: u64) -> Option<message::State> {
+        if digest == self.digest() {
+            return None;
         }
-        self.records.iter().cloned().collect()
+        Some(message::State {
+            records: self.records.iter().cloned().collect(),
+            voters: self.electorate.voters().cloned(),
+        })
     }
 
     fn publish_samples(&self) {
@@ -211,7 +245,7 @@
             number: request.number,
             age_us: age.as_micros() as u64,
             held_us: now.since(request.since).as_micros() as u64,
-            records: self.records_unless_known(request.digest),
+            state: self.state_unless_known(request.digest),
             lock: self.tenure.lock().cloned(),
             seen: self.currency.report(now, self.lag.known(self.seen)),
             samples: self.exchange.answer(now),
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -14,6 +14,7 @@
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_lead::suspicion;
+use cardamomhold_lead::voters;
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -73,7 +74,7 @@
     /// Members that are leaving, which are not promoted.
     pub leaving: Vec<name::MemberName>,
     /// Registered instances, whose acknowledgements are awaited.
-    pub voters: Vec<name::InstanceName>,
+    pub instances: Vec<name::InstanceName>,
 }
 
 struct Run<'a, S, C, P> {
@@ -81,6 +82,7 @@
     job: &'a Job,
     coordinator: &'a coordinator::Handle,
     lock: promotion_lock::PromotionLock,
+    voters: voters::Voters,
     record: record::Leadership,
     /// Revision of the record in the store.
     revision: u64,
@@ -146,6 +148,8 @@
             coordinator.send(coordinator::Event::ControlRead(read_at, control));
             return Err(HandoverError::Superseded);
         }
+        let voters = control.voters.as_ref().map(|(v, _)| v.clone());
+        let voters = voters.ok_or(HandoverError::NoVoters)?;
         let lock = acquire_lock(adapters, job, &control).await?;
         let former = control.lock.map(|(l, _)| l.holder);
         coordinator.send(coordinator::Event::LockAcquired {
@@ -157,6 +161,7 @@
             job,
             coordinator,
             lock,
+            voters,
             record,
             revision,
             read_at,
@@ -205,7 +210,7 @@
     async fn finish(&mut self) -> Result<name::MemberName, HandoverError> {
         let (acked, mut acks) = mpsc::unbounded_channel();
         self.announce(Some(acked));
-        let mut awaited = acks::Acks::new(self.job.voters.iter().cloned());
+        let mut awaited = acks::Acks::new(&self.voters, self.job.instances.iter().cloned());
         if self.job.cause == suspicion::Cause::Leaving {
             self.collect_acks(&mut awaited, &mut acks, DRAIN_TIME).await;
         }
@@ -255,6 +260,11 @@
                 tried.push(member);
                 continue;
             }
+            self.check_control().await?;
+            awaited.update_voters(clock::now(), &self.voters);
+            if !awaited.is_over(clock::now()) {
+                continue;
+            }
             match self.promote(permit, &member).await? {
                 promote::Outcome::Promoted(term) => return self.complete(&member, term).await,
                 promote::Outcome::Failed => tried.push(member),
--- a/crates/cardamomhold_entry/src/handover/error.rs
+++ b/crates/cardamomhold_entry/src/handover/error.rs
@@ -11,6 +11,8 @@
     Store(store::StoreError),
     /// Another instance acquired the promotion lock or changed the leadership.
     Superseded,
+    /// The store has no voters yet.
+    NoVoters,
     /// No member can take over now.
     NoCandidate,
     /// The promotion was not confirmed.
@@ -24,6 +26,7 @@
         match self {
             Self::Store(error) => write!(f, "store: {error}"),
             Self::Superseded => f.write_str("superseded by another instance"),
+            Self::NoVoters => f.write_str("no voters are stored yet"),
             Self::NoCandidate => f.write_str("no member can take over"),
             Self::Unconfirmed => f.write_str("the promotion was not confirmed"),
             Self::TimedOut => f.write_str("timed out"),
--- a/crates/cardamomhold_entry/src/handover/promote.rs
+++ b/crates/cardamomhold_entry/src/handover/promote.rs
@@ -24,10 +24,6 @@
 /// Longest wait for a promoted member to report that it is the primary.
 const PROMOTION_TIMEOUT: time::Duration = time::Duration::from_millis(4_000);
 
-/// Age of the last read of the control objects above which they are read again before a promotion.
-/// The rest of the right's duration is for the connection to the platform.
-const MAX_READ_AGE: time::Duration = time::Duration::from_millis(250);
-
 /// Result of an attempt to promote a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Outcome {
@@ -45,16 +41,13 @@
     C: link::Connector,
     P: promoter::Promoter,
 {
-    /// Promotes a member, if the promotion lock is still this instance's. The permission ends with
-    /// the call.
+    /// Promotes a member, by the right of the last read of the control objects. The permission ends
+    /// with the call.
     pub(super) async fn promote(
         &mut self,
         permit: permit::Permit,
         member: &name::MemberName,
     ) -> Result<Outcome, HandoverError> {
-        if clock::now().since(self.read_at) > MAX_READ_AGE {
-            self.check_control().await?;
-        }
         let sent = clock::now();
         let until = self.read_at.after(promotion_lock::RIGHT_DURATION);
         let promoting = self
@@ -90,8 +83,9 @@
         Ok(term.map_or(Outcome::Failed, Outcome::Promoted))
     }
 
-    /// Reads the control objects again; fails if another instance changed the promotion lock or
-    /// the leadership.
+    /// Reads the control objects again, with the present voters: only those that are stored after the
+    /// acknowledgements can count them. Fails if another instance changed the promotion lock or the
+    /// leadership.
     pub(super) async fn check_control(&mut self) -> Result<(), HandoverError> {
         let read_at = clock::now();
         let control = read_control(&self.adapters.store).await?;
@@ -100,6 +94,9 @@
         if !is_holder || entry.is_none_or(|(record, _)| *record != self.record) {
             return Err(HandoverError::Superseded);
         }
+        if let Some((voters, _)) = control.voters {
+            self.voters = voters;
+        }
         self.read_at = read_at;
         Ok(())
     }
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -4,6 +4,7 @@
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_lead::suspicion;
+use cardamomhold_lead::voters;
 use cardamomhold_pool::exchange;
 
 /// A datagram.
@@ -39,6 +40,16 @@
     }
 }
 
+/// What an instance knows of leaderships and voters. They are sent together, since an instance
+/// must not adopt voters without the leaderships that were known when they took effect.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct State {
+    /// The leaderships.
+    pub records: Vec<record::Leadership>,
+    /// The voters; none if the sender knows of none.
+    pub voters: Option<voters::Voters>,
+}
+
 /// Content of a datagram.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Message {
@@ -46,7 +57,7 @@
     LeadershipRequest {
         /// Number of the request.
         number: u64,
-        /// Digest of the sender's leaderships.
+        /// Digest of the sender's leaderships and voters.
         digest: u64,
     },
     /// Answers [`Message::LeadershipRequest`]; sent only by instances that have received the
@@ -54,14 +65,16 @@
     LeadershipReply {
         /// Number of the request.
         number: u64,
-        /// The sender's leaderships; none when the digest of the request matches them.
-        records: Vec<record::Leadership>,
+        /// Generation of the voters that the sender has adopted.
+        generation: u64,
+        /// The sender's leaderships and voters; none when the digest of the request matches them.
+        state: Option<State>,
     },
     /// Asks the zone's reader for the leaderships and for the age of their confirmation.
     RenewalRequest {
         /// Number of the request.
         number: u64,
-        /// Digest of the sender's leaderships.
+        /// Digest of the sender's leaderships and voters.
         digest: u64,
         /// Newest versions that the sender has received from the store.
         seen: Seen,
@@ -76,8 +89,8 @@
         age_us: u64,
         /// Time for which the sender kept the request before this answer, in microseconds.
         held_us: u64,
-        /// The sender's leaderships; none when the digest of the request matches them.
-        records: Vec<record::Leadership>,
+        /// The sender's leaderships and voters; none when the digest of the request matches them.
+        state: Option<State>,
         /// The promotion lock.
         lock: Option<promotion_lock::PromotionLock>,
         /// Newest versions that the sender knows to be in the store; none if it may have missed
@@ -132,4 +145,13 @@
     /// Tells the new holder of the promotion lock that the sender, the holder before, promotes
     /// nothing any more.
     LockReleased(promotion_lock::Release),
+    /// Asks whether the receiver can be a voter, for the instance that keeps the voters.
+    VoterPing,
+    /// Answers [`Message::VoterPing`].
+    VoterPong {
+        /// Generation of the voters that the sender has adopted.
+        generation: u64,
+        /// Whether the sender is about to stop.
+        is_leaving: bool,
+    },
 }
--- a/crates/cardamomhold_entry/tests/stale_handover.rs
+++ b/crates/cardamomhold_entry/tests/stale_handover.rs
@@ -119,7 +119,7 @@
             cause: suspicion::Cause::Unfinished,
             members: Vec::new(),
             leaving: Vec::new(),
-            voters: vec![instance("entry-2")],
+            instances: vec![instance("entry-2")],
         };
         let (coordinator, mut events) = coordinator::mailbox();
         let ended = handover::run(&adapters, &job, &coordinator).await;
--- a/crates/cardamomhold_lead/src/acks.rs
+++ b/crates/cardamomhold_lead/src/acks.rs
@@ -1,55 +1,73 @@
 //! Acknowledgements of the end of a leadership, after which a successor may be promoted.
 
-use std::collections;
-
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 
 use crate::lease;
+use crate::voters;
 
 /// Acknowledgements of the end of one leadership.
 #[derive(Debug)]
 pub struct Acks {
-    voters: collections::BTreeSet<name::InstanceName>,
-    acked: collections::BTreeSet<name::InstanceName>,
-    /// When more than half of the voters had acknowledged.
+    voters: voters::Voters,
+    /// The registered instances.
+    instances: voters::Set,
+    acked: voters::Set,
+    /// When a majority of the voters had acknowledged.
     majority_at: Option<Timestamp>,
 }
 
 impl Acks {
-    /// Starts without acknowledgements; `voters` are the registered instances.
-    pub fn new(voters: impl IntoIterator<Item = name::InstanceName>) -> Self {
+    /// Starts without acknowledgements; `instances` are the registered ones.
+    pub fn new(
+        voters: &voters::Voters,
+        instances: impl IntoIterator<Item = name::InstanceName>,
+    ) -> Self {
         Self {
-            voters: voters.into_iter().collect(),
-            acked: collections::BTreeSet::new(),
+            voters: voters.clone(),
+            instances: instances.into_iter().collect(),
+            acked: voters::Set::new(),
             majority_at: None,
         }
     }
 
-    /// Records an acknowledgement; ignores instances that are not voters.
-    pub fn record(&mut self, now: Timestamp, voter: &name::InstanceName) {
-        if self.voters.contains(voter) {
-            self.acked.insert(voter.clone());
+    /// Records an acknowledgement.
+    pub fn record(&mut self, now: Timestamp, instance: &name::InstanceName) {
+        self.acked.insert(instance.clone());
+        self.update_majority(now);
+    }
+
+    /// Replaces the voters, after a read of the store that began after the acknowledgements until
+    /// now.
+    pub fn update_voters(&mut self, now: Timestamp, voters: &voters::Voters) {
+        if voters.generation == self.voters.generation {
+            return;
         }
-        if self.acked.len() * 2 > self.voters.len() {
+        self.voters = voters.clone();
+        self.majority_at = None;
+        self.update_majority(now);
+    }
+
+    fn update_majority(&mut self, now: Timestamp) {
+        if self.voters.is_majority(|name| self.acked.contains(name)) {
             self.majority_at.get_or_insert(now);
         }
     }
 
-    /// Voters that have not acknowledged yet.
+    /// Instances that have not acknowledged yet.
     pub fn missing(&self) -> impl Iterator<Item = &name::InstanceName> {
-        self.voters.difference(&self.acked)
+        self.instances.difference(&self.acked)
     }
 
     /// Time from which a successor may be promoted; `None` without a majority. This is the time
-    /// of the majority if all voters have acknowledged; otherwise the leases of the missing
-    /// voters must expire first.
+    /// of the majority if all instances have acknowledged; otherwise the leases of the missing
+    /// ones must expire first.
     ///
     /// The record that ended the leadership must have been written to the store before the
     /// first acknowledgement.
     pub fn ended_at(&self) -> Option<Timestamp> {
         let majority_at = self.majority_at?;
-        if self.acked.len() == self.voters.len() {
+        if self.instances.is_subset(&self.acked) {
             return Some(majority_at);
         }
         Some(majority_at.after(lease::DURATION + lease::MAX_CLOCK_DRIFT))
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod renewal;
 pub mod round;
 pub mod suspicion;
+pub mod voters;
--- a/crates/cardamomhold_lead/tests/lease_fuzz.rs
+++ b/crates/cardamomhold_lead/tests/lease_fuzz.rs
@@ -1,5 +1,5 @@
 //! No instance relies on an ended leadership once its successor may be promoted, despite lost
-//! and late messages, network partitions, restarts and frozen instances.
+//! and late messages, network partitions, restarts, frozen instances and changes of the voters.
 //!
 //! `CARDAMOMHOLD_CASES=100000` runs more histories than CI does.
 
@@ -15,6 +15,7 @@
 use cardamomhold_lead::acks;
 use cardamomhold_lead::lease;
 use cardamomhold_lead::round;
+use cardamomhold_lead::voters;
 use rand::RngExt;
 use rand::SeedableRng;
 
@@ -37,20 +38,36 @@
     StartCheck,
     /// A confirmation counts from its arrival, not from the request.
     RequestTime,
+    /// Voters are replaced in one step.
+    Proposal,
+    /// A proposal takes effect before a majority has adopted it.
+    Adoption,
+}
+
+/// What an instance knows, or the store holds.
+#[derive(Debug, Clone)]
+struct State {
+    /// Newest change.
+    change: u64,
+    voters: voters::Voters,
 }
 
 #[derive(Debug)]
 enum Message {
     /// Request number.
     Confirm(u64),
-    /// Request number and newest change.
-    Confirmed(u64, u64),
+    /// Request number and state.
+    Confirmed(u64, State),
     /// Time of the request.
     Renew(u64),
-    /// Time of the request, age of the confirmation and newest change.
-    Renewed(u64, u64, u64),
-    /// Time of the request and the stored change.
-    StoreRead(u64, u64),
+    /// Time of the request, age of the confirmation and state.
+    Renewed(u64, u64, State),
+    /// Time of the request and the stored state.
+    StoreRead(u64, State),
+    /// Asks for the generation of the voters that the receiver has adopted.
+    Ping,
+    /// That generation.
+    Pong(u64),
     /// The change that ends the leadership.
     Announce(u64),
     Ack,
@@ -61,8 +78,9 @@
     /// Number of restarts.
     restarts: u64,
     lease: lease::Lease,
-    /// Newest change that the instance has.
-    change: u64,
+    state: State,
+    /// Newest generation that each instance has answered to this one.
+    adopted: collections::BTreeMap<name::InstanceName, u64>,
     round: Option<round::Round>,
     /// Renewal requests that wait for the next confirmation: sender, time of the request, time of
     /// its arrival.
@@ -77,16 +95,40 @@
     instances: Vec<Instance>,
     /// End of each instance's network partition.
     partitions: Vec<u64>,
-    /// Newest change in the store.
-    stored: u64,
+    /// Instances that reach neither the store nor the others, but one another.
+    is_apart: Vec<bool>,
+    /// Until when they are apart.
+    split_until: u64,
+    /// Whether the instances read the store often.
+    has_calm_store: bool,
+    /// Whether the voters change.
+    has_changes: bool,
+    /// What the store holds.
+    stored: State,
     /// Messages in transit by arrival time and number: sender, receiver, restarts of the
     /// receiver, and the message.
     in_transit: collections::BTreeMap<(u64, u64), (usize, usize, u64, Message)>,
     sent: u64,
     acks: Option<acks::Acks>,
+    /// When the promoter, which has read the store before, ends the leadership.
+    write_at: u64,
+    /// Number of times that the voters were replaced.
+    replaced: u64,
     promoted: Option<u64>,
 }
 
+/// State of an instance that has just started.
+fn unknown() -> State {
+    State {
+        change: 0,
+        voters: voters::Voters {
+            generation: 0,
+            current: voters::Set::new(),
+            next: None,
+        },
+    }
+}
+
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
 }
@@ -101,23 +143,39 @@
                 name: name::InstanceName::parse(&format!("entry-{i}")).unwrap(),
                 restarts: 0,
                 lease: lease::Lease::new(at(0)),
-                change: 0,
+                state: unknown(),
+                adopted: collections::BTreeMap::new(),
                 round: None,
                 held: Vec::new(),
                 frozen_until: 0,
             });
         }
         let partitions = vec![0; count];
+        let write_at = DURATION_MS / 3 + rng.random_range(10..1_500);
+        let first = instances
+            .iter()
+            .map(|i: &Instance| i.name.clone())
+            .collect();
+        let stored = State {
+            change: 1,
+            voters: voters::Voters::first(first),
+        };
         Self {
             rng,
             disabled,
             now: 0,
             instances,
             partitions,
-            stored: 1,
+            is_apart: vec![false; count],
+            split_until: 0,
+            has_calm_store: seed.is_multiple_of(2),
+            has_changes: !seed.is_multiple_of(3),
+            stored,
             in_transit: collections::BTreeMap::new(),
             sent: 0,
             acks: None,
+            write_at,
+            replaced: 0,
             promoted: None,
         }
     }
@@ -130,6 +188,9 @@
         if from != to && (self.partitions[from] > self.now || self.partitions[to] > self.now) {
             return;
         }
+        if self.is_split() && self.is_apart[from] != self.is_apart[to] {
+            return;
+        }
         if self.chance(5) {
             return;
         }
@@ -143,7 +204,7 @@
 
     fn may_confirm_others(&self, i: usize) -> bool {
         let is_allowed = self.instances[i].lease.may_confirm_others();
-        is_allowed || (self.disabled == Disabled::StartCheck && self.instances[i].change > 0)
+        is_allowed || (self.disabled == Disabled::StartCheck && self.instances[i].state.change > 0)
     }
 
     fn confirm(&mut self, i: usize, requested: u64) {
@@ -171,31 +232,79 @@
             && instance.lease.may_confirm_others()
         {
             let age = age.as_millis() as u64;
-            let change = instance.change;
-            self.send(i, to, Message::Renewed(requested, age, change));
+            let state = instance.state.clone();
+            self.send(i, to, Message::Renewed(requested, age, state));
         }
     }
 
-    fn update(&mut self, i: usize, change: u64) {
+    fn update(&mut self, i: usize, state: &State) {
+        let instance = &mut self.instances[i];
+        instance.state.change = instance.state.change.max(state.change);
+        self.update_voters(i, &state.voters);
+    }
+
+    fn update_voters(&mut self, i: usize, voters: &voters::Voters) {
         let instance = &mut self.instances[i];
-        instance.change = instance.change.max(change);
+        if voters.generation > instance.state.voters.generation {
+            instance.state.voters = voters.clone();
+            instance.round = None;
+        }
+    }
+
+    /// A random set of instances.
+    fn random_set(&mut self) -> voters::Set {
+        let mut set = voters::Set::new();
+        for i in 0..self.instances.len() {
+            if self.chance(50) {
+                set.insert(self.instances[i].name.clone());
+            }
+        }
+        set.insert(self.instances[0].name.clone());
+        set
+    }
+
+    /// Lets an instance change the voters, if it knows those that are stored.
+    fn change_voters(&mut self, i: usize) {
+        let voters = self.instances[i].state.voters.clone();
+        if self.stored.voters.generation != voters.generation || !self.reaches_store(i) {
+            return;
+        }
+        let adopted = self.instances[i].adopted.clone();
+        let has_adopted =
+            |n: &name::InstanceName| adopted.get(n).is_some_and(|g| *g >= voters.generation);
+        let is_adopted = voters.is_majority(has_adopted) || self.disabled == Disabled::Adoption;
+        if voters.next.is_some() && is_adopted {
+            self.stored.voters = voters.accepted();
+            self.replaced += 1;
+        } else if voters.next.is_some() {
+            if self.chance(5) {
+                self.stored.voters = voters.withdrawn();
+            }
+        } else {
+            let next = self.random_set();
+            self.stored.voters = voters.proposing(next);
+            if self.disabled == Disabled::Proposal {
+                self.stored.voters = self.stored.voters.accepted();
+            }
+        }
     }
 
     fn deliver(&mut self, from: usize, to: usize, message: Message) {
         match message {
             Message::Confirm(number) => {
                 if self.may_confirm_others(to) {
-                    let change = self.instances[to].change;
-                    self.send(to, from, Message::Confirmed(number, change));
+                    let state = self.instances[to].state.clone();
+                    self.send(to, from, Message::Confirmed(number, state));
                 }
             }
-            Message::Confirmed(number, change) => {
-                self.update(to, change);
+            Message::Confirmed(number, state) => {
+                self.update(to, &state);
                 let voter = self.instances[from].name.clone();
+                let generation = state.voters.generation;
                 let Some(round) = &mut self.instances[to].round else {
                     return;
                 };
-                round.record_answer(number, &voter);
+                round.record_answer(number, generation, &voter);
                 if round.is_majority() {
                     let requested = round.requested.0 / 1_000;
                     self.instances[to].round = None;
@@ -210,16 +319,27 @@
                 }
                 self.renew(to, from, requested);
             }
-            Message::Renewed(requested, age, change) => {
-                self.update(to, change);
+            Message::Renewed(requested, age, state) => {
+                self.update(to, &state);
                 self.confirm(to, requested.saturating_sub(age));
             }
-            Message::StoreRead(requested, change) => {
-                self.update(to, change);
+            Message::StoreRead(requested, state) => {
+                self.update(to, &state);
                 self.confirm(to, requested);
             }
+            Message::Ping => {
+                let generation = self.instances[to].state.voters.generation;
+                self.send(to, from, Message::Pong(generation));
+            }
+            Message::Pong(generation) => {
+                let name = self.instances[from].name.clone();
+                let adopted = &mut self.instances[to].adopted;
+                let known = adopted.entry(name).or_default();
+                *known = generation.max(*known);
+            }
             Message::Announce(change) => {
-                self.update(to, change);
+                let state = &mut self.instances[to].state;
+                state.change = state.change.max(change);
                 self.send(to, from, Message::Ack);
             }
             Message::Ack => {
@@ -235,42 +355,80 @@
     fn act(&mut self, i: usize) {
         let now = self.now;
         match self.rng.random_range(0..100) {
-            0..=39 => {
-                // The store answers with its content at some time during the call.
-                if self.partitions[i] <= now {
-                    let change = self.stored;
-                    self.send(i, i, Message::StoreRead(now, change));
-                }
-            }
-            40..=69 => {
-                let number = now * 10 + i as u64;
-                let mut round = round::Round::new(number, at(now), self.instances.len());
-                if self.may_confirm_others(i) {
-                    let own = self.instances[i].name.clone();
-                    round.record_answer(number, &own);
-                }
-                self.instances[i].round = Some(round);
-                for other in 0..self.instances.len() {
-                    if other != i {
-                        self.send(i, other, Message::Confirm(number));
-                    }
-                }
-            }
-            70..=89 => {
+            0..=9 => self.read_store(i),
+            10..=24 if self.has_calm_store => self.read_store(i),
+            25..=44 => self.start_round(i),
+            45..=54 if self.has_changes => self.change_voters(i),
+            55..=64 if self.has_changes => self.ping(i),
+            65..=89 => {
                 let other = self.rng.random_range(0..self.instances.len());
                 self.send(i, other, Message::Renew(now));
             }
-            90..=93 => {
+            90 => {
                 let restarts = self.instances[i].restarts + 1;
                 let instance = &mut self.instances[i];
                 instance.restarts = restarts;
                 instance.lease = lease::Lease::new(at(now));
-                instance.change = 0;
+                instance.state = unknown();
+                instance.adopted.clear();
                 instance.round = None;
                 instance.held.clear();
             }
-            94..=96 => self.partitions[i] = now + self.rng.random_range(100..4_000),
-            _ => self.instances[i].frozen_until = now + self.rng.random_range(50..3_000),
+            91 => self.partitions[i] = now + self.rng.random_range(100..4_000),
+            92 if self.chance(30) => {
+                // Some instances lose the store and the promoter, but not one another.
+                self.split_until = now + self.rng.random_range(500..6_000);
+                for other in 1..self.instances.len() {
+                    self.is_apart[other] = self.chance(60);
+                }
+            }
+            93 => self.instances[i].frozen_until = now + self.rng.random_range(50..3_000),
+            _ => {}
+        }
+    }
+
+    fn reaches_store(&self, i: usize) -> bool {
+        self.partitions[i] <= self.now && !(self.is_split() && self.is_apart[i])
+    }
+
+    fn is_split(&self) -> bool {
+        self.split_until > self.now
+    }
+
+    /// Reads the store, which answers with its content at some time during the call.
+    fn read_store(&mut self, i: usize) {
+        if self.reaches_store(i) {
+            let (now, state) = (self.now, self.stored.clone());
+            self.send(i, i, Message::StoreRead(now, state));
+        }
+    }
+
+    fn start_round(&mut self, i: usize) {
+        let number = self.now * 10 + i as u64;
+        let voters = self.instances[i].state.voters.clone();
+        if voters.generation == 0 {
+            return;
+        }
+        let mut round = round::Round::new(number, at(self.now), &voters);
+        if self.may_confirm_others(i) {
+            let own = self.instances[i].name.clone();
+            round.record_answer(number, voters.generation, &own);
+        }
+        self.instances[i].round = Some(round);
+        for other in 0..self.instances.len() {
+            if other != i {
+                self.send(i, other, Message::Confirm(number));
+            }
+        }
+    }
+
+    /// Asks which voters the others have adopted.
+    fn ping(&mut self, i: usize) {
+        let own = self.instances[i].name.clone();
+        let generation = self.instances[i].state.voters.generation;
+        self.instances[i].adopted.insert(own, generation);
+        for other in 0..self.instances.len() {
+            self.send(i, other, Message::Ping);
         }
     }
 
@@ -278,16 +436,22 @@
     /// promoter is simulated apart from the instances: only its safety checks matter.
     fn promote(&mut self) {
         if self.acks.is_none() && self.now > DURATION_MS / 3 {
-            self.stored = 2;
-            let voters = self.instances.iter().map(|i| i.name.clone());
-            self.acks = Some(acks::Acks::new(voters));
+            let instances = self.instances.iter().map(|i| i.name.clone());
+            self.acks = Some(acks::Acks::new(&self.stored.voters, instances));
+        }
+        if self.now < self.write_at {
+            return;
         }
-        let Some(acks) = &self.acks else {
+        self.stored.change = 2;
+        let Some(acks) = &mut self.acks else {
             return;
         };
         if self.promoted.is_some() {
             return;
         }
+        if acks.is_over(at(self.now)) {
+            acks.update_voters(at(self.now), &self.stored.voters);
+        }
         let is_over = match self.disabled {
             Disabled::Expiry => acks.ended_at().is_some(),
             _ => acks.is_over(at(self.now)),
@@ -327,12 +491,12 @@
                 self.deliver(from, to, message);
             }
             let i = self.rng.random_range(0..self.instances.len());
-            if self.instances[i].frozen_until <= self.now && self.chance(12) {
+            if self.instances[i].frozen_until <= self.now && self.chance(30) {
                 self.act(i);
             }
             if self.promoted.is_some() {
                 for instance in &self.instances {
-                    if instance.change < 2 && instance.lease.is_valid(at(self.now)) {
+                    if instance.state.change < 2 && instance.lease.is_valid(at(self.now)) {
                         return Some(self.now);
                     }
                 }
@@ -350,20 +514,29 @@
 #[test]
 fn ended_leadership_unused() {
     let mut promotions = 0;
+    let mut replaced = 0;
     for seed in 0..cases() {
         let mut world = World::new(seed, Disabled::Nothing);
         let violation = world.run();
         assert_eq!(violation, None, "seed {seed}");
         promotions += u64::from(world.promoted.is_some());
+        replaced += u64::from(world.replaced > 1);
     }
-    // Histories without a promotion test nothing.
+    // Histories without a promotion, or without changes of the voters, test nothing.
     assert!(promotions * 2 > cases(), "{promotions} promotions");
+    assert!(
+        replaced * 2 > cases(),
+        "{replaced} histories with new voters"
+    );
 }
 
 fn violations(disabled: Disabled) -> u64 {
     let mut count = 0;
-    for seed in 0..CASES {
+    for seed in 0..CASES * 10 {
         count += u64::from(World::new(seed, disabled).run().is_some());
+        if count > 0 {
+            break;
+        }
     }
     count
 }
@@ -383,6 +556,16 @@
     assert!(violations(Disabled::RequestTime) > 0);
 }
 
+#[test]
+fn detects_missing_proposal() {
+    assert!(violations(Disabled::Proposal) > 0);
+}
+
+#[test]
+fn detects_missing_adoption() {
+    assert!(violations(Disabled::Adoption) > 0);
+}
+
 #[test]
 fn lease_expires() {
     let mut lease = lease::Lease::new(at(0));
