The voters can be restarted by an operator; a holder's reads are bounded; files with one job

An operator who removed the record of the voters, as most of them were gone for good, would have got none until all instances restarted. A keeper that stood still itself took the voters for silent and could propose a few. A holder cut off from the store read it once for each request that reached it, and the store charges for each.

Change: a removed record is followed by one of the next generation, of instances that answer; requests without an answer are counted, not time; no extra reads during an outage.

--- a/crates/cardamomhold_entry/src/coordinator/electorate.rs
+++ b/crates/cardamomhold_entry/src/coordinator/electorate.rs
@@ -17,9 +17,6 @@
 use crate::stop;
 use crate::store;
 
-/// Interval between two requests to the voters, and between two changes.
-const PING_INTERVAL: time::Duration = time::Duration::from_millis(500);
-
 /// Instances that aren't voters to ask at a time.
 const MAX_PINGS: usize = voters::MAX_VOTERS;
 
@@ -88,7 +85,9 @@
     }
 
     fn is_due(&mut self, now: Timestamp) -> bool {
-        let is_due = self.pinged.is_none_or(|at| now.since(at) >= PING_INTERVAL);
+        let is_due = self
+            .pinged
+            .is_none_or(|at| now.since(at) >= voters::PING_INTERVAL);
         if is_due {
             self.pinged = Some(now);
         }
@@ -110,9 +109,17 @@
             let is_ready = is_settled && !first.is_empty();
             return is_ready.then(|| (voters::Voters::first(first), store::Condition::New));
         };
-        let condition = store::Condition::Revision(self.revision?);
-        let next = self.keeper.as_mut()?.next(now, present, &zones)?;
-        Some((next, condition))
+        let keeper = self.keeper.as_mut()?;
+        match self.revision {
+            Some(revision) => {
+                let next = keeper.next(now, present, &zones)?;
+                Some((next, store::Condition::Revision(revision)))
+            }
+            None => {
+                let restarted = present.restarted(keeper.choose_live(now, &zones)?);
+                Some((restarted, store::Condition::New))
+            }
+        }
     }
 
     /// The instances to ask now: the voters, and some of the others in turn.
@@ -184,9 +191,7 @@
             self.electorate.keeper = None;
             return;
         }
-        self.electorate
-            .keeper
-            .get_or_insert_with(|| voters::Keeper::new(now));
+        self.electorate.keeper.get_or_insert_default();
         if !self.electorate.is_due(now) {
             return;
         }
@@ -202,7 +207,11 @@
         {
             self.write_voters(next, condition);
         }
-        for name in self.electorate.targets(&self.instances) {
+        let targets = self.electorate.targets(&self.instances);
+        if let Some(keeper) = &mut self.electorate.keeper {
+            keeper.record_requests(&targets);
+        }
+        for name in targets {
             let entry = self.instances.get(name.as_str());
             if let Some(entry) = entry.filter(|_| name != self.own) {
                 self.peers.send(entry.address, message::Message::VoterPing);
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -159,7 +159,8 @@
         }
         // A holder that isn't the fleet's reader doesn't read the store otherwise, and would seem
         // to be cut off from it.
-        if store_age.is_none_or(|age| age >= renewal::RENEWAL_INTERVAL) {
+        let is_old = store_age.is_none_or(|age| age >= renewal::RENEWAL_INTERVAL);
+        if is_old && self.outage.is_none() {
             self.control_reader.read();
         }
     }
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -25,10 +25,13 @@
 use crate::store;
 
 mod admin;
+mod create;
 pub mod error;
+mod lock;
 pub mod permit;
 mod promote;
 
+pub use create::create_leadership;
 pub use error::HandoverError;
 
 /// Timeout of one call of the store.
@@ -150,7 +153,7 @@
         }
         let voters = control.voters.as_ref().map(|(v, _)| v.clone());
         let voters = voters.ok_or(HandoverError::NoVoters)?;
-        let lock = acquire_lock(adapters, job, &control).await?;
+        let lock = lock::acquire(adapters, job, &control).await?;
         let former = control.lock.map(|(l, _)| l.holder);
         coordinator.send(coordinator::Event::LockAcquired {
             lock: lock.clone(),
@@ -370,31 +373,6 @@
     }
 }
 
-async fn acquire_lock<S: store::Store, C, P>(
-    adapters: &Adapters<S, C, P>,
-    job: &Job,
-    control: &control::Control,
-) -> Result<promotion_lock::PromotionLock, HandoverError> {
-    let condition = match &control.lock {
-        Some((lock, _)) if lock.holder == job.own => return Ok(lock.clone()),
-        Some((_, revision)) => store::Condition::Revision(*revision),
-        None => store::Condition::New,
-    };
-    let acquired =
-        promotion_lock::PromotionLock::acquired(control.lock.as_ref().map(|(l, _)| l), &job.own);
-    match with_timeout(control::write_lock(&adapters.store, &acquired, condition)).await? {
-        store::WriteOutcome::Done(_) => {
-            log::info!(
-                "event=duty_taken holder={} token={}",
-                acquired.holder,
-                acquired.token
-            );
-            Ok(acquired)
-        }
-        store::WriteOutcome::Conflict => Err(HandoverError::Superseded),
-    }
-}
-
 fn candidates(statuses: &[(name::MemberName, candidate::Status)]) -> Vec<candidate::Candidate<'_>> {
     let mut candidates = Vec::new();
     for (name, status) in statuses {
@@ -405,44 +383,3 @@
     }
     candidates
 }
-
-/// Writes the first leadership of a group: its primary is the member that reports this role,
-/// the one with the highest term if there are several.
-///
-/// # Errors
-/// [`HandoverError`]; the creation is to be retried.
-pub async fn create_leadership<S, C, P>(
-    adapters: &Adapters<S, C, P>,
-    job: &Job,
-) -> Result<(), HandoverError>
-where
-    S: store::Store,
-    C: link::Connector,
-{
-    let mut best: Option<(&name::MemberName, candidate::Status)> = None;
-    for target in &job.members {
-        let Ok(status) = admin::run(&adapters.connector, target, link::AdminCommand::Status).await
-        else {
-            continue;
-        };
-        if status.role != candidate::Role::Primary {
-            continue;
-        }
-        if best.is_none_or(|(_, b)| status.term > b.term) {
-            best = Some((&target.member, status));
-        }
-    }
-    let (member, status) = best.ok_or(HandoverError::NoCandidate)?;
-    let record = record::Leadership::first(&job.group, member, status.term);
-    with_timeout(control::write_record(
-        &adapters.store,
-        &record,
-        store::Condition::New,
-    ))
-    .await?;
-    let control = read_control(&adapters.store).await?;
-    if control.lock.is_none() {
-        acquire_lock(adapters, job, &control).await?;
-    }
-    Ok(())
-}
--- a/crates/cardamomhold_lead/src/voters.rs
+++ b/crates/cardamomhold_lead/src/voters.rs
@@ -22,8 +22,12 @@
 /// Number of voters below which a voter that is silent isn't left out.
 pub const MIN_VOTERS: usize = 3;
 
-/// Time without an answer after which a voter is replaced.
-pub const SILENCE_TIMEOUT: time::Duration = time::Duration::from_millis(10_000);
+/// Interval between two requests to the voters.
+pub const PING_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Number of requests without an answer after which a voter is replaced. Requests are counted, not
+/// time, as the instance that asks may have stood still itself.
+pub const MAX_MISSED: u32 = 20;
 
 /// Age above which an answer doesn't show that an instance can become a voter.
 pub const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(3_000);
@@ -55,6 +59,16 @@
         }
     }
 
+    /// Returns the record that follows this one if an operator has removed it from the store, as the
+    /// missing voters are known to be gone.
+    pub fn restarted(&self, current: Set) -> Self {
+        Self {
+            generation: self.generation + 1,
+            current,
+            next: None,
+        }
+    }
+
     /// Returns the record that proposes another set.
     pub fn proposing(&self, next: Set) -> Self {
         Self {
@@ -127,22 +141,22 @@
 }
 
 /// The state of the instance that keeps the voters up to date.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Keeper {
-    /// When it began to ask the others.
-    since: Timestamp,
     answers: collections::BTreeMap<name::InstanceName, Answer>,
+    /// Requests to each instance since its last answer.
+    missed: collections::BTreeMap<name::InstanceName, u32>,
     /// The proposal that it has seen last, and since when.
     proposal: Option<(u64, Timestamp)>,
 }
 
 impl Keeper {
-    /// Creates the state of an instance that has no answers yet.
-    pub fn new(now: Timestamp) -> Self {
-        Self {
-            since: now,
-            answers: collections::BTreeMap::new(),
-            proposal: None,
+    /// Records that instances are asked now; forgets those that are not asked any more.
+    pub fn record_requests(&mut self, names: &Set) {
+        self.answers.retain(|name, _| names.contains(name));
+        self.missed.retain(|name, _| names.contains(name));
+        for name in names {
+            *self.missed.entry(name.clone()).or_default() += 1;
         }
     }
 
@@ -160,6 +174,18 @@
             is_leaving,
         };
         self.answers.insert(name.clone(), answer);
+        self.missed.remove(name);
+    }
+
+    /// Returns voters chosen among the instances that have answered a moment ago; none without any.
+    pub fn choose_live(
+        &self,
+        now: Timestamp,
+        zones: &collections::BTreeMap<&str, Vec<&name::InstanceName>>,
+    ) -> Option<Set> {
+        let live = self.eligible(now, zones, &Set::new());
+        let chosen = choose(&live, &Set::new());
+        (!chosen.is_empty()).then_some(chosen)
     }
 
     /// Returns the next record of the voters, if it is time for a change; `zones` are the
@@ -174,11 +200,7 @@
             return self.end_proposal(now, voters);
         }
         self.proposal = None;
-        let mut live = zones.clone();
-        for names in live.values_mut() {
-            names.retain(|name| self.is_eligible(now, name, &voters.current));
-        }
-        live.retain(|_, names| !names.is_empty());
+        let live = self.eligible(now, zones, &voters.current);
         let chosen = choose(&live, &voters.current);
         let is_small = chosen.len() < MIN_VOTERS && chosen.len() < voters.current.len();
         if chosen.is_empty() || is_small || chosen == voters.current {
@@ -203,6 +225,21 @@
         is_old.then(|| voters.withdrawn())
     }
 
+    /// The instances of each zone that can be voters.
+    fn eligible<'a>(
+        &self,
+        now: Timestamp,
+        zones: &collections::BTreeMap<&'a str, Vec<&'a name::InstanceName>>,
+        voters: &Set,
+    ) -> collections::BTreeMap<&'a str, Vec<&'a name::InstanceName>> {
+        let mut eligible = zones.clone();
+        for names in eligible.values_mut() {
+            names.retain(|name| self.is_eligible(now, name, voters));
+        }
+        eligible.retain(|_, names| !names.is_empty());
+        eligible
+    }
+
     /// Whether an instance can be a voter. A voter stays one until it has been silent for long, or
     /// says that it is leaving; another instance must have answered a moment ago.
     fn is_eligible(&self, now: Timestamp, name: &name::InstanceName, voters: &Set) -> bool {
@@ -210,10 +247,9 @@
         if answer.is_some_and(|a| a.is_leaving) {
             return false;
         }
-        let (answered, max_age) = match voters.contains(name) {
-            true => (Some(answer.map_or(self.since, |a| a.at)), SILENCE_TIMEOUT),
-            false => (answer.map(|a| a.at), MAX_ANSWER_AGE),
-        };
-        answered.is_some_and(|at| now.since(at) < max_age)
+        match voters.contains(name) {
+            true => self.missed.get(name).is_none_or(|m| *m < MAX_MISSED),
+            false => answer.is_some_and(|a| now.since(a.at) < MAX_ANSWER_AGE),
+        }
     }
 }
