--- a/crates/cardamomhold_core/src/name.rs
+++ b/crates/cardamomhold_core/src/name.rs
@@ -136,6 +136,10 @@
     /// Name of a caller (tenant); fair shares are computed per caller.
     CallerName
 );
+name!(
+    /// Name of a workspace: the customer in whose name a caller connects.
+    WorkspaceName
+);
 name!(
     /// Name of a kind of read configured by the operators.
     KindName
--- a/crates/cardamomhold_entry/src/admission.rs
+++ b/crates/cardamomhold_entry/src/admission.rs
@@ -85,6 +85,8 @@
     pub rank: rank::Rank,
     /// The caller that sent it.
     pub caller: name::CallerName,
+    /// The workspace in whose name it runs; none in a deployment without workspaces.
+    pub workspace: Option<name::WorkspaceName>,
     /// Time until which an answer brings its full benefit.
     pub target: Timestamp,
     /// Time from which an answer is no longer useful.
--- a/crates/cardamomhold_entry/src/answer.rs
+++ b/crates/cardamomhold_entry/src/answer.rs
@@ -37,6 +37,8 @@
     Timeout,
     /// Not run: no such database.
     UnknownDatabase,
+    /// Not run: no workspace holds the caller's key.
+    Unauthorized,
     /// Not run: the message is too long.
     TooBig,
     /// Not run: the message can't be parsed.
@@ -61,6 +63,7 @@
             Self::UnknownStatement => "unknown_statement",
             Self::Timeout => "timeout",
             Self::UnknownDatabase => "unknown_database",
+            Self::Unauthorized => "unauthorized",
             Self::TooBig => "too_big",
             Self::Malformed => "malformed",
             Self::InDoubt => "in_doubt",
@@ -82,6 +85,7 @@
             | Self::UnknownStatement
             | Self::Timeout
             | Self::UnknownDatabase
+            | Self::Unauthorized
             | Self::TooBig
             | Self::Malformed
             | Self::InDoubt
--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -96,6 +96,7 @@
         rank: route.rank,
         requirement,
         caller: call.caller.clone(),
+        grant: call.grant.cloned(),
         avoid: Vec::new(),
         target: call.target,
         deadline: call.deadline,
--- a/crates/cardamomhold_entry/src/call.rs
+++ b/crates/cardamomhold_entry/src/call.rs
@@ -5,6 +5,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_workspace::access;
 
 use crate::link;
 use crate::session;
@@ -20,6 +21,8 @@
     pub id: &'a str,
     /// The caller.
     pub caller: &'a name::CallerName,
+    /// The right to run it in the name of a workspace; none in a deployment without workspaces.
+    pub grant: Option<&'a access::Grant>,
     /// Its text, or the prepared statement to execute.
     pub form: Form<'a>,
     /// Whether it may write.
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -280,6 +280,7 @@
         let call = call::Call {
             id: request.id,
             caller: &caller,
+            grant: None,
             form,
             access,
             may_commit: !is_open || is_commit,
--- a/crates/cardamomhold_entry/src/coordinator/failover.rs
+++ b/crates/cardamomhold_entry/src/coordinator/failover.rs
@@ -96,6 +96,7 @@
                 member: member.name.clone(),
                 address: member.address,
                 via: None,
+                workspace: None,
             });
         }
         handover::Job {
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -139,6 +139,7 @@
             member: member.clone(),
             address: entry.address,
             via: self.routes.owner(member).cloned(),
+            workspace: None,
         })
     }
 
@@ -215,6 +216,7 @@
         connection.link.set_priority(link::Priority {
             rank: request.rank,
             caller: request.caller,
+            grant: request.grant,
             target: request.target,
             deadline: request.deadline,
         });
--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -97,6 +97,7 @@
         let request = admission::Request {
             rank: relay::owner::to_rank(waiting.request.rank),
             caller: waiting.request.caller.clone(),
+            workspace: waiting.request.grant.as_ref().map(|g| g.workspace.clone()),
             target: waiting.request.target,
             deadline: waiting.request.deadline,
         };
@@ -258,6 +259,7 @@
                 member,
                 address: owner.address,
                 via: Some(owner.clone()),
+                workspace: None,
             };
             self.ping(owner, target, Ping::Check);
         }
@@ -321,6 +323,7 @@
             member: name.clone(),
             address: member.address,
             via: None,
+            workspace: None,
         },
     })
 }
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -10,6 +10,7 @@
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::candidate;
 use cardamomhold_pool::load;
+use cardamomhold_workspace::access;
 
 use crate::answer;
 use crate::statement;
@@ -86,6 +87,8 @@
     pub address: net::SocketAddr,
     /// The owner to connect through; none for a direct connection.
     pub via: Option<Owner>,
+    /// The workspace in whose name the connection is opened; none for the proxy's own.
+    pub workspace: Option<name::WorkspaceName>,
 }
 
 /// The owner of a member's connections.
@@ -151,6 +154,8 @@
     pub rank: u8,
     /// The caller.
     pub caller: name::CallerName,
+    /// The right to run them in the name of a workspace; none in a deployment without workspaces.
+    pub grant: Option<access::Grant>,
     /// Time until which an answer brings its full benefit.
     pub target: Timestamp,
     /// Time from which an answer is no longer useful.
--- a/crates/cardamomhold_entry/src/relay/client.rs
+++ b/crates/cardamomhold_entry/src/relay/client.rs
@@ -128,6 +128,7 @@
             group: self.group.clone(),
             member: self.member.clone(),
             caller: priority.caller.clone(),
+            grant: priority.grant.clone(),
             rank: priority.rank,
             target_us: priority.target.since(now).as_micros() as u64,
         })
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -6,6 +6,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::position;
+use cardamomhold_workspace::access;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
@@ -28,6 +29,9 @@
     pub member: name::MemberName,
     /// The caller.
     pub caller: name::CallerName,
+    /// The right to run the request in the name of a workspace; none in a deployment without
+    /// workspaces.
+    pub grant: Option<access::Grant>,
     /// Rank, 0 the most urgent.
     pub rank: u8,
     /// Time left until its target, in microseconds.
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -214,6 +214,7 @@
         let work = admission::Request {
             rank: to_rank(header.rank),
             caller: header.caller.clone(),
+            workspace: header.grant.as_ref().map(|g| g.workspace.clone()),
             target: now.after(time::Duration::from_micros(header.target_us)),
             deadline: now.after(remaining.saturating_sub(REFUSAL_RESERVE)),
         };
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -12,6 +12,7 @@
 use cardamomhold_lead::record;
 use cardamomhold_pool::sample;
 use cardamomhold_pool::wait_queue;
+use cardamomhold_workspace::directory;
 
 use crate::registry;
 
@@ -39,6 +40,8 @@
     pub target: time::Duration,
     /// Rank, 0 the most urgent.
     pub rank: u8,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -76,7 +79,7 @@
 }
 
 /// The operators' configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Catalog {
     /// Version, which increases with each configuration.
     pub version: u64,
@@ -84,6 +87,8 @@
     pub routes: collections::HashMap<String, sync::Arc<Route>>,
     /// The groups.
     pub groups: Vec<GroupSpec>,
+    /// The workspaces; none in a deployment without them.
+    pub workspaces: Option<sync::Arc<directory::Directory>>,
     /// Idle time after which an open transaction is rolled back.
     pub idle_timeout: Option<time::Duration>,
 }
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -28,6 +28,7 @@
         group: world::group_name(),
         member: world::member("a"),
         caller: world::caller(),
+        grant: None,
         rank: 0,
         target_us: 150_000,
     }
@@ -122,6 +123,7 @@
                 name: name::InstanceName::parse("owner").unwrap(),
                 address,
             }),
+            workspace: None,
         };
         let connector = relay::Connector(owner.members.clone());
         let (mut link, _) = connector.open(&target).await.unwrap();
@@ -129,6 +131,7 @@
         link.set_priority(link::Priority {
             rank: 200,
             caller: world::caller(),
+            grant: None,
             target: deadline,
             deadline,
         });
--- a/crates/cardamomhold_entry/tests/owner_queue.rs
+++ b/crates/cardamomhold_entry/tests/owner_queue.rs
@@ -35,6 +35,7 @@
             member: world::member("a"),
             address: ([127, 0, 0, 1], 1).into(),
             via: None,
+            workspace: None,
         },
     }
 }
@@ -53,6 +54,7 @@
     let request = admission::Request {
         rank,
         caller: name::CallerName::parse(&caller).unwrap(),
+        workspace: None,
         target: now.after(time::Duration::from_millis(timeout_ms / 4)),
         deadline: now.after(time::Duration::from_millis(timeout_ms)),
     };
--- a/crates/cardamomhold_entry/tests/relayed_statements.rs
+++ b/crates/cardamomhold_entry/tests/relayed_statements.rs
@@ -63,6 +63,7 @@
         member: world::member(member),
         address: ([127, 0, 0, 1], 1).into(),
         via: Some(owner_at(via)),
+        workspace: None,
     };
     let connector = relay::Connector(world.members.clone());
     let (mut link, _) = connector.open(&target).await.unwrap();
@@ -70,6 +71,7 @@
     link.set_priority(link::Priority {
         rank: 0,
         caller: world::caller(),
+        grant: None,
         target: deadline,
         deadline,
     });
@@ -195,6 +197,7 @@
             member: world::member("a"),
             address: ([127, 0, 0, 1], 1).into(),
             via: Some(owner_at(via)),
+            workspace: None,
         };
         assert_eq!(relay::ping_owner(via, &target).await, Some(true));
         let hung = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
@@ -294,6 +297,7 @@
         let call = call::Call {
             id: "q1",
             caller: &world::caller(),
+            grant: None,
             form: call::Form::Text("WRITE a 1"),
             access: statement::Access::Write,
             may_commit: true,
--- a/crates/cardamomhold_entry/tests/stale_grant.rs
+++ b/crates/cardamomhold_entry/tests/stale_grant.rs
@@ -19,6 +19,7 @@
         rank: 0,
         requirement: wait_queue::Requirement::Primary,
         caller: world::caller(),
+        grant: None,
         avoid: Vec::new(),
         target: deadline,
         deadline,
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -52,6 +52,7 @@
         rank: 0,
         requirement: wait_queue::Requirement::Primary,
         caller: caller(),
+        grant: None,
         avoid: Vec::new(),
         target: now.after(timeout / 4),
         deadline: now.after(timeout),
@@ -391,6 +392,7 @@
         timeout: time::Duration::from_millis(800),
         target: time::Duration::from_millis(150),
         rank: 0,
+        is_public: false,
     }
 }
 
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -19,6 +19,7 @@
 //!     rank: 0,
 //!     requirement: Requirement::Primary,
 //!     caller: CallerName::parse("kalkbok").unwrap(),
+//!     grant: None,
 //!     avoid: vec![],
 //!     target: Timestamp(5),
 //!     deadline: Timestamp(9),
--- a/crates/cardamomhold_pool/src/wait_queue.rs
+++ b/crates/cardamomhold_pool/src/wait_queue.rs
@@ -6,6 +6,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_workspace::access;
 
 /// The kind of member that a transaction or single statement requires.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,6 +33,8 @@
     pub requirement: Requirement,
     /// The caller that sent it.
     pub caller: name::CallerName,
+    /// The right to run in the name of a workspace; none in a deployment without workspaces.
+    pub grant: Option<access::Grant>,
     /// Replicas on which the request has just failed.
     pub avoid: Vec<name::MemberName>,
     /// Time until which an answer brings its full benefit.
--- a/crates/cardamomhold_pool/tests/relayed_requests.rs
+++ b/crates/cardamomhold_pool/tests/relayed_requests.rs
@@ -42,6 +42,7 @@
         rank: 1,
         requirement,
         caller: name::CallerName::parse("kalkbok").unwrap(),
+        grant: None,
         avoid: Vec::new(),
         target: Timestamp::from_millis(250),
         deadline: Timestamp::from_millis(10_000),
--- a/crates/cardamomhold_pool/tests/scarce_connections.rs
+++ b/crates/cardamomhold_pool/tests/scarce_connections.rs
@@ -31,6 +31,7 @@
         rank: 0,
         requirement: wait_queue::Requirement::Primary,
         caller: name::CallerName::parse("kalkbok").unwrap(),
+        grant: None,
         avoid: Vec::new(),
         target: deadline,
         deadline,
