--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -13,6 +13,7 @@
 use crate::call;
 use crate::checkout;
 use crate::clock;
+use crate::closing;
 use crate::front;
 use crate::link;
 use crate::report;
@@ -107,6 +108,17 @@
         }
     };
     task.roll_back_open().await;
+    let text = match reason {
+        CloseReason::Left | CloseReason::Broken => return reason,
+        CloseReason::Stopping => "stopping, connect again",
+        CloseReason::Isolated => "no lease here, connect again",
+    };
+    let crossed = closing::close(&mut reader, &mut task.writer, text).await;
+    if crossed > 0 {
+        log::info!(
+            "event=requests_crossed caller={caller} database={database} why={reason:?} refused={crossed}"
+        );
+    }
     reason
 }
 
--- /dev/null
+++ b/crates/cardamomhold_entry/src/closing.rs
@@ -0,0 +1,39 @@
+//! Ends a session between two requests without leaving a request unanswered.
+//!
+//! Load pattern: a rolling stop closes the sessions of busy callers, whose next request is already
+//! on its way. Such a request is refused in full, as not run, so that its caller repeats it
+//! elsewhere at once.
+
+use std::time;
+
+use crate::answer;
+use crate::clock;
+use crate::front;
+
+/// Time for a caller to receive the announcement and to close its side.
+const LINGER: time::Duration = time::Duration::from_millis(500);
+
+/// Announces the end of a session that has no open transaction, and refuses the requests that
+/// cross the announcement until the caller closes its side or a time limit passes. Returns how
+/// many requests were refused.
+pub async fn close<R: front::Reader, W: front::Writer>(
+    reader: &mut R,
+    writer: &mut W,
+    text: &str,
+) -> usize {
+    let refusal = answer::Answer::refused(answer::Code::Busy, text, answer::State::Idle);
+    let end = clock::instant(clock::now().after(LINGER));
+    let mut refused = 0;
+    while writer.announce_end(&refusal).await.is_ok() {
+        let incoming = tokio::time::timeout_at(end, reader.next()).await;
+        let (Ok(Ok(front::Incoming::Request(_))) | Ok(Ok(front::Incoming::Malformed))) = incoming
+        else {
+            break;
+        };
+        refused += 1;
+        if writer.complete_refusal(&refusal).await.is_err() {
+            break;
+        }
+    }
+    refused
+}
--- a/crates/cardamomhold_entry/src/front.rs
+++ b/crates/cardamomhold_entry/src/front.rs
@@ -32,4 +32,20 @@
     /// # Errors
     /// The connection broke.
     fn answer(&mut self, answer: &answer::Answer) -> impl Future<Output = io::Result<()>>;
+
+    /// Tells a caller between two requests that the session ends: sends the beginning of
+    /// `refusal`, which a request that is on its way takes as the beginning of its answer.
+    ///
+    /// # Errors
+    /// The connection broke.
+    fn announce_end(&mut self, refusal: &answer::Answer) -> impl Future<Output = io::Result<()>>;
+
+    /// Sends the rest of the refusal for a request that crossed its beginning.
+    ///
+    /// # Errors
+    /// The connection broke.
+    fn complete_refusal(
+        &mut self,
+        refusal: &answer::Answer,
+    ) -> impl Future<Output = io::Result<()>>;
 }
--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod caller;
 pub mod checkout;
 pub mod clock;
+pub mod closing;
 pub mod connect;
 pub mod control;
 pub mod control_reader;
