--- a/crates/cardamomhold_lead/src/record.rs
+++ b/crates/cardamomhold_lead/src/record.rs
@@ -21,7 +21,9 @@
     /// turn out to be the new primary.
     #[serde(default)]
     pub candidate: Option<name::MemberName>,
-    /// Newest term known to have started.
+    /// Newest term known to have begun: the primary's, or a later one that a member reported when
+    /// the candidate was chosen. The candidate's promotion begins a later one; whether those of
+    /// replaced candidates have begun terms is not known.
     pub term: position::Term,
 }
 
@@ -54,16 +56,14 @@
     }
 
     /// Returns the record with the member to promote; `reported` is the newest term that any
-    /// member has reported.
+    /// member has reported, the candidate among them. A promotion that was refused or lost has
+    /// begun no term, so that only reported ones count: whatever a replaced candidate may lead
+    /// unseen, the next promotion begins a term after it.
     pub fn with_candidate(&self, candidate: &name::MemberName, reported: position::Term) -> Self {
         Self {
             change: self.change + 1,
             candidate: Some(candidate.clone()),
-            term: match self.candidate {
-                // The promotion of the previous candidate may have started its own term.
-                Some(_) => self.term.next().max(reported),
-                None => self.term,
-            },
+            term: self.term.max(reported),
             ..self.clone()
         }
     }
