--- a/crates/cardamomhold_entry/src/control.rs
+++ b/crates/cardamomhold_entry/src/control.rs
@@ -4,7 +4,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_lead::promotion_lock;
-use cardamomhold_lead::record;
+use cardamomhold_lead::succession;
 use cardamomhold_lead::voters;
 
 use crate::store;
@@ -18,6 +18,9 @@
 /// Prefix of the names of the leaderships' objects.
 const GROUP_PREFIX: &str = "group.";
 
+/// Prefix of the names of the objects with which an operator orders a promotion.
+const ORDER_PREFIX: &str = "order.";
+
 /// The control objects with their revisions.
 #[derive(Debug, Clone, Default)]
 pub struct Control {
@@ -26,7 +29,9 @@
     /// The voters.
     pub voters: Option<(voters::Voters, u64)>,
     /// The leaderships.
-    pub records: collections::BTreeMap<name::GroupName, (record::Leadership, u64)>,
+    pub records: collections::BTreeMap<name::GroupName, (succession::Succession, u64)>,
+    /// Orders of an operator.
+    pub orders: collections::BTreeMap<name::GroupName, succession::Order>,
 }
 
 impl Control {
@@ -51,9 +56,12 @@
         } else if document.name == VOTERS_NAME {
             self.voters = Some((serde_json::from_value(content)?, document.revision));
         } else if document.name.starts_with(GROUP_PREFIX) {
-            let record: record::Leadership = serde_json::from_value(content)?;
-            let group = record.group.clone();
+            let record: succession::Succession = serde_json::from_value(content)?;
+            let group = record.leadership.group.clone();
             self.records.insert(group, (record, document.revision));
+        } else if document.name.starts_with(ORDER_PREFIX) {
+            let order: succession::Order = serde_json::from_value(content)?;
+            self.orders.insert(order.group.clone(), order);
         }
         Ok(())
     }
@@ -89,10 +97,10 @@
 /// [`store::StoreError`].
 pub async fn write_record<S: store::Store>(
     store: &S,
-    record: &record::Leadership,
+    record: &succession::Succession,
     condition: store::Condition,
 ) -> Result<store::WriteOutcome, store::StoreError> {
-    let name = format!("{GROUP_PREFIX}{}", record.group);
+    let name = format!("{GROUP_PREFIX}{}", record.leadership.group);
     write(store, &name, record, condition).await
 }
 
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -37,7 +37,7 @@
         control: &control::Control,
     ) {
         for (record, _) in control.records.values() {
-            self.update_record(record, "store");
+            self.update_record(&record.leadership, "store");
         }
         self.update_voters(control.voters.as_ref().map(|(v, _)| v));
         self.electorate
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -7,12 +7,11 @@
 use std::time;
 
 use cardamomhold_core::name;
-use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::acks;
 use cardamomhold_lead::candidate;
 use cardamomhold_lead::promotion_lock;
-use cardamomhold_lead::record;
+use cardamomhold_lead::succession;
 use cardamomhold_lead::suspicion;
 use cardamomhold_lead::voters;
 use tokio::sync::mpsc;
@@ -28,6 +27,7 @@
 mod create;
 pub mod error;
 mod lock;
+mod members;
 pub mod permit;
 mod promote;
 
@@ -86,9 +86,11 @@
     coordinator: &'a coordinator::Handle,
     lock: promotion_lock::PromotionLock,
     voters: voters::Voters,
-    record: record::Leadership,
+    record: succession::Succession,
     /// Revision of the record in the store.
     revision: u64,
+    /// An operator's order for the group.
+    order: Option<succession::Order>,
     /// When the last read of the control objects that showed the lock began.
     read_at: Timestamp,
 }
@@ -146,7 +148,7 @@
         let control = read_control(&adapters.store).await?;
         let entry = control.records.get(job.group.as_str());
         let (record, revision) = entry.cloned().ok_or(HandoverError::Superseded)?;
-        if record.change != job.change {
+        if record.leadership.change != job.change {
             // Another instance has already replaced it, without this one being informed.
             coordinator.send(coordinator::Event::ControlRead(read_at, control));
             return Err(HandoverError::Superseded);
@@ -154,6 +156,7 @@
         let voters = control.voters.as_ref().map(|(v, _)| v.clone());
         let voters = voters.ok_or(HandoverError::NoVoters)?;
         let lock = lock::acquire(adapters, job, &control).await?;
+        let order = control.orders.get(job.group.as_str()).cloned();
         let former = control.lock.map(|(l, _)| l.holder);
         coordinator.send(coordinator::Event::LockAcquired {
             lock: lock.clone(),
@@ -167,16 +170,17 @@
             voters,
             record,
             revision,
+            order,
             read_at,
         };
-        if run.record.primary.is_some() {
+        if run.record.leadership.primary.is_some() {
             run.write(run.record.ended()).await?;
         }
         Ok(run)
     }
 
     /// Writes the next record of the leadership to the store.
-    async fn write(&mut self, next: record::Leadership) -> Result<(), HandoverError> {
+    async fn write(&mut self, next: succession::Succession) -> Result<(), HandoverError> {
         let condition = store::Condition::Revision(self.revision);
         let written = with_timeout(control::write_record(
             &self.adapters.store,
@@ -199,10 +203,13 @@
         }
         log::info!(
             "event=leadership_written group={} change={} primary={} term={} cause={} token={}",
-            next.group,
-            next.change,
-            next.primary.as_ref().map_or("none", |p| p.as_str()),
-            next.term,
+            next.leadership.group,
+            next.leadership.change,
+            next.leadership
+                .primary
+                .as_ref()
+                .map_or("none", |p| p.as_str()),
+            next.leadership.term,
             self.job.cause.as_str(),
             self.lock.token
         );
@@ -220,28 +227,41 @@
         let former_position = match self.job.cause {
             suspicion::Cause::Leaving | suspicion::Cause::Gone => self.demote_and_read().await,
             suspicion::Cause::Unreachable | suspicion::Cause::Unfinished => {
-                self.demote_former(self.record.term.next());
+                self.demote_former(self.record.leadership.term.next());
                 None
             }
         };
         let mut tried = Vec::new();
+        let begun = clock::now();
+        let inherited = self.record.leadership.candidate.clone();
+        let mut waiting = None;
         loop {
             self.collect_acks(&mut awaited, &mut acks, POLL_INTERVAL)
                 .await;
-            let statuses = self.statuses().await;
-            let candidates = candidates(&statuses);
-            let chosen = self.record.candidate.as_ref();
-            if let Some(promoted) = candidate::promoted(&candidates, chosen, self.record.term) {
-                let member = promoted.name.clone();
-                return self.complete(&member, promoted.status.term).await;
-            }
-            let former = self.record.former.as_ref();
-            let Some(best) = candidate::choose(&candidates, former, &tried) else {
-                if tried.is_empty() {
-                    return Err(HandoverError::NoCandidate);
+            let waited = waiting.map_or(time::Duration::ZERO, |at| clock::now().since(at));
+            let statuses = self.statuses(waited).await;
+            let candidates = members::candidates(&statuses);
+            let progress = succession::Progress {
+                tried: &tried,
+                waited,
+                running: clock::now().since(begun),
+                inherited: inherited.as_ref(),
+                order: self.order.as_ref(),
+            };
+            let best = match self.record.step(&candidates, progress) {
+                succession::Step::Complete(promoted) => return self.complete(promoted).await,
+                succession::Step::Promote(best) => best,
+                succession::Step::GiveUp => return Err(self.give_up(&candidates)),
+                step => {
+                    if waiting.is_none() {
+                        waiting = Some(clock::now());
+                        self.demote_superseded(&candidates);
+                    }
+                    if matches!(step, succession::Step::Retry) {
+                        tried.clear();
+                    }
+                    continue;
                 }
-                tried.clear();
-                continue;
             };
             let is_caught_up = former_position.is_none_or(|(position, since)| {
                 best.status.received >= position || clock::now().since(since) > CATCH_UP_TIMEOUT
@@ -253,11 +273,13 @@
                 continue;
             };
             let member = best.name.clone();
-            if chosen != Some(&member) {
+            if !self.record.has_candidate(&member, self.order.as_ref()) {
                 let max_term = candidates.iter().map(|c| c.status.term).max();
                 let max_term = max_term.unwrap_or_default();
-                self.write(self.record.with_candidate(&member, max_term))
-                    .await?;
+                let next = self
+                    .record
+                    .with_candidate(best, max_term, self.order.as_ref());
+                self.write(next).await?;
             }
             if best.status.role == candidate::Role::Primary && !self.step_down(&member).await {
                 tried.push(member);
@@ -269,7 +291,22 @@
                 continue;
             }
             match self.promote(permit, &member).await? {
-                promote::Outcome::Promoted(term) => return self.complete(&member, term).await,
+                promote::Outcome::Promoted(status) if self.record.may_lead(&status) => {
+                    let promoted = candidate::Candidate {
+                        name: &member,
+                        status,
+                    };
+                    return self.complete(promoted).await;
+                }
+                promote::Outcome::Promoted(status) => {
+                    log::warn!(
+                        "event=promoted_ineligible group={} member={member} term={} received={}",
+                        self.job.group,
+                        status.term,
+                        status.received
+                    );
+                    tried.push(member);
+                }
                 promote::Outcome::Failed => tried.push(member),
                 promote::Outcome::Unsent => {}
             }
@@ -278,7 +315,7 @@
 
     fn announce(&self, acks: Option<mpsc::UnboundedSender<name::InstanceName>>) {
         self.coordinator.send(coordinator::Event::Announce {
-            record: self.record.clone(),
+            record: self.record.leadership.clone(),
             acks,
         });
     }
@@ -301,85 +338,17 @@
         }
     }
 
-    /// Demotes the former primary; returns its last position and when that was read.
-    async fn demote_and_read(&self) -> Option<(position::Position, Timestamp)> {
-        let former = self.record.former.as_ref()?;
-        let target = self.job.members.iter().find(|t| t.member == *former)?;
-        let status = admin::run(&self.adapters.connector, target, link::AdminCommand::Status)
-            .await
-            .ok()?;
-        let term = status.term.max(self.record.term).next();
-        let demoted = admin::run(
-            &self.adapters.connector,
-            target,
-            link::AdminCommand::Demote(term),
-        )
-        .await;
-        log::info!(
-            "event=demoted group={} member={former} term={term} received={} ok={}",
-            self.job.group,
-            status.received,
-            demoted.is_ok()
-        );
-        let last = demoted.map_or(status.received, |s| s.received);
-        Some((last, clock::now()))
-    }
-
-    async fn statuses(&self) -> Vec<(name::MemberName, candidate::Status)> {
-        let mut tasks = Vec::new();
-        for target in &self.job.members {
-            let is_former = self.record.former.as_ref() == Some(&target.member);
-            if is_former || self.job.leaving.contains(&target.member) {
-                continue;
-            }
-            let connector = self.adapters.connector.clone();
-            let target = target.clone();
-            tasks.push(tokio::task::spawn_local(async move {
-                let status = admin::run(&connector, &target, link::AdminCommand::Status).await;
-                status.ok().map(|s| (target.member, s))
-            }));
-        }
-        let mut statuses = Vec::new();
-        for task in tasks {
-            if let Ok(Some(status)) = task.await {
-                statuses.push(status);
-            }
-        }
-        statuses
-    }
-
     /// Writes and announces the new primary, and demotes the former one.
     async fn complete(
         &mut self,
-        member: &name::MemberName,
-        term: position::Term,
+        promoted: candidate::Candidate<'_>,
     ) -> Result<name::MemberName, HandoverError> {
-        if self.record.former.as_ref() != Some(member) {
-            self.demote_former(term);
+        let member = promoted.name.clone();
+        if self.record.leadership.former.as_ref() != Some(&member) {
+            self.demote_former(promoted.status.term);
         }
-        self.write(self.record.with_primary(member, term)).await?;
+        self.write(self.record.with_primary(promoted)).await?;
         self.announce(None);
-        Ok(member.clone())
-    }
-
-    /// Starts a task that demotes the former primary, as `term` has begun or is about to begin.
-    fn demote_former(&self, term: position::Term) {
-        let former = self.record.former.as_ref();
-        let target = self.job.members.iter().find(|t| Some(&t.member) == former);
-        if let Some(target) = target {
-            let connector = self.adapters.connector.clone();
-            tokio::task::spawn_local(admin::demote(connector, target.clone(), term));
-        }
-    }
-}
-
-fn candidates(statuses: &[(name::MemberName, candidate::Status)]) -> Vec<candidate::Candidate<'_>> {
-    let mut candidates = Vec::new();
-    for (name, status) in statuses {
-        candidates.push(candidate::Candidate {
-            name,
-            status: *status,
-        });
+        Ok(member)
     }
-    candidates
 }
--- a/crates/cardamomhold_entry/src/handover/create.rs
+++ b/crates/cardamomhold_entry/src/handover/create.rs
@@ -3,6 +3,7 @@
 use cardamomhold_core::name;
 use cardamomhold_lead::candidate;
 use cardamomhold_lead::record;
+use cardamomhold_lead::succession;
 
 use crate::control;
 use crate::handover::Adapters;
@@ -42,7 +43,8 @@
         }
     }
     let (member, status) = best.ok_or(HandoverError::NoCandidate)?;
-    let record = record::Leadership::first(&job.group, member, status.term);
+    let first = record::Leadership::first(&job.group, member, status.term);
+    let record = succession::Succession::first(first);
     with_timeout(control::write_record(
         &adapters.store,
         &record,
--- a/crates/cardamomhold_entry/src/handover/error.rs
+++ b/crates/cardamomhold_entry/src/handover/error.rs
@@ -15,6 +15,8 @@
     NoVoters,
     /// No member can take over now.
     NoCandidate,
+    /// The members that answer may hold commits that an earlier change of primary has abandoned.
+    Ineligible,
     /// The promotion was not confirmed.
     Unconfirmed,
     /// The handover or one of its steps took too long.
@@ -28,6 +30,7 @@
             Self::Superseded => f.write_str("superseded by another instance"),
             Self::NoVoters => f.write_str("no voters are stored yet"),
             Self::NoCandidate => f.write_str("no member can take over"),
+            Self::Ineligible => f.write_str("no member without abandoned commits answers"),
             Self::Unconfirmed => f.write_str("the promotion was not confirmed"),
             Self::TimedOut => f.write_str("timed out"),
         }
--- a/crates/cardamomhold_entry/src/handover/promote.rs
+++ b/crates/cardamomhold_entry/src/handover/promote.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use cardamomhold_core::name;
-use cardamomhold_core::position;
 use cardamomhold_lead::candidate;
 use cardamomhold_lead::promotion_lock;
 
@@ -27,8 +26,8 @@
 /// Result of an attempt to promote a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Outcome {
-    /// The member is the primary of this term.
-    Promoted(position::Term),
+    /// The member is the primary of the next term, with this status.
+    Promoted(candidate::Status),
     /// The promotion was refused or not confirmed in time.
     Failed,
     /// The right to promote ended before the call was sent.
@@ -79,8 +78,8 @@
             }
             Ok(()) | Err(promoter::PromoteError::Lost(_)) => {}
         }
-        let term = self.wait_for_promotion(member).await?;
-        Ok(term.map_or(Outcome::Failed, Outcome::Promoted))
+        let status = self.wait_for_promotion(member).await?;
+        Ok(status.map_or(Outcome::Failed, Outcome::Promoted))
     }
 
     /// Reads the control objects again, with the present voters: only those that are stored after the
@@ -104,7 +103,7 @@
     pub(super) async fn wait_for_promotion(
         &self,
         member: &name::MemberName,
-    ) -> Result<Option<position::Term>, HandoverError> {
+    ) -> Result<Option<candidate::Status>, HandoverError> {
         let target = self.job.members.iter().find(|t| t.member == *member);
         let target = target.ok_or(HandoverError::NoCandidate)?;
         let until = clock::now().after(PROMOTION_TIMEOUT);
@@ -113,9 +112,9 @@
                 admin::run(&self.adapters.connector, target, link::AdminCommand::Status).await;
             if let Ok(status) = status
                 && status.role == candidate::Role::Primary
-                && status.term > self.record.term
+                && status.term > self.record.leadership.term
             {
-                return Ok(Some(status.term));
+                return Ok(Some(status));
             }
             tokio::time::sleep(POLL_INTERVAL / 2).await;
         }
@@ -129,7 +128,7 @@
         let Some(target) = target else {
             return false;
         };
-        let term = self.record.term.next();
+        let term = self.record.leadership.term.next();
         let command = link::AdminCommand::Demote(term);
         let demoted = admin::run(&self.adapters.connector, target, command).await;
         log::info!(
--- a/crates/cardamomhold_entry/tests/stale_handover.rs
+++ b/crates/cardamomhold_entry/tests/stale_handover.rs
@@ -20,6 +20,7 @@
 use cardamomhold_entry::store;
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
+use cardamomhold_lead::succession;
 use cardamomhold_lead::suspicion;
 
 /// A store in memory that counts its writes.
@@ -102,6 +103,7 @@
         let finished = first
             .ended()
             .with_primary(&world::member("b"), position::Term(2));
+        let finished = succession::Succession::first(finished);
         let lock = promotion_lock::PromotionLock::acquired(None, &instance("entry-1"));
         let new = store::Condition::New;
         control::write_record(&store, &finished, new).await.unwrap();
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -16,10 +16,12 @@
 pub mod acks;
 pub mod candidate;
 pub mod failure_detector;
+pub mod history;
 pub mod lease;
 pub mod promotion_lock;
 pub mod record;
 pub mod renewal;
 pub mod round;
+pub mod succession;
 pub mod suspicion;
 pub mod voters;
