--- a/crates/cardamomhold_entry/src/session.rs
+++ b/crates/cardamomhold_entry/src/session.rs
@@ -88,7 +88,7 @@
         let prepared = Prepared {
             access,
             shape: shape.to_owned(),
-            shared_name: format!("{prefix}_{shape}"),
+            shared_name: shared_name(prefix, shape),
         };
         self.prepared.insert(name.to_owned(), prepared);
     }
@@ -129,6 +129,20 @@
     }
 }
 
+/// Name of a prepared statement at members, different for each access and shape. A member reads a
+/// name up to the next blank, so that blanks and control characters are escaped.
+fn shared_name(prefix: char, shape: &str) -> String {
+    let mut name = format!("{prefix}_");
+    for character in shape.chars() {
+        if character.is_whitespace() || character.is_control() || character == '%' {
+            name.push_str(&format!("%{:X};", u32::from(character)));
+            continue;
+        }
+        name.push(character);
+    }
+    name
+}
+
 impl Applied {
     /// Whether no session state has been applied.
     pub fn is_empty(&self) -> bool {
