--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -222,6 +222,7 @@
         let after = checkout.after;
         commands.push(link::Command::Begin { read_only, after });
     }
+    connection.link.set_deadline(call.target, call.deadline);
     let preparing = connection.link.prepare(&commands);
     let prepared = match awaited::answer(context, awaited, preparing).await {
         Ok(prepared) => prepared,
@@ -279,6 +280,8 @@
     let Some(connection) = &mut checkout.connection else {
         return;
     };
+    let deadline = clock::now().after(ROLLBACK_TIMEOUT);
+    connection.link.set_deadline(deadline, deadline);
     let rollback = connection.link.prepare(&[link::Command::Rollback]);
     let done = tokio::time::timeout(ROLLBACK_TIMEOUT, rollback).await;
     if !matches!(done, Ok(Ok(_))) {
@@ -322,6 +325,7 @@
             "the connection is closed",
         ));
     };
+    connection.link.set_deadline(call.target, call.deadline);
     let calling = connection.link.call(call.command(after));
     let result = awaited::answer(context, awaited, calling).await;
     let took = clock::now().since(sent);
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -21,10 +21,6 @@
 use crate::stop;
 use crate::view;
 
-/// Idle time after which an open transaction is rolled back, unless the operators configured
-/// another one.
-const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-
 /// Part of a statement's timeout that is reserved for returning the answer.
 const ANSWER_RESERVE: time::Duration = time::Duration::from_millis(10);
 
@@ -116,8 +112,7 @@
         reader: &'r mut R,
         phase: &mut tokio::sync::watch::Receiver<stop::Phase>,
     ) -> Event<'r> {
-        let idle_timeout = self.context.views.borrow().catalog.idle_timeout;
-        let idle_timeout = idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        let idle_timeout = self.context.views.borrow().catalog.idle_limit();
         let is_idle = self.session.transaction == session::Transaction::None;
         let stop_phase = if is_idle {
             stop::Phase::Draining
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -177,6 +177,10 @@
     /// queues them.
     fn set_priority(&mut self, _priority: Priority) {}
 
+    /// Sets target and deadline of the next statement, for a connection through an owner, which waits
+    /// no longer for the member's answer.
+    fn set_deadline(&mut self, _target: Timestamp, _deadline: Timestamp) {}
+
     /// Whether the other side has kept the idle connection open, as far as it is known here.
     fn is_open(&mut self) -> bool {
         true
--- a/crates/cardamomhold_entry/src/relay.rs
+++ b/crates/cardamomhold_entry/src/relay.rs
@@ -10,6 +10,7 @@
 use std::time;
 
 use cardamomhold_core::position;
+use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::candidate;
 
 use crate::answer;
@@ -80,6 +81,13 @@
         }
     }
 
+    fn set_deadline(&mut self, target: Timestamp, deadline: Timestamp) {
+        match self {
+            Self::Direct(_) => {}
+            Self::Relayed(client) => client.set_deadline(target, deadline),
+        }
+    }
+
     fn is_open(&mut self) -> bool {
         match self {
             Self::Direct(link) => link.is_open(),
--- a/crates/cardamomhold_entry/src/relay/client.rs
+++ b/crates/cardamomhold_entry/src/relay/client.rs
@@ -43,6 +43,14 @@
         self.report = None;
     }
 
+    /// Sets target and deadline of the next statement.
+    pub fn set_deadline(&mut self, target: Timestamp, deadline: Timestamp) {
+        if let Some(priority) = &mut self.priority {
+            priority.target = target;
+            priority.deadline = deadline;
+        }
+    }
+
     /// Whether the owner has kept the idle connection open.
     pub fn is_open(&self) -> bool {
         self.frames.is_idle()
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -20,6 +20,7 @@
 use crate::relay::frame;
 use crate::session;
 use crate::stop;
+use crate::view;
 
 /// How long a member's answer is awaited beyond the deadline of the request.
 const ANSWER_GRACE: time::Duration = time::Duration::from_millis(50);
@@ -33,9 +34,15 @@
 /// Timeout of the rollback for a client that has gone.
 const ROLLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// How long an idle transaction is kept beyond its limit, for its end to arrive from the instance
+/// that keeps to the limit.
+const IDLE_GRACE: time::Duration = time::Duration::from_millis(1_000);
+
 /// Dependencies of the tasks.
 #[derive(Debug)]
 pub struct Context<L> {
+    /// The published view.
+    pub views: watch::Receiver<view::View>,
     /// The group tasks.
     pub groups: watch::Receiver<groups::Groups<L>>,
     /// Phase of the instance's shutdown.
@@ -45,6 +52,7 @@
 impl<L> Clone for Context<L> {
     fn clone(&self) -> Self {
         Self {
+            views: self.views.clone(),
             groups: self.groups.clone(),
             phase: self.phase.clone(),
         }
@@ -80,7 +88,7 @@
     };
     let mut frames = frame::Frames::new(stream);
     let error = loop {
-        let request = match frames.next().await {
+        let request = match server.next(&mut frames).await {
             Ok(request) => request,
             Err(error) => break error,
         };
@@ -122,6 +130,25 @@
 }
 
 impl<L: link::Link> Server<L> {
+    /// Receives the next request. The client of an open transaction has as long as its caller may
+    /// stay idle: one that lost power or went silent would keep the connection for good.
+    async fn next(&self, frames: &mut frame::Frames) -> Result<bytes::BytesMut, frame::FrameError> {
+        let Some(work) = &self.work else {
+            return frames.next().await;
+        };
+        let limit = self.context.views.borrow().catalog.idle_limit() + IDLE_GRACE;
+        let received = tokio::time::timeout(limit, frames.next()).await;
+        received.unwrap_or_else(|elapsed| {
+            log::warn!(
+                "event=relay_silent group={} member={} limit_ms={}",
+                work.header.group,
+                work.header.member,
+                limit.as_millis()
+            );
+            Err(frame::FrameError::Io(elapsed.into()))
+        })
+    }
+
     async fn handle(&mut self, request: &frame::Request<'_>) -> frame::Reply {
         self.last_report.waited_us = 0;
         let result = self.run(request).await;
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -16,6 +16,10 @@
 
 use crate::registry;
 
+/// Idle time after which an open transaction is rolled back, unless the operators configured
+/// another one.
+const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
 /// Consistency of a route's reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Consistency {
@@ -93,6 +97,13 @@
     pub idle_timeout: Option<time::Duration>,
 }
 
+impl Catalog {
+    /// Idle time after which an open transaction is rolled back, also if none is configured.
+    pub fn idle_limit(&self) -> time::Duration {
+        self.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT)
+    }
+}
+
 /// Whether a member accepts statements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemberState {
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -95,6 +95,8 @@
     pub closed: collections::BTreeSet<u64>,
     /// Delay before a member accepts a connection.
     pub accept_delay: time::Duration,
+    /// Delay before a member answers a statement.
+    pub answer_delay: time::Duration,
     connections: u64,
 }
 
@@ -228,6 +230,10 @@
     ) -> Result<answer::Answer, link::LinkError> {
         let answer = self.respond(&command);
         self.wait_if_silent().await;
+        let answer_delay = self.script.borrow().answer_delay;
+        if !answer_delay.is_zero() {
+            tokio::time::sleep(answer_delay).await;
+        }
         Ok(answer)
     }
 
