--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -202,13 +202,12 @@
             }
         }
         log::info!(
-            "event=leadership_written group={} change={} primary={} term={} cause={} token={}",
+            "event=leadership_written group={} change={} primary={} candidate={} term={} cause={} \
+             token={}",
             next.leadership.group,
             next.leadership.change,
-            next.leadership
-                .primary
-                .as_ref()
-                .map_or("none", |p| p.as_str()),
+            member_text(next.leadership.primary.as_ref()),
+            member_text(next.leadership.candidate.as_ref()),
             next.leadership.term,
             self.job.cause.as_str(),
             self.lock.token
@@ -242,6 +241,7 @@
             let statuses = self.statuses(waited).await;
             let candidates = members::candidates(&statuses);
             let progress = succession::Progress {
+                members: self.job.members.len(),
                 tried: &tried,
                 waited,
                 running: clock::now().since(begun),
@@ -352,3 +352,7 @@
         Ok(member)
     }
 }
+
+fn member_text(member: Option<&name::MemberName>) -> &str {
+    member.map_or("none", |m| m.as_str())
+}
--- /dev/null
+++ b/crates/cardamomhold_entry/tests/stored_history.rs
@@ -0,0 +1,119 @@
+//! Leaderships in the store, with and without the history of their terms.
+
+// `allow-unwrap-in-tests` of clippy.toml doesn't cover helper functions.
+#![allow(clippy::unwrap_used)]
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::position;
+use cardamomhold_entry::control;
+use cardamomhold_entry::store;
+use cardamomhold_lead::candidate;
+use cardamomhold_lead::record;
+use cardamomhold_lead::succession;
+use serde_json::Value;
+use serde_json::json;
+
+fn member(text: &str) -> name::MemberName {
+    name::MemberName::parse(text).unwrap()
+}
+
+fn status(member_term: u64, term: u64, number: u64) -> candidate::Status {
+    candidate::Status {
+        role: candidate::Role::Replica,
+        term: position::Term(member_term),
+        received: position::Position::new(position::Term(term), position::LogPosition(number)),
+    }
+}
+
+/// Reads a group's record from the store.
+fn read(content: Value) -> succession::Succession {
+    let document = store::Document {
+        name: "group.grp".to_owned(),
+        revision: 7,
+        content,
+    };
+    let control = control::Control::read(&store::Listing {
+        documents: vec![document],
+        revision: 7,
+    });
+    let (record, _) = control.records.get("grp").unwrap();
+    record.clone()
+}
+
+/// A record of the former format.
+fn former_record(primary: Option<&str>, candidate: Option<&str>, term: u64) -> Value {
+    json!({
+        "group": "grp", "change": 9, "primary": primary, "former": "m-a",
+        "candidate": candidate, "term": term,
+    })
+}
+
+/// The member that is promoted next of two replicas with these statuses.
+fn promoted(
+    record: &succession::Succession,
+    statuses: [candidate::Status; 2],
+) -> Option<name::MemberName> {
+    let names = [member("m-b"), member("m-c")];
+    let candidates = [0, 1].map(|i| candidate::Candidate {
+        name: &names[i],
+        status: statuses[i],
+    });
+    let progress = succession::Progress {
+        members: 3,
+        tried: &[],
+        waited: time::Duration::ZERO,
+        running: time::Duration::from_secs(10),
+        inherited: None,
+        order: None,
+    };
+    match record.step(&candidates, progress) {
+        succession::Step::Promote(best) => Some(best.name.clone()),
+        _ => None,
+    }
+}
+
+/// A record of the former format says nothing about older terms: a longer log of one isn't trusted.
+#[test]
+fn missing_history_trusts_term() {
+    let record = read(former_record(None, None, 4));
+    let (old, new) = (status(3, 3, 90), status(4, 4, 70));
+    assert_eq!(promoted(&record, [old, new]), Some(member("m-c")));
+    assert_eq!(promoted(&record, [old, old]), None);
+}
+
+/// The former version raised the term of an unfinished handover: nobody may have reached it.
+#[test]
+fn raised_term_is_no_measure() {
+    let record = read(former_record(None, Some("m-b"), 18));
+    let (old, new) = (status(3, 3, 90), status(4, 4, 70));
+    assert_eq!(promoted(&record, [old, new]), Some(member("m-c")));
+}
+
+/// What is written can be read by both versions, and the history is the same after it.
+#[test]
+fn both_versions_read() {
+    let leadership = read(former_record(Some("m-a"), None, 4)).leadership;
+    let chosen = candidate::Candidate {
+        name: &member("m-b"),
+        status: status(4, 4, 70),
+    };
+    let first = succession::Succession::first(leadership).ended();
+    let next = first.with_candidate(chosen, position::Term(4), None);
+    let led = next.with_primary(candidate::Candidate {
+        status: status(5, 4, 70),
+        ..chosen
+    });
+    for record in [next, led.clone(), led.ended()] {
+        let content = serde_json::to_value(&record).unwrap();
+        let former: record::Leadership = serde_json::from_value(content.clone()).unwrap();
+        assert_eq!(former, record.leadership);
+        assert_eq!(read(content), record);
+    }
+    // The beginning of term 5 at 70 tells abandoned commits from others.
+    let (ahead, behind) = (status(4, 4, 71), status(4, 4, 69));
+    let ended = led.ended();
+    assert_eq!(promoted(&ended, [ahead, behind]), Some(member("m-c")));
+    assert_eq!(promoted(&ended, [ahead, ahead]), None);
+}
--- a/crates/cardamomhold_lead/src/succession.rs
+++ b/crates/cardamomhold_lead/src/succession.rs
@@ -10,7 +10,9 @@
 use crate::history;
 use crate::record;
 
-/// Time without a member to promote after which the former primary may be promoted again.
+/// Time without a member to promote after which the former primary may be promoted again, if most
+/// of the members answer. An instance that is cut off together with the former primary would go on
+/// promoting it, while others could promote a replica.
 pub const FORMER_DELAY: time::Duration = time::Duration::from_millis(500);
 
 /// Time without a member to promote after which a handover ends. The next one reads the members
@@ -45,6 +47,8 @@
 /// What a handover has tried so far.
 #[derive(Debug, Clone, Copy)]
 pub struct Progress<'a> {
+    /// Number of the group's members, whether or not they answer.
+    pub members: usize,
     /// Members that could not be promoted.
     pub tried: &'a [name::MemberName],
     /// Time since no member could be promoted.
@@ -146,8 +150,13 @@
         }
         let eligible = self.eligible(candidates);
         let former = leadership.former.as_ref();
-        let former = former.filter(|_| progress.waited < FORMER_DELAY);
-        if let Some(best) = candidate::choose(&eligible, former, progress.tried) {
+        let has_majority = candidates.len() * 2 > progress.members;
+        let may_return = has_majority && progress.waited >= FORMER_DELAY;
+        let best = candidate::choose(&eligible, former, progress.tried).or_else(|| {
+            let returned = may_return.then_some(&eligible)?;
+            candidate::choose(returned, None, progress.tried)
+        });
+        if let Some(best) = best {
             // Another instance may have sent a call for this candidate a moment ago. If that took
             // effect after the next one's, the member that is promoted now would be replaced.
             let is_replaced = chosen.is_some_and(|c| c != best.name);
--- a/crates/cardamomhold_lead/tests/succession/mod.rs
+++ b/crates/cardamomhold_lead/tests/succession/mod.rs
@@ -162,6 +162,7 @@
             })
             .collect();
         let progress = succession::Progress {
+            members: self.members.len(),
             tried: &handover.tried,
             waited,
             running,
