--- a/crates/cardamomhold_entry/tests/stored_history.rs
+++ b/crates/cardamomhold_entry/tests/stored_history.rs
@@ -117,3 +117,24 @@
     assert_eq!(promoted(&ended, [ahead, behind]), Some(member("m-c")));
     assert_eq!(promoted(&ended, [ahead, ahead]), None);
 }
+
+/// The fleet's reader reads the records of all groups again and again.
+#[test]
+fn record_stays_small() {
+    let mut record = succession::Succession::first(read(former_record(None, None, 1)).leadership);
+    for number in 1..40 {
+        let name = member(["m-b", "m-c"][number as usize % 2]);
+        let chosen = candidate::Candidate {
+            name: &name,
+            status: status(number, number, number * 1_000_000_000),
+        };
+        let candidate = record.with_candidate(chosen, position::Term(number), None);
+        record = candidate.with_primary(candidate::Candidate {
+            status: status(number + 1, number, number * 1_000_000_000),
+            ..chosen
+        });
+        let len = serde_json::to_string(&record).unwrap().len();
+        assert!(len < 400, "{len} bytes after {number} changes");
+        record = record.ended();
+    }
+}
--- a/crates/cardamomhold_lead/src/history.rs
+++ b/crates/cardamomhold_lead/src/history.rs
@@ -8,12 +8,16 @@
 
 use crate::candidate;
 
-/// Number of beginnings that are kept. A member that has followed none of that many primaries is
-/// not judged any more.
-pub const MAX_BEGINNINGS: usize = 16;
+/// Number of beginnings that are kept, as the records of all groups are read four times a second. A
+/// member that has followed none of that many primaries isn't judged any more.
+pub const MAX_BEGINNINGS: usize = 8;
 
-/// The beginning of a term.
+/// The beginning of a term; stored as a pair.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(
+    from = "(position::Term, position::LogPosition)",
+    into = "(position::Term, position::LogPosition)"
+)]
 pub struct Beginning {
     /// The term.
     pub term: position::Term,
@@ -21,6 +25,18 @@
     pub start: position::LogPosition,
 }
 
+impl From<(position::Term, position::LogPosition)> for Beginning {
+    fn from((term, start): (position::Term, position::LogPosition)) -> Self {
+        Self { term, start }
+    }
+}
+
+impl From<Beginning> for (position::Term, position::LogPosition) {
+    fn from(beginning: Beginning) -> Self {
+        (beginning.term, beginning.start)
+    }
+}
+
 /// The present candidate, whose promotion may have begun a term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 struct Call {
@@ -38,11 +54,11 @@
     since: position::Term,
     /// The beginnings, the oldest first.
     beginnings: Vec<Beginning>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     call: Option<Call>,
     /// Lowest term of the logs of candidates that were replaced; their promotions may have begun
     /// terms that are not among the beginnings.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     doubt: Option<position::Term>,
 }
 
