--- a/crates/cardamomhold_queue/src/fair_queue.rs
+++ b/crates/cardamomhold_queue/src/fair_queue.rs
@@ -85,10 +85,17 @@
         seq
     }
 
-    /// Removes and returns the next job: the oldest one of the caller with the lowest tag.
-    /// Charges `cost_us` of service to the caller.
-    pub fn pop(&mut self, cost_us: u64) -> Option<job::Job> {
-        let (tag, _, caller) = self.ready.first()?.clone();
+    /// The oldest jobs of all callers, in the order in which the callers are served.
+    pub fn heads(&self) -> impl Iterator<Item = &job::Job> {
+        let queues = self.ready.iter().filter_map(|(.., c)| self.queues.get(c));
+        queues.filter_map(|q| q.jobs.first_key_value().map(|(_, job)| job))
+    }
+
+    /// Removes and returns the next job: the oldest one of the caller with the lowest tag, among
+    /// the callers whose oldest job `may_start`. Charges `cost_us` of service to the caller.
+    pub fn pop(&mut self, cost_us: u64, may_start: &dyn Fn(&job::Job) -> bool) -> Option<job::Job> {
+        let caller = self.heads().find(|job| may_start(job))?.caller.clone();
+        let tag = self.queues.get(&caller)?.tag;
         self.virtual_time = self.virtual_time.max(tag);
         self.remove_from_indexes(&caller);
         let queue = self.queues.get_mut(&caller)?;
--- a/crates/cardamomhold_queue/src/queue.rs
+++ b/crates/cardamomhold_queue/src/queue.rs
@@ -24,6 +24,7 @@
 
 mod forecast;
 mod late;
+mod start;
 
 /// Limits of one rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -208,45 +209,6 @@
         }
     }
 
-    /// Decides which jobs start now and which are refused.
-    pub fn poll(&mut self, now: Timestamp) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        for (id, rank) in std::mem::take(&mut self.evicted) {
-            let refused = self.refused(now, rank, outcome::Refusal::QueueFull);
-            decisions.push(Decision::Refuse(id, refused));
-        }
-        self.refuse_expired(now, &mut decisions);
-        self.set_late_aside(now, &mut decisions);
-        loop {
-            let admission = self.breaker.admission(now);
-            if !self.can_start(admission) {
-                break;
-            }
-            let Some((job, is_late)) = self.pop_next(now) else {
-                break;
-            };
-            let id = job.id;
-            self.start(now, job, is_late, admission == breaker::Admission::Probe);
-            decisions.push(Decision::Start(id));
-        }
-        if self.breaker.admission(now) == breaker::Admission::None {
-            self.refuse_all(now, &mut decisions);
-        }
-        decisions
-    }
-
-    /// Whether another job may start: the limit is not reached and a connection is free. The
-    /// limit doesn't apply to a probe, since hanging jobs may have reached it.
-    fn can_start(&self, admission: breaker::Admission) -> bool {
-        let started = self.running.len() + self.paused.len();
-        let is_below_limit = match admission {
-            breaker::Admission::All => self.running.len() < self.limit.get(),
-            breaker::Admission::Probe => true,
-            breaker::Admission::None => false,
-        };
-        is_below_limit && started < self.limits.max_started
-    }
-
     fn refuse_expired(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
         while let Some((deadline, id)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -286,41 +248,6 @@
         [0, 1, 2].map(|index| !self.ranks[index].is_empty())
     }
 
-    /// Removes and returns the next job, and whether it is late.
-    fn pop_next(&mut self, now: Timestamp) -> Option<(job::Job, bool)> {
-        let on_time = [0, 1, 2].map(|index| !self.ranks[index].on_time.jobs.is_empty());
-        let late = [0, 1, 2].map(|index| !self.ranks[index].late.jobs.is_empty());
-        let pick = self.shares.pick(on_time, late, self.costs())?;
-        let job = self.ranks[pick.rank.index()].pop(now, pick.is_late)?;
-        self.waiting.remove(&job.id);
-        self.deadlines.remove(&(job.deadline, job.id));
-        Some((job, pick.is_late))
-    }
-
-    fn start(&mut self, now: Timestamp, job: job::Job, is_late: bool, is_probe: bool) {
-        let charged_us = self.ranks[job.rank.index()].service_us();
-        self.shares
-            .charge(job.rank, charged_us as i64, self.has_waiting());
-        if is_probe {
-            self.breaker.start_probe(now);
-            self.pause_all(now);
-        }
-        let at_limit = self.running.len() + 1 >= self.limit.get();
-        self.running.insert(
-            job.id,
-            Started {
-                rank: job.rank,
-                caller: job.caller,
-                since: now,
-                busy: time::Duration::ZERO,
-                charged_us,
-                is_probe,
-                is_late,
-                at_limit,
-            },
-        );
-    }
-
     /// Records that a started job has ended; ignores a job that isn't started.
     pub fn finish(&mut self, now: Timestamp, id: job::JobId, completion: job::Completion) {
         let Some(run) = self.take_started(now, id) else {
@@ -346,16 +273,6 @@
         }
     }
 
-    /// Pauses all running jobs before a probe. Jobs without an answer keep their connections
-    /// but don't count towards the limit, so that other jobs start as soon as the probe is
-    /// answered.
-    fn pause_all(&mut self, now: Timestamp) {
-        for (id, mut run) in self.running.drain() {
-            run.busy += now.since(run.since);
-            self.paused.insert(id, run);
-        }
-    }
-
     /// Removes and returns a started job.
     fn take_started(&mut self, now: Timestamp, id: job::JobId) -> Option<Started> {
         if let Some(mut run) = self.running.remove(&id) {
--- a/crates/cardamomhold_queue/src/rank_queue.rs
+++ b/crates/cardamomhold_queue/src/rank_queue.rs
@@ -60,9 +60,10 @@
         job
     }
 
-    /// Removes and returns the next job, and charges its expected service to its caller.
-    fn pop(&mut self, now: Timestamp) -> Option<job::Job> {
-        let job = self.jobs.pop(self.estimate.service_us())?;
+    /// Removes and returns the next job that `may_start`, and charges its expected service to its
+    /// caller.
+    fn pop(&mut self, now: Timestamp, may_start: &dyn Fn(&job::Job) -> bool) -> Option<job::Job> {
+        let job = self.jobs.pop(self.estimate.service_us(), may_start)?;
         self.estimate.record_start(now, !self.jobs.is_empty());
         Some(job)
     }
@@ -117,12 +118,17 @@
         Some(job)
     }
 
-    /// Removes and returns the next job of those on time or of the late ones.
-    pub(crate) fn pop(&mut self, now: Timestamp, is_late: bool) -> Option<job::Job> {
+    /// Removes and returns the next job that `may_start` of those on time or of the late ones.
+    pub(crate) fn pop(
+        &mut self,
+        now: Timestamp,
+        is_late: bool,
+        may_start: &dyn Fn(&job::Job) -> bool,
+    ) -> Option<job::Job> {
         if is_late {
-            return self.late.pop(now);
+            return self.late.pop(now, may_start);
         }
-        let job = self.on_time.pop(now)?;
+        let job = self.on_time.pop(now, may_start)?;
         self.targets.remove(&(job.target, job.id));
         Some(job)
     }
