--- a/crates/cardamomhold_entry/src/admission.rs
+++ b/crates/cardamomhold_entry/src/admission.rs
@@ -6,6 +6,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_pool::connections;
 use cardamomhold_pool::load;
 use cardamomhold_queue::breaker;
 use cardamomhold_queue::job;
@@ -19,7 +20,6 @@
 use crate::link;
 use crate::metrics;
 
-mod connections;
 mod task;
 
 pub use task::start;
@@ -126,7 +126,12 @@
         connection: Option<checkout::Connection<L>>,
     },
     /// An attempt to open a connection finished.
-    Opened(Result<L, link::LinkError>),
+    Opened {
+        /// The workspace that it is for.
+        key: connections::Key,
+        /// The connection, or why there is none.
+        result: Result<L, link::LinkError>,
+    },
     /// The limits or the address changed.
     Configure(Bounds),
     /// Checks whether a member that failed can be reached again.
--- a/crates/cardamomhold_entry/src/admission/task.rs
+++ b/crates/cardamomhold_entry/src/admission/task.rs
@@ -6,6 +6,7 @@
 use cardamomhold_core::outcome;
 use cardamomhold_core::rank;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_pool::connections;
 use cardamomhold_pool::load;
 use cardamomhold_queue::job;
 use cardamomhold_queue::queue;
@@ -17,21 +18,23 @@
 use crate::admission::Admitted;
 use crate::admission::Context;
 use crate::admission::Handle;
-use crate::admission::Job;
 use crate::admission::Message;
 use crate::admission::Refusal;
 use crate::admission::Request;
 use crate::admission::Status;
-use crate::admission::connections;
 use crate::checkout;
 use crate::clock;
 use crate::link;
 
+mod serve;
+
 /// Timeout of opening a connection.
 const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 struct Waiting<L> {
     since: Timestamp,
+    /// The workspace whose connections it may use.
+    key: connections::Key,
     deadline: Timestamp,
     reply: oneshot::Sender<Result<Admitted<L>, Refusal>>,
 }
@@ -41,8 +44,13 @@
     queue: queue::Queue,
     connections: connections::Connections<checkout::Connection<C::Link>>,
     waiting: collections::HashMap<job::JobId, Waiting<C::Link>>,
-    /// Started jobs that wait for a connection, the oldest first.
+    /// Started jobs that wait for a connection, the oldest first: those without a workspace. Others
+    /// start only when there is a connection for them, which the member may have closed.
     starting: collections::VecDeque<job::JobId>,
+    /// Workspaces of the jobs that run on a connection.
+    running: collections::HashMap<job::JobId, connections::Key>,
+    /// Whether waiting jobs need a connection.
+    is_short: bool,
     next_id: u64,
     /// When the member last answered a statement or began to run one after a pause.
     last_answer: Timestamp,
@@ -67,6 +75,8 @@
         context,
         waiting: collections::HashMap::new(),
         starting: collections::VecDeque::new(),
+        running: collections::HashMap::new(),
+        is_short: false,
         next_id: 0,
         last_answer: Timestamp(0),
         is_failing: false,
@@ -106,7 +116,7 @@
         let starting = self.starting.iter().filter_map(|id| self.waiting.get(id));
         let times = [
             self.queue.next_wakeup(),
-            self.connections.next_wakeup(now, !self.starting.is_empty()),
+            self.connections.next_wakeup(now, self.is_short),
             starting.map(|w| w.deadline).min(),
         ];
         times.into_iter().flatten().min()
@@ -135,18 +145,24 @@
                     job::Completion::Unused => {}
                 }
                 self.queue.finish(now, id, completion);
+                let key = self.running.remove(&id).unwrap_or_default();
                 match connection {
-                    Some(connection) => self.connections.put_back(now, connection),
-                    None => self.connections.record_closed(),
+                    Some(connection) => self.connections.put_back(now, &key, connection),
+                    None => self.connections.record_closed(&key),
                 }
             }
-            Message::Opened(Ok(link)) => {
+            Message::Opened {
+                key,
+                result: Ok(link),
+            } => {
                 self.record_answer(now);
-                self.connections.record_opened();
-                self.connections
-                    .put_back(now, checkout::Connection::new(link, None));
+                let connection = checkout::Connection::new(link, None);
+                self.connections.record_opened(now, &key, connection);
             }
-            Message::Opened(Err(error)) => self.handle_failed_open(now, &error),
+            Message::Opened {
+                key,
+                result: Err(error),
+            } => self.handle_failed_open(now, &key, &error),
             Message::Check => self.check(now),
             Message::Configure(bounds) => {
                 self.queue.set_limits(bounds.limits());
@@ -165,6 +181,7 @@
         self.next_id += 1;
         let id = job::JobId(self.next_id);
         let deadline = request.deadline;
+        let key = request.workspace;
         let job = job::Job {
             id,
             rank: request.rank,
@@ -177,6 +194,7 @@
             Ok(()) => {
                 let waiting = Waiting {
                     since: now,
+                    key,
                     deadline,
                     reply,
                 };
@@ -189,13 +207,18 @@
         }
     }
 
-    fn handle_failed_open(&mut self, now: Timestamp, error: &link::LinkError) {
+    fn handle_failed_open(
+        &mut self,
+        now: Timestamp,
+        key: &connections::Key,
+        error: &link::LinkError,
+    ) {
         log::info!(
             "event=open_failed group={} member={} error=\"{error}\"",
             self.context.bounds.target.group,
             self.context.bounds.target.member
         );
-        self.connections.record_failed(now);
+        self.connections.record_failed(now, key, error.is_full());
         if error.is_full() && !self.connections.is_hopeless() {
             return;
         }
@@ -204,6 +227,7 @@
             self.queue.finish(now, id, job::Completion::Failed);
             self.refuse(id, Refusal::Unreachable);
         }
+        self.fail_short(now);
     }
 
     fn refuse(&mut self, id: job::JobId, refusal: Refusal) {
@@ -213,36 +237,6 @@
         }
     }
 
-    /// Starts and refuses work.
-    fn decide(&mut self) {
-        let now = clock::now();
-        for decision in self.queue.poll(now) {
-            match decision {
-                queue::Decision::Start(id) => {
-                    self.record_start(now);
-                    self.starting.push_back(id);
-                }
-                queue::Decision::Refuse(id, refused) => self.refuse(id, convert(refused)),
-            }
-        }
-        self.refuse_expired(now);
-        self.connections.close_expired(now);
-        while let Some(id) = self.starting.front().copied() {
-            let Some(connection) = self.take_idle() else {
-                break;
-            };
-            self.starting.pop_front();
-            self.start_job(now, id, connection);
-        }
-        let needed = self.starting.len();
-        while self.connections.may_open(now, needed) {
-            let Some(handle) = self.handle_to_self() else {
-                return;
-            };
-            self.open(handle);
-        }
-    }
-
     fn record_answer(&mut self, now: Timestamp) {
         self.last_answer = now;
         self.is_failing = false;
@@ -250,12 +244,11 @@
 
     /// Opens a connection to a member that has failed, to see whether it is back.
     fn check(&mut self, now: Timestamp) {
-        let handle = self.handle_to_self();
+        let handle = self.handle_to_self().filter(|_| self.is_failing);
         if let Some(handle) = handle
-            && self.is_failing
-            && self.connections.may_open(now, 1)
+            && let Some(key) = self.connections.start_check(now)
         {
-            self.open(handle);
+            self.open(handle, key);
         }
     }
 
@@ -266,76 +259,6 @@
         }
     }
 
-    /// Refuses started work whose deadline has passed while it waited for a connection.
-    fn refuse_expired(&mut self, now: Timestamp) {
-        let waiting = &self.waiting;
-        let is_expired = |id: &job::JobId| waiting.get(id).is_none_or(|w| w.deadline <= now);
-        let mut expired = Vec::new();
-        self.starting.retain(|id| {
-            let is_expired = is_expired(id);
-            if is_expired {
-                expired.push(*id);
-            }
-            !is_expired
-        });
-        for id in expired {
-            self.queue.finish(now, id, job::Completion::Unused);
-            self.refuse(id, Refusal::Overloaded(OPEN_TIMEOUT));
-        }
-    }
-
-    /// Takes an idle connection that the member has not closed.
-    fn take_idle(&mut self) -> Option<checkout::Connection<C::Link>> {
-        loop {
-            let mut connection = self.connections.take_idle()?;
-            if link::Link::is_open(&mut connection.link) {
-                return Some(connection);
-            }
-            self.connections.record_closed();
-        }
-    }
-
-    fn start_job(
-        &mut self,
-        now: Timestamp,
-        id: job::JobId,
-        connection: checkout::Connection<C::Link>,
-    ) {
-        let waiting = self.waiting.remove(&id);
-        let Some((waiting, handle)) = waiting.zip(self.handle_to_self()) else {
-            self.queue.finish(now, id, job::Completion::Unused);
-            self.connections.put_back(now, connection);
-            return;
-        };
-        let job = Job {
-            id,
-            handle,
-            running_since: Some(now),
-            busy: time::Duration::ZERO,
-            waited: now.since(waiting.since),
-            is_finished: false,
-        };
-        let admitted = Admitted { connection, job };
-        if let Err(Ok(admitted)) = waiting.reply.send(Ok(admitted)) {
-            // The requester has gone.
-            admitted.job.finish(None, Some(admitted.connection));
-        }
-    }
-
-    fn open(&mut self, handle: Handle<C::Link>) {
-        let target = self.context.bounds.target.clone();
-        self.connections.record_opening();
-        self.context.metrics.record_open(&target.member);
-        let connector = self.context.connector.clone();
-        tokio::task::spawn_local(async move {
-            let opening = tokio::time::timeout(OPEN_TIMEOUT, connector.open(&target));
-            let opened = opening
-                .await
-                .unwrap_or_else(|elapsed| Err(link::LinkError::Broken(elapsed.into())));
-            handle.send(Message::Opened(opened.map(|(link, _)| link)));
-        });
-    }
-
     fn publish(&self) {
         let now = clock::now();
         let mut waits_ms = [0; load::RANKS];
--- a/crates/cardamomhold_entry/src/checkout.rs
+++ b/crates/cardamomhold_entry/src/checkout.rs
@@ -20,6 +20,8 @@
     pub link: L,
     /// The owner to which it leads; none for one to the member itself.
     pub owner: Option<name::InstanceName>,
+    /// The workspace that a connection to the member itself serves; none for one to an owner.
+    pub workspace: Option<name::WorkspaceName>,
     /// Session state that has been applied to it.
     pub applied: session::Applied,
 }
@@ -30,9 +32,15 @@
         Self {
             link,
             owner,
+            workspace: None,
             applied: session::Applied::default(),
         }
     }
+
+    /// The same connection, which serves this workspace.
+    pub fn with_workspace(self, workspace: Option<name::WorkspaceName>) -> Self {
+        Self { workspace, ..self }
+    }
 }
 
 /// The group's task, to which a connection is returned.
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -415,7 +415,9 @@
             }
             connection
         });
-        self.pool.release(now, member, connection, completion);
+        let workspace = connection.as_ref().and_then(|c| c.workspace.clone());
+        self.pool
+            .release_bound(now, member, connection, workspace, completion);
     }
 
     /// Records a member's log position; samples of the primary go to the coordinator, which
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -100,19 +100,23 @@
             self.admit_own(grant);
             return;
         }
+        let workspace = self.workspace(grant.id);
         while let Some(mut connection) = grant.link.take() {
             if connection.link.is_open() {
                 self.check_out(connection, None, grant, self.change);
                 return;
             }
-            grant.link = self.pool.take_idle(&grant.member);
+            grant.link = self.pool.take_idle(&grant.member, workspace.as_ref());
         }
-        let Some(target) = self.target(&grant.member) else {
+        let Some(mut target) = self.target(&grant.member) else {
             self.pool
                 .release(now, &grant.member, None, pool::Completion::Failed);
             self.requeue(grant.id);
             return;
         };
+        if target.via.is_none() {
+            target.workspace = workspace;
+        }
         let opening = self.open(&target);
         let owner = target.via.map(|owner| owner.name);
         let handle = self.handle.clone();
@@ -131,6 +135,12 @@
         });
     }
 
+    /// The workspace of a waiting request.
+    fn workspace(&self, id: u64) -> Option<name::WorkspaceName> {
+        let waiting = self.waiting.get(&id)?;
+        waiting.request.workspace().cloned()
+    }
+
     pub(super) fn target(&self, member: &name::MemberName) -> Option<link::Target> {
         let view = self.context.views.borrow();
         let entry = view.members.get(member.as_str())?;
@@ -161,7 +171,8 @@
                     self.report(now, &grant.member, suspicion::Observation::Reached);
                 }
                 self.pool.record_opened(&grant.member);
-                let connection = checkout::Connection::new(link, owner);
+                let workspace = self.workspace(grant.id).filter(|_| owner.is_none());
+                let connection = checkout::Connection::new(link, owner).with_workspace(workspace);
                 self.check_out(connection, None, grant, change);
             }
             Err(error) if let Some(owner) = &owner => {
--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -97,7 +97,7 @@
         let request = admission::Request {
             rank: relay::owner::to_rank(waiting.request.rank),
             caller: waiting.request.caller.clone(),
-            workspace: waiting.request.grant.as_ref().map(|g| g.workspace.clone()),
+            workspace: waiting.request.workspace().cloned(),
             target: waiting.request.target,
             deadline: waiting.request.deadline,
         };
--- a/crates/cardamomhold_entry/src/metrics.rs
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -23,6 +23,8 @@
     waiting: prometheus::IntGaugeVec,
     calls: prometheus::IntCounterVec,
     callers: prometheus::IntGauge,
+    evicted: prometheus::IntCounterVec,
+    unauthorized: prometheus::IntCounterVec,
 }
 
 fn counter(
@@ -81,14 +83,26 @@
                 "cardamomhold_callers",
                 "Open connections of callers",
             )?,
+            evicted: counter(
+                "cardamomhold_connections_evicted_total",
+                "Idle connections to members closed for another workspace",
+                &["member"],
+            )?,
+            unauthorized: counter(
+                "cardamomhold_unauthorized_total",
+                "Sessions and statements refused since no workspace holds the key",
+                &["at"],
+            )?,
         };
-        let collectors: [Box<dyn Collector>; 6] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(metrics.statements.clone()),
             Box::new(metrics.failures.clone()),
             Box::new(metrics.opened.clone()),
             Box::new(metrics.waiting.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.callers.clone()),
+            Box::new(metrics.evicted.clone()),
+            Box::new(metrics.unauthorized.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector)?;
@@ -120,6 +134,17 @@
         self.opened.with_label_values(&[member.as_str()]).inc();
     }
 
+    /// Counts an idle connection that was closed for another workspace.
+    pub fn record_eviction(&self, member: &name::MemberName) {
+        self.evicted.with_label_values(&[member.as_str()]).inc();
+    }
+
+    /// Counts a refusal for lack of a workspace, at the `start` of a session, at a `statement` or
+    /// by an `owner`.
+    pub fn record_unauthorized(&self, at: &str) {
+        self.unauthorized.with_label_values(&[at]).inc();
+    }
+
     /// Sets the number of requests that wait for a connection.
     pub fn set_waiting(&self, group: &name::GroupName, count: usize) {
         self.waiting
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -28,6 +28,7 @@
 //! assert!(matches!(&decisions[0], Decision::Grant(g) if g.link.is_none()));
 //! ```
 
+pub mod connections;
 pub mod exchange;
 pub mod load;
 pub mod member;
--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -57,14 +57,23 @@
     pub share: share::Share,
 }
 
+/// An idle connection.
+#[derive(Debug)]
+struct Idle<L> {
+    link: L,
+    released: Timestamp,
+    /// The workspace that it serves.
+    workspace: Option<name::WorkspaceName>,
+}
+
 /// A member of the group.
 #[derive(Debug)]
 pub struct Member<L> {
     pub(crate) name: name::MemberName,
     pub(crate) is_near: bool,
     pub(crate) is_ready: bool,
-    /// Idle connections with the time of their release, latest last.
-    idle: Vec<(L, Timestamp)>,
+    /// Idle connections, latest last.
+    idle: Vec<Idle<L>>,
     pub(crate) share: share::Share,
     idle_timeout: share::IdleTimeout,
     /// The load that the member's owner reported.
@@ -126,14 +135,28 @@
         }
     }
 
-    /// Removes and returns the idle connection that was released last.
-    pub(crate) fn take_idle(&mut self) -> Option<L> {
-        self.idle.pop().map(|(link, _)| link)
+    /// Removes and returns the idle connection for a workspace that was released last. A
+    /// connection to an owner serves all workspaces, one to the member itself only its own: those
+    /// of others are closed, so that they don't add up.
+    pub(crate) fn take_idle(&mut self, workspace: Option<&name::WorkspaceName>) -> Option<L> {
+        if self.share == share::Share::Contended {
+            self.idle.retain(|i| i.workspace.as_ref() == workspace);
+        }
+        self.idle.pop().map(|idle| idle.link)
     }
 
-    /// Adds an idle connection.
-    pub(crate) fn put_idle(&mut self, now: Timestamp, link: L) {
-        self.idle.push((link, now));
+    /// Adds an idle connection that serves a workspace.
+    pub(crate) fn put_idle(
+        &mut self,
+        now: Timestamp,
+        link: L,
+        workspace: Option<name::WorkspaceName>,
+    ) {
+        self.idle.push(Idle {
+            link,
+            released: now,
+            workspace,
+        });
     }
 
     /// Closes all idle connections.
@@ -147,8 +170,8 @@
         match self.share {
             share::Share::Local | share::Share::Relayed => None,
             share::Share::Contended => {
-                let (_, released) = self.idle.first()?;
-                Some(released.after(self.idle_timeout.get()))
+                let oldest = self.idle.first()?;
+                Some(oldest.released.after(self.idle_timeout.get()))
             }
         }
     }
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -169,7 +169,7 @@
                 continue;
             }
             if let Some((index, after)) = self.choose_member(now, request, is_leased) {
-                decisions.push(Decision::Grant(self.check_out(index, request.id, after)));
+                decisions.push(Decision::Grant(self.check_out(index, request, after)));
                 done.push((request.rank, request.id));
                 continue;
             }
@@ -188,16 +188,21 @@
         decisions
     }
 
-    fn check_out(&mut self, index: usize, id: u64, after: Option<position::Position>) -> Grant<L> {
+    fn check_out(
+        &mut self,
+        index: usize,
+        request: &wait_queue::Request,
+        after: Option<position::Position>,
+    ) -> Grant<L> {
         let is_primary = self.is_primary(index);
         let member = &mut self.members[index];
         member.in_use += 1;
         Grant {
-            id,
+            id: request.id,
             member: member.name.clone(),
             is_primary,
             after,
-            link: member.take_idle(),
+            link: member.take_idle(request.workspace()),
         }
     }
 
@@ -320,6 +325,18 @@
         name: &name::MemberName,
         link: Option<L>,
         completion: Completion,
+    ) {
+        self.release_bound(now, name, link, None, completion);
+    }
+
+    /// Like [`Pool::release`], for a connection to the member itself that serves a workspace.
+    pub fn release_bound(
+        &mut self,
+        now: Timestamp,
+        name: &name::MemberName,
+        link: Option<L>,
+        workspace: Option<name::WorkspaceName>,
+        completion: Completion,
     ) {
         let Some(member) = self.members.iter_mut().find(|m| m.name == *name) else {
             return;
@@ -339,7 +356,7 @@
         if let Some(link) = link
             && (member.is_ready || is_primary)
         {
-            member.put_idle(now, link);
+            member.put_idle(now, link, workspace);
         }
     }
 
@@ -350,10 +367,14 @@
         }
     }
 
-    /// Takes another idle connection to a member, if there is one.
-    pub fn take_idle(&mut self, name: &name::MemberName) -> Option<L> {
+    /// Takes another idle connection to a member for a workspace, if there is one.
+    pub fn take_idle(
+        &mut self,
+        name: &name::MemberName,
+        workspace: Option<&name::WorkspaceName>,
+    ) -> Option<L> {
         let member = self.members.iter_mut().find(|m| m.name == *name)?;
-        member.take_idle()
+        member.take_idle(workspace)
     }
 
     /// How the instance reaches a member.
--- a/crates/cardamomhold_pool/src/wait_queue.rs
+++ b/crates/cardamomhold_pool/src/wait_queue.rs
@@ -43,6 +43,13 @@
     pub deadline: Timestamp,
 }
 
+impl Request {
+    /// The workspace in whose name it runs; none in a deployment without workspaces.
+    pub fn workspace(&self) -> Option<&name::WorkspaceName> {
+        self.grant.as_ref().map(|g| &g.workspace)
+    }
+}
+
 /// The waiting requests of one group.
 #[derive(Debug, Default)]
 pub struct WaitQueue {
