--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -180,7 +180,7 @@
 /// transaction to begin, if there is one.
 ///
 /// # Errors
-/// [`link::LinkError`]; the connection is closed, unless its owner is overloaded.
+/// [`link::LinkError`]; the connection is closed, unless its owner refused the request.
 pub async fn prepare<L: link::Link>(
     context: &Context<L>,
     group: &name::GroupName,
@@ -233,7 +233,7 @@
         }
     };
     if let Err(error) = prepared {
-        if let link::LinkError::Overloaded(_) = error {
+        if error.is_owner_refusal() {
             checkout.completion = pool::Completion::Unused;
             return Err(error);
         }
@@ -348,6 +348,11 @@
             checkout.completion = pool::Completion::Unused;
             Err(failure::overloaded(after))
         }
+        Ok(Err(link::LinkError::Refused(answer::Code::Unauthorized))) => {
+            checkout.completion = pool::Completion::Unused;
+            context.metrics.record_unauthorized("owner");
+            Err(failure::outdated())
+        }
         Ok(Err(link::LinkError::Unreachable(_))) => {
             checkout.close(pool::Completion::Unserved);
             let cause = "the owner of the connections does not serve the member";
--- a/crates/cardamomhold_entry/src/attempt/failure.rs
+++ b/crates/cardamomhold_entry/src/attempt/failure.rs
@@ -55,6 +55,12 @@
     busy("too much to do", retry_after)
 }
 
+/// The owner's configuration is newer and doesn't have the caller's workspace. This instance's own
+/// one decides about the caller as soon as it is here.
+pub(super) fn outdated() -> Failure {
+    busy("the configuration is changing", FAILOVER_RETRY_DELAY)
+}
+
 pub(super) fn refusal(refusal: group::Refusal) -> Failure {
     match refusal {
         group::Refusal::Overloaded(after) => overloaded(after),
--- a/crates/cardamomhold_entry/src/attempt/retry.rs
+++ b/crates/cardamomhold_entry/src/attempt/retry.rs
@@ -49,6 +49,7 @@
     request.avoid.push(checkout.member.clone());
     match error {
         link::LinkError::Overloaded(after) => failure::overloaded(*after),
+        link::LinkError::Refused(answer::Code::Unauthorized) => failure::outdated(),
         link::LinkError::Refused(answer::Code::Behind) => {
             if let Some(after) = checkout.after {
                 checkout.completion = pool::Completion::Behind(after);
@@ -66,7 +67,7 @@
 /// Whether no further attempt can succeed now: the primary's owner has refused, and no other
 /// member can stand in for the primary.
 pub(super) fn is_final<L>(checkout: &checkout::Checkout<L>, error: &link::LinkError) -> bool {
-    checkout.is_primary() && matches!(error, link::LinkError::Overloaded(_))
+    checkout.is_primary() && error.is_owner_refusal()
 }
 
 /// Updates the request after a member refused a statement without running it, and waits where
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -7,6 +7,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_workspace::identity;
 
 use crate::answer;
 use crate::attempt;
@@ -21,6 +22,8 @@
 use crate::stop;
 use crate::view;
 
+mod authorize;
+
 /// Idle time after which an open transaction is rolled back, unless the operators configured
 /// another one.
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -42,19 +45,23 @@
     Stopping,
     /// The instance is isolated; other instances can serve the caller.
     Isolated,
+    /// No workspace holds the caller's key any more.
+    Unauthorized,
 }
 
 struct Task<'a, L: link::Link, W> {
     context: &'a attempt::Context<L>,
     database: &'a str,
-    caller: &'a str,
-    /// The caller in the queues, which share the members' time fairly.
-    caller_name: name::CallerName,
+    identity: identity::Identity,
     writer: W,
     session: session::Session,
     checkout: Option<checkout::Checkout<L>>,
     /// The route of the open transaction.
     route: Option<sync::Arc<view::Route>>,
+    /// The workspace whose connection the open transaction uses.
+    workspace: Option<name::WorkspaceName>,
+    /// Whether the session ends since no workspace holds the caller's key.
+    is_denied: bool,
     /// Whether the open transaction has run a statement that may write.
     has_written: bool,
 }
@@ -68,30 +75,31 @@
     Stopping,
 }
 
-/// Serves one caller until it disconnects or the instance stops.
+/// Serves one caller until it disconnects, loses its key or the instance stops.
 pub async fn serve<L: link::Link, R: front::Reader, W: front::Writer>(
     context: &attempt::Context<L>,
     database: &str,
-    caller: &str,
+    identity: identity::Identity,
     mut reader: R,
     writer: W,
 ) -> CloseReason {
     let mut task = Task {
         context,
         database,
-        caller,
-        caller_name: name::CallerName::sanitized(caller),
+        identity,
         writer,
         session: session::Session::default(),
         checkout: None,
         route: None,
+        workspace: None,
+        is_denied: false,
         has_written: false,
     };
     let mut phase = context.phase.clone();
     let reason = loop {
         let event = task.next(&mut reader, &mut phase).await;
         let served = match event {
-            Event::Incoming(front::Incoming::Request(request)) => task.handle(&request).await,
+            Event::Incoming(front::Incoming::Request(request)) => task.check(&request).await,
             Event::Incoming(front::Incoming::Malformed) => task.answer_malformed().await,
             Event::Incoming(front::Incoming::Close) => break CloseReason::Left,
             Event::Broken => break CloseReason::Broken,
@@ -105,6 +113,9 @@
         if served.is_err() {
             break CloseReason::Broken;
         }
+        if task.is_denied {
+            break CloseReason::Unauthorized;
+        }
     };
     task.roll_back_open().await;
     reason
@@ -276,11 +287,12 @@
         } else {
             route.target
         };
-        let caller = self.caller_name.clone();
+        let caller = self.identity.name().clone();
+        let grant = self.identity.grant().cloned();
         let call = call::Call {
             id: request.id,
             caller: &caller,
-            grant: None,
+            grant: grant.as_ref(),
             form,
             access,
             may_commit: !is_open || is_commit,
@@ -291,7 +303,7 @@
         let took = clock::now().since(now);
         let report = report::Report {
             id: request.id,
-            caller: self.caller,
+            caller: self.identity.label(),
             database: self.database,
             route: &route,
             result: &result,
@@ -365,6 +377,7 @@
         )
         .await?;
         self.checkout = Some(started.checkout);
+        self.workspace = call.grant.map(|g| g.workspace.clone());
         self.route = begin.map(|_| route.clone());
         Ok(started.answer)
     }
@@ -442,7 +455,7 @@
     async fn fail_transaction(&mut self, cause: &str) {
         log::info!(
             "event=transaction_ended caller={} database={} cause={cause}",
-            self.caller,
+            self.identity.label(),
             self.database
         );
         self.roll_back_open().await;
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -130,6 +130,15 @@
             }
         }
     }
+
+    /// Whether the owner of the connections has refused the request itself; the connection to it
+    /// can be used for others.
+    pub fn is_owner_refusal(&self) -> bool {
+        matches!(
+            self,
+            Self::Overloaded(_) | Self::Refused(answer::Code::Unauthorized)
+        )
+    }
 }
 
 impl fmt::Display for LinkError {
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -5,6 +5,7 @@
 
 use cardamomhold_core::rank;
 use cardamomhold_pool::sample;
+use cardamomhold_workspace::access;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -20,6 +21,7 @@
 use crate::relay::frame;
 use crate::session;
 use crate::stop;
+use crate::view;
 
 /// How long a member's answer is awaited beyond the deadline of the request.
 const ANSWER_GRACE: time::Duration = time::Duration::from_millis(50);
@@ -36,6 +38,8 @@
 /// Dependencies of the tasks.
 #[derive(Debug)]
 pub struct Context<L> {
+    /// The published view.
+    pub views: watch::Receiver<view::View>,
     /// The group tasks.
     pub groups: watch::Receiver<groups::Groups<L>>,
     /// Phase of the instance's shutdown.
@@ -45,6 +49,7 @@
 impl<L> Clone for Context<L> {
     fn clone(&self) -> Self {
         Self {
+            views: self.views.clone(),
             groups: self.groups.clone(),
             phase: self.phase.clone(),
         }
@@ -195,6 +200,28 @@
         status.is_answering(clock::now())
     }
 
+    /// Checks the workspace against this instance's own configuration, which may be newer than the
+    /// one by which the statement was authorized.
+    fn check_grant(&self, header: &frame::Header) -> Result<(), frame::Failure> {
+        let view = self.context.views.borrow();
+        let catalog = &view.catalog;
+        let workspaces = catalog.workspaces.as_deref();
+        let grant = header.grant.as_ref();
+        let has_public = grant.is_some_and(|g| g.is_public()) && catalog.has_public(&header.group);
+        if access::is_valid(workspaces, catalog.version, grant, has_public) {
+            return Ok(());
+        }
+        log::info!(
+            "event=grant_refused group={} member={} workspace={} granted_by={} version={}",
+            header.group,
+            header.member,
+            grant.map_or("-", |g| g.workspace.as_str()),
+            grant.map_or(0, |g| g.version),
+            catalog.version
+        );
+        Err(frame::Failure::Refused(answer::Code::Unauthorized))
+    }
+
     /// Waits for a connection of the member, and clears the state of its last session.
     async fn acquire(
         &mut self,
@@ -203,6 +230,7 @@
         limit: tokio::time::Instant,
     ) -> Result<Work<L>, frame::Failure> {
         let header = request.header.clone().ok_or(frame::Failure::Unreachable)?;
+        self.check_grant(&header)?;
         let group = self
             .context
             .groups
--- a/crates/cardamomhold_entry/src/report.rs
+++ b/crates/cardamomhold_entry/src/report.rs
@@ -12,7 +12,7 @@
 pub struct Report<'a> {
     /// Identity that the caller gave it.
     pub id: &'a str,
-    /// The caller's name.
+    /// The caller: its workspace, or the word that it sent in a deployment without workspaces.
     pub caller: &'a str,
     /// The database.
     pub database: &'a str,
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -93,6 +93,14 @@
     pub idle_timeout: Option<time::Duration>,
 }
 
+impl Catalog {
+    /// Whether a group has a route on which callers need no key.
+    pub fn has_public(&self, group: &name::GroupName) -> bool {
+        let mut routes = self.routes.values();
+        routes.any(|r| r.is_public && r.group == *group)
+    }
+}
+
 /// Whether a member accepts statements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemberState {
--- a/crates/cardamomhold_entry/tests/cut_owners.rs
+++ b/crates/cardamomhold_entry/tests/cut_owners.rs
@@ -89,6 +89,7 @@
         relay::owner::start(
             listener,
             relay::owner::Context {
+                views: owner.views.subscribe(),
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
             },
@@ -154,6 +155,7 @@
         relay::owner::start(
             listener,
             relay::owner::Context {
+                views: owner.views.subscribe(),
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
             },
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -91,6 +91,7 @@
         relay::owner::start(
             listener,
             relay::owner::Context {
+                views: owner.views.subscribe(),
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
             },
--- a/crates/cardamomhold_entry/tests/relayed_statements.rs
+++ b/crates/cardamomhold_entry/tests/relayed_statements.rs
@@ -43,6 +43,7 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     let context = relay::owner::Context {
+        views: world.views.subscribe(),
         groups: world.groups.clone(),
         phase: world.phases.subscribe(),
     };
--- a/crates/cardamomhold_workspace/src/access.rs
+++ b/crates/cardamomhold_workspace/src/access.rs
@@ -16,6 +16,13 @@
     pub version: u64,
 }
 
+impl Grant {
+    /// Whether it is for callers without a key, on public routes.
+    pub fn is_public(&self) -> bool {
+        self.workspace.as_str() == PUBLIC
+    }
+}
+
 /// Result of a caller's check.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Access {
@@ -45,3 +52,25 @@
         None => Access::Denied,
     }
 }
+
+/// Whether the owner of a member's connections may run a statement that another instance has
+/// authorized with `grant`, by the owner's configuration of this version; `has_public` tells
+/// whether the member's group has a public route.
+///
+/// An owner with an older configuration than the grant's relies on the grant: it may not know the
+/// workspace yet.
+pub fn is_valid(
+    workspaces: Option<&directory::Directory>,
+    version: u64,
+    grant: Option<&Grant>,
+    has_public: bool,
+) -> bool {
+    let Some(grant) = grant else {
+        return workspaces.is_none();
+    };
+    if version < grant.version {
+        return true;
+    }
+    let is_known = workspaces.is_some_and(|w| w.workspace(&grant.workspace).is_some());
+    is_known || (workspaces.is_some() && has_public && grant.is_public())
+}
--- a/crates/cardamomhold_workspace/src/directory.rs
+++ b/crates/cardamomhold_workspace/src/directory.rs
@@ -1,6 +1,7 @@
 //! The workspaces of a configuration, and which of them holds which key.
 
 use std::collections;
+use std::fmt;
 
 use cardamomhold_core::name;
 
@@ -22,8 +23,18 @@
     pub limit: Option<Limit>,
 }
 
+impl Limit {
+    /// The lower rate and the lower burst of two limits.
+    fn stricter(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            burst: self.burst.min(other.burst),
+        }
+    }
+}
+
 /// The workspaces of a configuration.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Clone, PartialEq, Default)]
 pub struct Directory {
     workspaces: collections::BTreeMap<name::WorkspaceName, Workspace>,
     /// The holder of each key; none for a key that several workspaces claim.
@@ -32,7 +43,8 @@
 
 impl Directory {
     /// Adds a workspace with its keys. A key that another workspace holds belongs to neither from
-    /// then on; returns how many such keys there were.
+    /// then on; returns how many such keys there were. A workspace that is added twice holds the
+    /// keys of both and has the stricter of its limits.
     pub fn add<'a>(
         &mut self,
         workspace: Workspace,
@@ -48,7 +60,13 @@
                 conflicts += 1;
             }
         }
-        self.workspaces.insert(workspace.name.clone(), workspace);
+        let name = workspace.name.clone();
+        let limit = workspace.limit;
+        let known = self.workspaces.entry(name).or_insert(workspace);
+        known.limit = match (known.limit, limit) {
+            (Some(known), Some(limit)) => Some(known.stricter(limit)),
+            (known, limit) => known.or(limit),
+        };
         conflicts
     }
 
@@ -63,8 +81,23 @@
         self.workspaces.get(name)
     }
 
+    /// Number of keys, those that nobody holds included.
+    pub fn keys(&self) -> usize {
+        self.holders.len()
+    }
+
     /// All workspaces, by name.
     pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
         self.workspaces.values()
     }
 }
+
+/// Leaves out the keys, which must not get into logs.
+impl fmt::Debug for Directory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Directory")
+            .field("workspaces", &self.workspaces)
+            .field("keys", &self.holders.len())
+            .finish()
+    }
+}
--- a/crates/cardamomhold_workspace/src/lib.rs
+++ b/crates/cardamomhold_workspace/src/lib.rs
@@ -2,4 +2,6 @@
 //! the limits of their operations. Free of I/O, clocks and randomness.
 
 pub mod access;
+pub mod digest;
 pub mod directory;
+pub mod identity;
