--- a/crates/cardamomhold_pool/src/connections/evict.rs
+++ b/crates/cardamomhold_pool/src/connections/evict.rs
@@ -87,8 +87,7 @@
         let others = self.parts.iter().filter(|(other, _)| *other != key);
         let candidates = others.filter_map(|(other, part)| {
             let (index, since) = part.oldest(now)?;
-            let is_last = part.connections() == 1;
-            let is_kept = is_last && (is_enough || has_own);
+            let is_kept = is_enough && part.connections() == 1;
             let is_recent = has_own && now < since.after(MIN_IDLE);
             (!is_kept && !is_recent).then_some((since, other, index))
         });
