--- a/crates/cardamomhold_entry/src/answer.rs
+++ b/crates/cardamomhold_entry/src/answer.rs
@@ -37,8 +37,6 @@
     Timeout,
     /// Not run: no such database.
     UnknownDatabase,
-    /// Not run: no workspace holds the caller's key.
-    Unauthorized,
     /// Not run: the message is too long.
     TooBig,
     /// Not run: the message can't be parsed.
@@ -47,6 +45,9 @@
     InDoubt,
     /// An unknown code.
     Other,
+    /// Not run: no workspace holds the caller's key. The last one, as frames carry the codes by
+    /// their order.
+    Unauthorized,
 }
 
 impl Code {
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -16,6 +16,8 @@
 use crate::connect;
 use crate::link;
 
+mod head;
+
 /// Maximum length of a frame, in bytes; one frame carries all rows of an answer.
 const MAX_FRAME_LEN: usize = 16 * 1024 * 1024;
 
@@ -30,7 +32,8 @@
     /// The caller.
     pub caller: name::CallerName,
     /// The right to run the request in the name of a workspace; none in a deployment without
-    /// workspaces.
+    /// workspaces. Encoded beside the header.
+    #[serde(skip)]
     pub grant: Option<access::Grant>,
     /// Rank, 0 the most urgent.
     pub rank: u8,
@@ -42,6 +45,7 @@
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 pub struct Request<'a> {
     /// The member and the priority; none inside a transaction, whose connection the owner has.
+    #[serde(with = "head")]
     pub header: Option<Header>,
     /// Time left until its deadline, in microseconds.
     pub left_us: u64,
--- /dev/null
+++ b/crates/cardamomhold_entry/tests/relayed_grants.rs
@@ -0,0 +1,243 @@
+//! Statements of workspaces at the owner of a member's connections.
+
+// `allow-unwrap-in-tests` of clippy.toml doesn't cover helper functions.
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use std::net;
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_entry::answer;
+use cardamomhold_entry::clock;
+use cardamomhold_entry::link;
+use cardamomhold_entry::link::Connector;
+use cardamomhold_entry::link::Link;
+use cardamomhold_entry::owners;
+use cardamomhold_entry::relay;
+use cardamomhold_entry::relay::frame;
+use cardamomhold_workspace::access;
+use cardamomhold_workspace::directory;
+use tokio::net::TcpListener;
+
+const INSTANCES: usize = 60;
+
+fn workspace(text: &str) -> name::WorkspaceName {
+    name::WorkspaceName::parse(text).unwrap()
+}
+
+/// Starts an owner of the connections to `a`, whose configuration has this version and workspaces.
+async fn owner(version: u64, names: &[&str]) -> (world::World, net::SocketAddr) {
+    let fleet = world::fleet(INSTANCES);
+    let owner = owners::of_member(&fleet, "zone-a", &world::member("a"))[0].clone();
+    let mut world = world::World::with_instance(&owner, INSTANCES);
+    configure(&world, version, names);
+    world.group().await;
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let context = relay::owner::Context {
+        views: world.views.subscribe(),
+        groups: world.groups.clone(),
+        phase: world.phases.subscribe(),
+    };
+    relay::owner::start(listener, context);
+    (world, address)
+}
+
+fn configure(world: &world::World, version: u64, names: &[&str]) {
+    let mut directory = directory::Directory::default();
+    for text in names {
+        let workspace = directory::Workspace {
+            name: workspace(text),
+            limit: None,
+        };
+        directory.add(workspace, []);
+    }
+    world.views.send_modify(|view| {
+        let mut catalog = (*view.catalog).clone();
+        catalog.version = version;
+        catalog.workspaces = Some(directory.into());
+        view.catalog = catalog.into();
+    });
+}
+
+async fn connect(world: &world::World, via: net::SocketAddr) -> relay::Link<world::Member> {
+    let target = link::Target {
+        group: world::group_name(),
+        member: world::member("a"),
+        address: ([127, 0, 0, 1], 1).into(),
+        via: Some(link::Owner {
+            name: name::InstanceName::parse("owner").unwrap(),
+            address: via,
+        }),
+        workspace: None,
+    };
+    let connector = relay::Connector(world.members.clone());
+    connector.open(&target).await.unwrap().0
+}
+
+/// Runs a statement for a workspace that a configuration of this version allows.
+async fn run(
+    link: &mut relay::Link<world::Member>,
+    grant: Option<(&str, u64)>,
+    text: &str,
+) -> Result<answer::Answer, link::LinkError> {
+    let deadline = clock::now().after(time::Duration::from_secs(20));
+    let name = grant.map_or("caller", |(workspace, _)| workspace);
+    link.set_priority(link::Priority {
+        rank: 0,
+        caller: name::CallerName::parse(name).unwrap(),
+        grant: grant.map(|(text, version)| access::Grant {
+            workspace: workspace(text),
+            version,
+        }),
+        target: deadline,
+        deadline,
+    });
+    let pass = link::Command::Pass {
+        id: "q1",
+        after: None,
+        text,
+    };
+    link.call(pass).await
+}
+
+/// Workspaces of the connections on which a command was sent.
+fn workspaces(world: &world::World, text: &str) -> Vec<Option<name::WorkspaceName>> {
+    let script = world.members.script.borrow();
+    let sent = script
+        .sent
+        .iter()
+        .filter(|(_, _, sent)| sent.contains(text));
+    let numbers = sent.map(|(_, number, _)| number);
+    numbers.map(|n| script.workspaces[n].clone()).collect()
+}
+
+/// Statements of several workspaces on one connection between instances run on connections of their
+/// own workspaces, which are used again.
+#[test]
+fn own_connections_only() {
+    world::run_in_real_time(async {
+        let (world, via) = owner(3, &["kalk", "sand"]).await;
+        let mut link = connect(&world, via).await;
+        for round in 0..4 {
+            for text in ["kalk", "sand"] {
+                let statement = format!("READ {text}{round}");
+                run(&mut link, Some((text, 3)), &statement).await.unwrap();
+                assert_eq!(workspaces(&world, &statement), [Some(workspace(text))]);
+            }
+        }
+        assert_eq!(world.members.script.borrow().opened(), 2);
+    });
+}
+
+/// An owner with a newer configuration refuses a workspace that it doesn't know, and one without a
+/// grant; nothing is sent to the member, and the connection between the instances goes on.
+#[test]
+fn newer_owner_refuses() {
+    world::run_in_real_time(async {
+        let (world, via) = owner(3, &["kalk"]).await;
+        let mut link = connect(&world, via).await;
+        for grant in [
+            Some(("sand", 2)),
+            Some(("sand", 3)),
+            Some(("public", 3)),
+            None,
+        ] {
+            let refused = run(&mut link, grant, "WRITE x 1").await;
+            assert!(
+                matches!(
+                    refused,
+                    Err(link::LinkError::Refused(answer::Code::Unauthorized))
+                ),
+                "{grant:?}: {refused:?}"
+            );
+        }
+        assert_eq!(workspaces(&world, "WRITE x 1"), []);
+        run(&mut link, Some(("sand", 4)), "READ y").await.unwrap();
+        run(&mut link, Some(("kalk", 1)), "READ z").await.unwrap();
+        configure(&world, 4, &["kalk"]);
+        assert!(run(&mut link, Some(("sand", 4)), "READ y").await.is_err());
+        run(&mut link, Some(("kalk", 4)), "READ z").await.unwrap();
+    });
+}
+
+/// The header as instances know it that know no grants.
+#[derive(serde::Serialize)]
+struct FormerHeader<'a> {
+    group: &'a str,
+    member: &'a str,
+    caller: &'a str,
+    rank: u8,
+    target_us: u64,
+}
+
+#[derive(serde::Serialize)]
+struct FormerRequest<'a> {
+    header: Option<FormerHeader<'a>>,
+    left_us: u64,
+    body: frame::Body<'a>,
+}
+
+fn request(grant: Option<access::Grant>) -> frame::Request<'static> {
+    frame::Request {
+        header: Some(frame::Header {
+            group: world::group_name(),
+            member: world::member("a"),
+            caller: world::caller(),
+            grant,
+            rank: 1,
+            target_us: 150_000,
+        }),
+        left_us: 9,
+        body: frame::Body::Prepare(vec![link::Command::Reset]),
+    }
+}
+
+/// Without workspaces, frames are the same bytes as before; guards against instances that can't
+/// understand each other while a deployment is upgraded.
+#[test]
+fn frames_are_unchanged() {
+    let former = FormerRequest {
+        header: Some(FormerHeader {
+            group: "bookings",
+            member: "a",
+            caller: "kalkbok",
+            rank: 1,
+            target_us: 150_000,
+        }),
+        left_us: 9,
+        body: frame::Body::Prepare(vec![link::Command::Reset]),
+    };
+    let former = postcard::to_stdvec(&former).unwrap();
+    assert_eq!(postcard::to_stdvec(&request(None)).unwrap(), former);
+    let held = frame::Request {
+        header: None,
+        ..request(None)
+    };
+    let former_held = FormerRequest {
+        header: None,
+        left_us: 9,
+        body: frame::Body::Prepare(vec![link::Command::Reset]),
+    };
+    let former_held = postcard::to_stdvec(&former_held).unwrap();
+    assert_eq!(postcard::to_stdvec(&held).unwrap(), former_held);
+    assert_eq!(
+        postcard::to_stdvec(&answer::Code::Other).unwrap(),
+        [13],
+        "a code was inserted"
+    );
+}
+
+/// A grant arrives as it was sent.
+#[test]
+fn grant_is_carried() {
+    let grant = access::Grant {
+        workspace: workspace("kalk"),
+        version: 77,
+    };
+    let bytes = postcard::to_stdvec(&request(Some(grant.clone()))).unwrap();
+    let decoded: frame::Request<'_> = frame::decode(&bytes).unwrap();
+    assert_eq!(decoded.header.unwrap().grant, Some(grant));
+}
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -79,6 +79,8 @@
     pub sent: Vec<(name::MemberName, u64, String)>,
     /// Codes with which the next statements are refused.
     pub refusals: collections::VecDeque<answer::Code>,
+    /// Workspace of each connection, by its number.
+    pub workspaces: collections::BTreeMap<u64, Option<name::WorkspaceName>>,
     /// Numbers of the connections with an open transaction.
     pub open: collections::BTreeSet<u64>,
     /// Members that accept commands but don't answer.
@@ -150,6 +152,8 @@
             let refused = std::io::ErrorKind::ConnectionRefused.into();
             return Err(link::LinkError::Unreachable(refused));
         }
+        let number = script.connections;
+        script.workspaces.insert(number, target.workspace.clone());
         let member = Member {
             name: target.member.clone(),
             number: script.connections,
--- a/crates/cardamomhold_workspace/src/identity.rs
+++ b/crates/cardamomhold_workspace/src/identity.rs
@@ -17,7 +17,8 @@
 pub struct Identity {
     word: String,
     name: name::CallerName,
-    label: String,
+    /// Its name in logs; none for its word.
+    label: Option<String>,
     grant: Option<access::Grant>,
     is_key: bool,
 }
@@ -28,7 +29,7 @@
         Self {
             word: word.to_owned(),
             name: name::CallerName::sanitized(word),
-            label: word.to_owned(),
+            label: None,
             grant: None,
             is_key: false,
         }
@@ -54,7 +55,7 @@
                 let is_same = self.grant.as_ref().map(|g| &g.workspace) == Some(&grant.workspace);
                 if !is_same {
                     self.name = name::CallerName::sanitized(grant.workspace.as_str());
-                    self.label = grant.workspace.to_string();
+                    self.label = Some(grant.workspace.to_string());
                 }
                 self.is_key = true;
                 self.grant = Some(grant);
@@ -70,8 +71,9 @@
     }
 
     fn hide_key(&mut self) {
-        self.label = format!("key-{}", digest::of(&self.word));
-        self.name = name::CallerName::sanitized(&self.label);
+        let label = format!("key-{}", digest::of(&self.word));
+        self.name = name::CallerName::sanitized(&label);
+        self.label = Some(label);
     }
 
     /// The right to run statements; none in a deployment without workspaces.
@@ -92,7 +94,7 @@
     /// The caller in logs: its workspace, a digest of its key or, in a deployment without
     /// workspaces, its word.
     pub fn label(&self) -> &str {
-        &self.label
+        self.label.as_deref().unwrap_or(&self.word)
     }
 }
 
