--- a/crates/cardamomhold_entry/tests/relayed_grants.rs
+++ b/crates/cardamomhold_entry/tests/relayed_grants.rs
@@ -10,13 +10,20 @@
 
 use cardamomhold_core::name;
 use cardamomhold_entry::answer;
+use cardamomhold_entry::attempt;
+use cardamomhold_entry::call;
+use cardamomhold_entry::checkout;
 use cardamomhold_entry::clock;
 use cardamomhold_entry::link;
 use cardamomhold_entry::link::Connector;
 use cardamomhold_entry::link::Link;
+use cardamomhold_entry::metrics;
 use cardamomhold_entry::owners;
 use cardamomhold_entry::relay;
 use cardamomhold_entry::relay::frame;
+use cardamomhold_entry::session;
+use cardamomhold_entry::statement;
+use cardamomhold_pool::pool;
 use cardamomhold_workspace::access;
 use cardamomhold_workspace::directory;
 use tokio::net::TcpListener;
@@ -163,6 +170,75 @@
     });
 }
 
+/// A caller whose workspace the owner doesn't know gets a refusal that allows it to come back, also
+/// for a write: nothing ran. Guards against reporting such a write as in doubt.
+#[test]
+fn refused_is_busy() {
+    world::run_in_real_time(async {
+        let (owner, via) = owner(3, &["kalk"]).await;
+        let world = world::World::new(INSTANCES);
+        let grant = access::Grant {
+            workspace: workspace("sand"),
+            version: 2,
+        };
+        let deadline = clock::now().after(time::Duration::from_secs(5));
+        let caller = world::caller();
+        let call = call::Call {
+            id: "q1",
+            caller: &caller,
+            grant: Some(&grant),
+            form: call::Form::Text("WRITE x 1"),
+            access: statement::Access::Write,
+            may_commit: true,
+            target: deadline,
+            deadline,
+        };
+        let context = attempt::Context {
+            views: world.views.subscribe(),
+            lease: world.leases.subscribe(),
+            groups: tokio::sync::watch::channel(Default::default()).1,
+            phase: world.phases.subscribe(),
+            metrics: metrics::Metrics::new().unwrap(),
+        };
+        let mut link = connect(&world, via).await;
+        link.set_priority(link::Priority {
+            rank: 0,
+            caller: caller.clone(),
+            grant: Some(grant.clone()),
+            target: deadline,
+            deadline,
+        });
+        let (handle, _receiver) = tokio::sync::mpsc::unbounded_channel();
+        let group = checkout::Group {
+            handle,
+            silent: tokio::sync::watch::channel(Default::default()).1,
+        };
+        let granted = pool::Grant {
+            id: 1,
+            member: world::member("a"),
+            is_primary: false,
+            after: None,
+            link: None,
+        };
+        let connection = checkout::Connection::new(link, None);
+        let mut checkout = checkout::Checkout::new(connection, None, granted, None, group);
+        let ran = attempt::run(&context, &world::group_name(), &mut checkout, &call, None).await;
+        let failure = ran.unwrap_err();
+        assert_eq!(failure.code, answer::Code::Busy);
+        assert!(failure.retry_after.is_some());
+        assert!(checkout.connection.is_some(), "the connection was closed");
+        let session = session::Session::default();
+        let group = world::group_name();
+        let begin = Some(false);
+        let prepared = attempt::prepare(&context, &group, &mut checkout, &session, begin, &call);
+        let refused = prepared.await.unwrap_err();
+        assert!(refused.is_owner_refusal(), "{refused:?}");
+        assert!(checkout.connection.is_some(), "the connection was closed");
+        assert_eq!(workspaces(&owner, "WRITE x 1"), []);
+        assert_eq!(workspaces(&owner, "Begin"), []);
+    });
+}
+
 /// The header as instances know it that know no grants.
 #[derive(serde::Serialize)]
 struct FormerHeader<'a> {
