--- a/crates/cardamomhold_pool/src/connections.rs
+++ b/crates/cardamomhold_pool/src/connections.rs
@@ -182,23 +182,32 @@
             let needed = part.in_use + part.opening.max(1);
             part.demand.record(now, needed);
         }
+        let connections = self.open() + self.opening();
+        // Nothing can be evicted: for a workspace with connections, and for one without any. The
+        // former is refused whenever the latter is.
+        let mut is_refused = [false; 2];
         for Wanted { key, count } in wanted {
             if self.opening() >= MAX_OPENING || now < self.paused_until {
                 return None;
             }
-            let opening = self.parts.get(key).map_or(0, |p| p.opening);
+            let part = self.parts.get(key);
+            let opening = part.map_or(0, |p| p.opening);
+            let has_own = part.is_some_and(|p| p.connections() > 0);
             if opening >= *count || self.has_idle(key) {
                 continue;
             }
-            let evicted = if self.open() + self.opening() < self.limit(now, key) {
-                None
-            } else {
-                let Some(evicted) = self.evict(now, key) else {
+            let mut evicted = None;
+            if connections >= self.limit(now, key) {
+                if !is_refused[usize::from(has_own)] {
+                    evicted = self.evict(now, key);
+                }
+                if evicted.is_none() {
                     // Waits until a connection is returned; others may proceed.
+                    is_refused[usize::from(has_own)] = true;
+                    is_refused[1] = true;
                     continue;
-                };
-                Some(evicted)
-            };
+                }
+            }
             self.record_opening(key);
             return Some(Opening {
                 key: key.clone(),
--- a/crates/cardamomhold_workspace/src/identity.rs
+++ b/crates/cardamomhold_workspace/src/identity.rs
@@ -13,7 +13,6 @@
 /// With workspaces the caller's word is a key, which must get into no log, frame or metric. The
 /// session is then known by its workspace, or by a digest of the key. This holds for the rest of
 /// the session, also if a later configuration has no workspaces.
-#[derive(Clone)]
 pub struct Identity {
     word: String,
     name: name::CallerName,
