--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -102,6 +102,12 @@
     pub fn idle_limit(&self) -> time::Duration {
         self.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT)
     }
+
+    /// Whether a group has a route on which callers need no key.
+    pub fn has_public(&self, group: &name::GroupName) -> bool {
+        let mut routes = self.routes.values();
+        routes.any(|r| r.is_public && r.group == *group)
+    }
 }
 
 /// Whether a member accepts statements.
