--- /dev/null
+++ b/crates/cardamomhold_limit/src/message.rs
@@ -0,0 +1,19 @@
+//! Messages between instances.
+
+use crate::allocator;
+use crate::tenure;
+
+/// A message about limits.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Message {
+    /// A candidate or the holder asks a voter for its confirmation.
+    Confirm(tenure::Request),
+    /// A voter's answer to it.
+    Confirmed(tenure::Reply),
+    /// The sender holds no tenure and gives back the confirmations that it has.
+    Withdraw(tenure::Withdrawal),
+    /// An instance asks the holder for tokens.
+    Tokens(allocator::Request),
+    /// Answers a request for tokens.
+    Granted(allocator::Answer),
+}
--- /dev/null
+++ b/crates/cardamomhold_limit/src/tenure/voter.rs
@@ -0,0 +1,170 @@
+//! A voter: confirms one holder at a time.
+//!
+//! Voters change in two steps, and the sets of two generations that don't follow each other may
+//! have no instance in common. A holder by an old set may have been confirmed a moment before a
+//! majority of that set adopted the next generation. So a voter that adopts a generation confirms
+//! nobody until such a lease has ended, except an instance that states a valid lease by the
+//! generation before or a newer one: its majority meets the old one, so there is no other holder.
+
+use std::collections;
+
+use cardamomhold_core::name;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::voters;
+
+use crate::bounds;
+use crate::tenure;
+
+#[derive(Debug, Clone)]
+struct Confirmation {
+    holder: name::InstanceName,
+    incarnation: u64,
+    number: u64,
+    until: Timestamp,
+}
+
+/// State of a voter.
+#[derive(Debug)]
+pub struct Voter {
+    timing: bounds::Timing,
+    started: Timestamp,
+    voters: Option<voters::Voters>,
+    adopted: Timestamp,
+    confirmation: Option<Confirmation>,
+    /// When the last holder gave its confirmation back.
+    freed: Timestamp,
+    /// Process and last number of each candidate's withdrawal; a request that arrives after it
+    /// counts for nothing.
+    withdrawn: collections::BTreeMap<name::InstanceName, (u64, u64)>,
+}
+
+impl Voter {
+    /// Creates the voter of a process that starts now.
+    pub fn new(started: Timestamp, timing: bounds::Timing) -> Self {
+        Self {
+            timing,
+            started,
+            voters: None,
+            adopted: started,
+            confirmation: None,
+            freed: Timestamp(0),
+            withdrawn: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Adopts voters of a newer generation.
+    pub fn adopt(&mut self, now: Timestamp, voters: &voters::Voters) {
+        if voters.generation <= self.generation() {
+            return;
+        }
+        let names = voters.names();
+        self.withdrawn.retain(|name, _| names.contains(name));
+        self.voters = Some(voters.clone());
+        self.adopted = now;
+    }
+
+    /// Generation of the voters that it has adopted, 0 without any.
+    pub fn generation(&self) -> u64 {
+        self.voters.as_ref().map_or(0, |v| v.generation)
+    }
+
+    /// The instance that it confirms at present.
+    pub fn holder(&self, now: Timestamp) -> Option<&name::InstanceName> {
+        let confirmation = self.confirmation.as_ref().filter(|c| now < c.until);
+        confirmation.map(|c| &c.holder)
+    }
+
+    /// Time from which it may confirm `own`, if no other instance is confirmed before.
+    pub fn free_at(&self, own: &name::InstanceName) -> Timestamp {
+        let other = self.confirmation.as_ref().filter(|c| c.holder != *own);
+        let times = [
+            self.started.after(self.timing.start_abstention),
+            self.adopted.after(self.timing.adoption_abstention),
+            other.map_or(Timestamp(0), |c| c.until),
+            self.freed,
+        ];
+        times.into_iter().max().unwrap_or_default()
+    }
+
+    /// Answers a request.
+    pub fn confirm(
+        &mut self,
+        now: Timestamp,
+        from: &name::InstanceName,
+        request: &tenure::Request,
+    ) -> tenure::Reply {
+        let is_confirmed = self.may_confirm(now, from, request);
+        if is_confirmed {
+            let until = now.after(self.timing.confirmation);
+            let number = self.confirmation.as_ref().map_or(0, |c| c.number);
+            self.confirmation = Some(Confirmation {
+                holder: from.clone(),
+                incarnation: request.incarnation,
+                number: number.max(request.number),
+                until,
+            });
+        }
+        tenure::Reply {
+            incarnation: request.incarnation,
+            number: request.number,
+            generation: self.generation(),
+            is_confirmed,
+            holder: self.holder(now).cloned(),
+        }
+    }
+
+    fn may_confirm(
+        &self,
+        now: Timestamp,
+        from: &name::InstanceName,
+        request: &tenure::Request,
+    ) -> bool {
+        let Some(voters) = &self.voters else {
+            return false;
+        };
+        if now < self.started.after(self.timing.start_abstention) || !voters.names().contains(from)
+        {
+            return false;
+        }
+        let is_fresh = now < self.adopted.after(self.timing.adoption_abstention);
+        let is_present = request.held.is_some_and(|g| g + 1 >= voters.generation);
+        if is_fresh && !is_present {
+            return false;
+        }
+        let withdrawn = self.withdrawn.get(from.as_str());
+        if withdrawn.is_some_and(|(i, n)| *i == request.incarnation && request.number <= *n) {
+            return false;
+        }
+        self.confirmation.as_ref().is_none_or(|c| {
+            let is_same = c.holder == *from && c.incarnation == request.incarnation;
+            is_same || now >= c.until
+        })
+    }
+
+    /// Takes a confirmation back, as its holder doesn't rely on it any more.
+    pub fn withdraw(
+        &mut self,
+        now: Timestamp,
+        from: &name::InstanceName,
+        withdrawal: &tenure::Withdrawal,
+    ) {
+        let voters = self.voters.as_ref();
+        if !voters.is_some_and(|v| v.names().contains(from)) {
+            return;
+        }
+        let last = (withdrawal.incarnation, withdrawal.number);
+        let known = self.withdrawn.entry(from.clone()).or_insert(last);
+        if known.0 != last.0 || known.1 < last.1 {
+            *known = last;
+        }
+        let is_theirs = self.confirmation.as_ref().is_some_and(|c| {
+            c.holder == *from
+                && c.incarnation == withdrawal.incarnation
+                && c.number <= withdrawal.number
+        });
+        if is_theirs {
+            self.confirmation = None;
+            self.freed = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomhold_limit/tests/limit_fuzz.rs
@@ -0,0 +1,79 @@
+//! The operations of a workspace stay within its bound in every window, despite lost, late and
+//! repeated messages, frozen and restarted instances, cut zones, and changes of voters and limits.
+//!
+//! `CARDAMOMHOLD_CASES=100000` runs more histories than CI does.
+
+use std::env;
+
+use crate::world::Disabled;
+use crate::world::World;
+
+mod world;
+
+/// Number of histories in CI.
+const CASES: u64 = 3_000;
+
+/// Number of histories in which a disabled rule must show.
+const DETECTION_CASES: u64 = 20_000;
+
+fn first_violation(cases: u64, disabled: Disabled) -> Option<(u64, String)> {
+    (0..cases).find_map(|seed| {
+        let problem = World::random(seed, disabled).run(world::DURATION_MS);
+        problem.map(|p| (seed, p))
+    })
+}
+
+/// Guards against any history with more operations in a window than the bound allows.
+#[test]
+fn within_bound() {
+    let cases = env::var("CARDAMOMHOLD_CASES").ok();
+    let cases = cases.and_then(|c| c.parse().ok()).unwrap_or(CASES);
+    assert_eq!(first_violation(cases, Disabled::Nothing), None);
+}
+
+/// Guards against an oracle or histories that would miss a rule that is broken.
+fn assert_detected(disabled: Disabled) {
+    let found = first_violation(DETECTION_CASES, disabled);
+    println!("{disabled:?}: {found:?}");
+    assert!(found.is_some(), "{disabled:?} isn't detected");
+}
+
+#[test]
+fn detects_majority() {
+    assert_detected(Disabled::Majority);
+}
+
+#[test]
+fn detects_start() {
+    assert_detected(Disabled::StartAbstention);
+}
+
+#[test]
+fn detects_adoption() {
+    assert_detected(Disabled::AdoptionAbstention);
+}
+
+#[test]
+fn detects_proposal() {
+    assert_detected(Disabled::Proposal);
+}
+
+#[test]
+fn detects_expiry() {
+    assert_detected(Disabled::Expiry);
+}
+
+#[test]
+fn detects_full_start() {
+    assert_detected(Disabled::EmptyStart);
+}
+
+#[test]
+fn detects_lease_end() {
+    assert_detected(Disabled::LeaseEnd);
+}
+
+#[test]
+fn detects_queue() {
+    assert_detected(Disabled::QueueCheck);
+}
