--- a/crates/cardamomhold_entry/src/answer.rs
+++ b/crates/cardamomhold_entry/src/answer.rs
@@ -145,6 +145,12 @@
         }
     }
 
+    /// Whether the member has run nothing of a single statement.
+    pub fn is_not_run(&self) -> bool {
+        let is_refused = self.code().is_some_and(Code::allows_retry);
+        is_refused && self.state == State::Idle
+    }
+
     /// Code of the failure; none on success.
     pub fn code(&self) -> Option<Code> {
         match &self.end {
--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::group as group_task;
 use crate::groups;
+use crate::limits;
 use crate::link;
 use crate::metrics;
 use crate::session;
@@ -54,6 +55,8 @@
     pub phase: watch::Receiver<stop::Phase>,
     /// Metrics of the instance.
     pub metrics: metrics::Metrics,
+    /// Limits of workspaces.
+    pub limits: limits::Handle,
 }
 
 impl<L> Clone for Context<L> {
@@ -64,6 +67,7 @@
             groups: self.groups.clone(),
             phase: self.phase.clone(),
             metrics: self.metrics.clone(),
+            limits: self.limits.clone(),
         }
     }
 }
@@ -91,6 +95,10 @@
     begin: Option<bool>,
     call: call::Call<'_>,
 ) -> Result<Started<L>, Failure> {
+    let workspace = call.grant.map(|g| &g.workspace);
+    if let Some(after) = context.limits.refusal(workspace) {
+        return Err(failure::limited(after));
+    }
     let mut request = wait_queue::Request {
         id: 0,
         rank: route.rank,
@@ -108,6 +116,7 @@
         if let Err(error) =
             prepare(context, &route.group, &mut checkout, session, begin, &call).await
         {
+            retry::record_limited(context, &call, &error);
             last_failure = retry::handle_failed_prepare(&mut checkout, &mut request, &error);
             retry::log_attempt(&call, attempt, &member, last_failure);
             if retry::is_final(&checkout, &error) {
@@ -132,7 +141,7 @@
             Err(failed) => {
                 retry::log_attempt(&call, attempt, &member, failed);
                 let is_overloaded = failed.code == answer::Code::Busy;
-                if is_overloaded && checkout.is_primary() {
+                if failed.is_limited || is_overloaded && checkout.is_primary() {
                     return Err(failed);
                 }
                 let is_not_run = is_overloaded || failed.code == answer::Code::Aborted;
@@ -222,6 +231,9 @@
         let after = checkout.after;
         commands.push(link::Command::Begin { read_only, after });
     }
+    if begin.is_some() {
+        checkout.permit.mark_sent();
+    }
     let preparing = connection.link.prepare(&commands);
     let prepared = match awaited::answer(context, awaited, preparing).await {
         Ok(prepared) => prepared,
@@ -232,8 +244,9 @@
             Err(link::LinkError::OwnerLost(io::ErrorKind::TimedOut.into()))
         }
     };
+    checkout.permit.record(link::may_have_run(&prepared));
     if let Err(error) = prepared {
-        if let link::LinkError::Overloaded(_) = error {
+        if let link::LinkError::Overloaded(_) | link::LinkError::Limited(_) = error {
             checkout.completion = pool::Completion::Unused;
             return Err(error);
         }
@@ -322,8 +335,10 @@
             "the connection is closed",
         ));
     };
+    checkout.permit.mark_sent();
     let calling = connection.link.call(call.command(after));
     let result = awaited::answer(context, awaited, calling).await;
+    checkout.permit.record(retry::may_have_run(&result));
     let took = clock::now().since(sent);
     match result {
         Ok(Ok(answer)) => {
@@ -348,6 +363,11 @@
             checkout.completion = pool::Completion::Unused;
             Err(failure::overloaded(after))
         }
+        Ok(Err(error @ link::LinkError::Limited(after))) => {
+            checkout.completion = pool::Completion::Unused;
+            retry::record_limited(context, call, &error);
+            Err(failure::limited(after))
+        }
         Ok(Err(link::LinkError::Unreachable(_))) => {
             checkout.close(pool::Completion::Unserved);
             let cause = "the owner of the connections does not serve the member";
--- a/crates/cardamomhold_entry/src/attempt/failure.rs
+++ b/crates/cardamomhold_entry/src/attempt/failure.rs
@@ -23,6 +23,8 @@
     pub cause: &'static str,
     /// When the caller should try again, if that helps.
     pub retry_after: Option<time::Duration>,
+    /// Whether no other member can help: the workspace is over its limit.
+    pub is_limited: bool,
 }
 
 impl fmt::Display for Failure {
@@ -40,6 +42,7 @@
         code,
         cause,
         retry_after: None,
+        is_limited: false,
     }
 }
 
@@ -48,6 +51,7 @@
         code: answer::Code::Busy,
         cause,
         retry_after: Some(retry_after),
+        is_limited: false,
     }
 }
 
@@ -55,6 +59,13 @@
     busy("too much to do", retry_after)
 }
 
+pub(super) fn limited(retry_after: time::Duration) -> Failure {
+    Failure {
+        is_limited: true,
+        ..busy("the workspace is over its limit", retry_after)
+    }
+}
+
 pub(super) fn refusal(refusal: group::Refusal) -> Failure {
     match refusal {
         group::Refusal::Overloaded(after) => overloaded(after),
--- a/crates/cardamomhold_entry/src/attempt/retry.rs
+++ b/crates/cardamomhold_entry/src/attempt/retry.rs
@@ -9,11 +9,14 @@
 
 use crate::answer;
 use crate::attempt::BUSY_PAUSE;
+use crate::attempt::Context;
+use crate::attempt::awaited;
 use crate::attempt::failure;
 use crate::attempt::failure::Failure;
 use crate::call;
 use crate::checkout;
 use crate::clock;
+use crate::limits;
 use crate::link;
 
 /// When a caller should try again after a connection broke.
@@ -49,6 +52,7 @@
     request.avoid.push(checkout.member.clone());
     match error {
         link::LinkError::Overloaded(after) => failure::overloaded(*after),
+        link::LinkError::Limited(after) => failure::limited(*after),
         link::LinkError::Refused(answer::Code::Behind) => {
             if let Some(after) = checkout.after {
                 checkout.completion = pool::Completion::Behind(after);
@@ -63,10 +67,37 @@
     }
 }
 
-/// Whether no further attempt can succeed now: the primary's owner has refused, and no other
-/// member can stand in for the primary.
+/// Whether the member may have run a statement.
+pub(super) fn may_have_run(
+    result: &Result<Result<answer::Answer, link::LinkError>, awaited::Unanswered>,
+) -> bool {
+    match result {
+        Ok(Ok(answer)) => !answer.is_not_run(),
+        Ok(called) => link::may_have_run(called),
+        Err(_) => true,
+    }
+}
+
+/// Whether no further attempt can succeed now: the workspace is over its limit everywhere, or the
+/// primary's owner has refused, and no other member can stand in for the primary.
 pub(super) fn is_final<L>(checkout: &checkout::Checkout<L>, error: &link::LinkError) -> bool {
-    checkout.is_primary() && matches!(error, link::LinkError::Overloaded(_))
+    match error {
+        link::LinkError::Limited(_) => true,
+        link::LinkError::Overloaded(_) => checkout.is_primary(),
+        _ => false,
+    }
+}
+
+/// Lets this instance refuse further operations of a workspace that an owner has refused.
+pub(super) fn record_limited<L>(
+    context: &Context<L>,
+    call: &call::Call<'_>,
+    error: &link::LinkError,
+) {
+    if let (link::LinkError::Limited(after), Some(grant)) = (error, call.grant) {
+        let refused = limits::Command::Refused(grant.workspace.clone(), *after);
+        context.limits.send(refused);
+    }
 }
 
 /// Updates the request after a member refused a statement without running it, and waits where
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -346,6 +346,7 @@
                 code: answer::Code::Aborted,
                 cause: "the connection broke inside the transaction",
                 retry_after: None,
+                is_limited: false,
             })?;
             return attempt::run_next(self.context, &route.group, checkout, call).await;
         }
--- a/crates/cardamomhold_entry/src/checkout.rs
+++ b/crates/cardamomhold_entry/src/checkout.rs
@@ -10,6 +10,7 @@
 
 use crate::admission;
 use crate::group;
+use crate::limits;
 use crate::link;
 use crate::session;
 
@@ -62,6 +63,8 @@
     pub sample: Option<sample::Sample>,
     /// The work that this instance's own queue admitted; none on a connection to an owner.
     job: Option<admission::Job<L>>,
+    /// The right to run an operation; an owner has its own for a connection to it.
+    pub permit: limits::Permit,
     group: Group<L>,
 }
 
@@ -82,6 +85,7 @@
             completion: pool::Completion::Unused,
             sample: None,
             job,
+            permit: limits::Permit::default(),
             group,
         }
     }
--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -23,6 +23,7 @@
 use crate::failovers;
 use crate::handover;
 use crate::lag;
+use crate::limits;
 use crate::link;
 use crate::message;
 use crate::peers;
@@ -65,6 +66,8 @@
     pub epoch: watch::Sender<u64>,
     /// Whether another instance would tell this one of newer versions in the store.
     pub informed: watch::Sender<bool>,
+    /// The limits of workspaces, whose task is told the voters and its datagrams.
+    pub limits: limits::Handle,
 }
 
 /// A leadership that is announced repeatedly.
--- a/crates/cardamomhold_entry/src/coordinator/electorate.rs
+++ b/crates/cardamomhold_entry/src/coordinator/electorate.rs
@@ -10,6 +10,7 @@
 use crate::control;
 use crate::coordinator::Coordinator;
 use crate::coordinator::Event;
+use crate::limits;
 use crate::link;
 use crate::message;
 use crate::promoter;
@@ -41,6 +42,8 @@
     /// Number of times that instances other than the voters were asked.
     turn: usize,
     is_writing: bool,
+    /// Generation of the voters that the limits' task has been told.
+    told: u64,
 }
 
 impl Electorate {
@@ -171,6 +174,22 @@
         );
         self.electorate.voters = Some(voters.clone());
         self.round = None;
+        self.tell_voters();
+    }
+
+    /// Tells the limits' task the voters, once this instance's state has been confirmed since its
+    /// start: voters that another instance passed on before may be older than those that this one
+    /// had adopted when it stopped.
+    pub(super) fn tell_voters(&mut self) {
+        let is_new = self.electorate.told < self.electorate.generation();
+        if let Some(voters) = &self.electorate.voters
+            && is_new
+            && self.lease.may_confirm_others()
+        {
+            self.electorate.told = voters.generation;
+            let voters = limits::Command::Voters(voters.clone());
+            self.published.limits.send(voters);
+        }
     }
 
     pub(super) fn voter_pong(&self) -> message::Message {
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -68,6 +68,7 @@
             .send_if_modified(|s| until > std::mem::replace(&mut s.until, until));
         self.publish_isolation(now);
         self.log_lease_change(now);
+        self.tell_voters();
     }
 
     /// Publishes whether this instance is isolated, if that has changed.
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -9,6 +9,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::coordinator::HeldRequest;
+use crate::limits;
 use crate::link;
 use crate::message;
 use crate::promoter;
@@ -136,6 +137,10 @@
             } => self
                 .electorate
                 .record_answer(now, &name, generation, is_leaving),
+            message::Message::Limits(message) => {
+                let received = limits::Command::Received(name, message);
+                self.published.limits.send(received);
+            }
         }
     }
 
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -21,6 +21,7 @@
 use crate::checkout;
 use crate::clock;
 use crate::coordinator;
+use crate::limits;
 use crate::link;
 use crate::link::Link;
 use crate::metrics;
@@ -29,6 +30,7 @@
 
 mod open;
 pub mod owned;
+mod permits;
 mod routes;
 
 /// Minimum interval between two reports that the primary can't be reached.
@@ -72,9 +74,18 @@
         grant: pool::Grant<checkout::Connection<L>>,
         /// Change number of the leadership at the time of the grant.
         change: u64,
+        /// The right to run the operation, where the workspace may have a limit.
+        permit: Option<limits::Permit>,
         /// The connection, or why there is none.
         result: Result<admission::Admitted<L>, admission::Refusal>,
     },
+    /// A granted request has the permit of its workspace, or the time after which there may be one.
+    Permitted {
+        /// The pool's grant.
+        grant: pool::Grant<checkout::Connection<L>>,
+        /// The permit.
+        result: Result<limits::Permit, time::Duration>,
+    },
     /// A statement of another instance returned a log position.
     Sampled {
         /// The member.
@@ -165,11 +176,15 @@
     pub coordinator: coordinator::Handle,
     /// Metrics of the instance.
     pub metrics: metrics::Metrics,
+    /// Limits of workspaces.
+    pub limits: limits::Handle,
 }
 
 struct Waiting<L> {
     request: wait_queue::Request,
     reply: oneshot::Sender<Result<checkout::Checkout<L>, Refusal>>,
+    /// The right to run its operation, once the workspace's limit allows it.
+    permit: Option<limits::Permit>,
 }
 
 /// The queue of a member that this instance owns.
@@ -325,7 +340,12 @@
                 self.next_id += 1;
                 request.id = self.next_id;
                 self.pool.request(request.clone());
-                self.waiting.insert(request.id, Waiting { request, reply });
+                let waiting = Waiting {
+                    request: request.clone(),
+                    reply,
+                    permit: None,
+                };
+                self.waiting.insert(request.id, waiting);
             }
             Message::Admit {
                 member,
@@ -341,8 +361,15 @@
             Message::Admitted {
                 grant,
                 change,
+                permit,
                 result,
-            } => self.handle_admitted(now, grant, change, result),
+            } => {
+                if let Some(waiting) = self.waiting.get_mut(&grant.id) {
+                    waiting.permit = permit;
+                }
+                self.handle_admitted(now, grant, change, result);
+            }
+            Message::Permitted { grant, result } => self.handle_permitted(now, grant, result),
             Message::Sampled { member, sample } => self.record_sample(now, &member, sample),
             Message::Release {
                 member,
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -96,6 +96,10 @@
         now: Timestamp,
         mut grant: pool::Grant<checkout::Connection<C::Link>>,
     ) {
+        if self.needs_permit(now, &grant) {
+            self.acquire_permit(grant);
+            return;
+        }
         if self.pool.share(&grant.member) == Some(share::Share::Local) {
             self.admit_own(grant);
             return;
@@ -208,9 +212,17 @@
         grant: pool::Grant<checkout::Connection<C::Link>>,
         change: u64,
     ) {
+        let is_direct = job.is_none() && connection.owner.is_none();
+        if is_direct && self.needs_permit(clock::now(), &grant) {
+            // The permit has expired while the connection was opened.
+            let link = Some(connection);
+            self.acquire_permit(pool::Grant { link, ..grant });
+            return;
+        }
         let Some(waiting) = self.waiting.remove(&grant.id) else {
             return;
         };
+        let is_relayed = connection.owner.is_some();
         let mut connection = connection;
         let request = waiting.request;
         connection.link.set_priority(link::Priority {
@@ -225,7 +237,9 @@
             handle: self.handle.clone(),
             silent: self.silent.subscribe(),
         };
-        let checkout = checkout::Checkout::new(connection, job, grant, change, group);
+        let mut checkout = checkout::Checkout::new(connection, job, grant, change, group);
+        let permit = waiting.permit.filter(|_| !is_relayed);
+        checkout.permit = permit.unwrap_or_default();
         // If the caller has disconnected, dropping the checkout returns the connection.
         let _ = waiting.reply.send(Ok(checkout));
     }
--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -16,6 +16,7 @@
 use crate::group::Owned;
 use crate::group::Refusal;
 use crate::group::Task;
+use crate::group::permits;
 use crate::link;
 use crate::relay;
 use crate::view;
@@ -89,11 +90,12 @@
 
     /// Passes a granted request of this instance to its own queue.
     pub(super) fn admit_own(&mut self, grant: pool::Grant<checkout::Connection<C::Link>>) {
-        let Some(waiting) = self.waiting.get(&grant.id) else {
+        let Some(waiting) = self.waiting.get_mut(&grant.id) else {
             let unused = pool::Completion::Unused;
             self.pool.release(clock::now(), &grant.member, None, unused);
             return;
         };
+        let mut permit = waiting.permit.take();
         let request = admission::Request {
             rank: relay::owner::to_rank(waiting.request.rank),
             caller: waiting.request.caller.clone(),
@@ -107,11 +109,15 @@
         let change = self.change;
         tokio::task::spawn_local(async move {
             let result = admitted.await;
-            let result = result.unwrap_or(Err(admission::Refusal::Unreachable));
+            let mut result = result.unwrap_or(Err(admission::Refusal::Unreachable));
+            if let Ok(admitted) = result {
+                result = permits::renew(&mut permit, admitted).await;
+            }
             // The receiver is gone when the group's task has ended.
             let _ = handle.send(Message::Admitted {
                 grant,
                 change,
+                permit,
                 result,
             });
         });
--- a/crates/cardamomhold_entry/src/groups.rs
+++ b/crates/cardamomhold_entry/src/groups.rs
@@ -9,6 +9,7 @@
 
 use crate::coordinator;
 use crate::group;
+use crate::limits;
 use crate::link;
 use crate::metrics;
 use crate::view;
@@ -38,6 +39,8 @@
     pub coordinator: coordinator::Handle,
     /// Metrics of the instance.
     pub metrics: metrics::Metrics,
+    /// Limits of workspaces.
+    pub limits: limits::Handle,
 }
 
 /// Starts the task; returns the channel on which it publishes the handles.
@@ -106,5 +109,6 @@
         samples: context.samples.clone(),
         coordinator: context.coordinator.clone(),
         metrics: context.metrics.clone(),
+        limits: context.limits.clone(),
     })
 }
--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`group`]: one for each database group, which chooses the member for each request,
 //! - [`admission`]: one for each member whose connections this instance owns, with its queue,
 //! - [`coordinator`]: leaderships, the lease on them, membership of other instances,
+//! - [`limits`]: limits of workspaces, with this instance's part in them,
 //! - [`relay::owner`]: one for each connection from another instance that uses members'
 //!   connections owned by this one,
 //! - [`follow`]: one for each kind of object that is watched in the store,
@@ -45,6 +46,7 @@
 pub mod groups;
 pub mod handover;
 pub mod lag;
+pub mod limits;
 pub mod link;
 pub mod logs;
 pub mod message;
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -116,6 +116,9 @@
     /// The owner refused the command, since it would wait for too long; it did not run. There is
     /// room after this time.
     Overloaded(time::Duration),
+    /// The owner refused the command, since its workspace is over its limit; it did not run. There
+    /// may be a token after this time.
+    Limited(time::Duration),
 }
 
 impl LinkError {
@@ -125,13 +128,30 @@
         match self {
             Self::Refused(code) => matches!(code, answer::Code::TooMany | answer::Code::Busy),
             Self::Broken(error) => error.kind() != io::ErrorKind::TimedOut,
-            Self::Unreachable(_) | Self::OwnerLost(_) | Self::Garbled | Self::Overloaded(_) => {
-                false
-            }
+            Self::Unreachable(_)
+            | Self::OwnerLost(_)
+            | Self::Garbled
+            | Self::Overloaded(_)
+            | Self::Limited(_) => false,
         }
     }
 }
 
+/// Whether a command may have had an effect at the member.
+pub fn may_have_run<T>(result: &Result<T, LinkError>) -> bool {
+    match result {
+        Ok(_) => true,
+        Err(LinkError::Refused(code)) => !code.allows_retry(),
+        Err(LinkError::Overloaded(_) | LinkError::Limited(_)) => false,
+        Err(
+            LinkError::Unreachable(_)
+            | LinkError::Broken(_)
+            | LinkError::OwnerLost(_)
+            | LinkError::Garbled,
+        ) => true,
+    }
+}
+
 impl fmt::Display for LinkError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -141,6 +161,7 @@
             Self::Garbled => f.write_str("unreadable answer"),
             Self::Refused(code) => write!(f, "refused: {}", code.as_str()),
             Self::Overloaded(after) => write!(f, "overloaded for {} ms", after.as_millis()),
+            Self::Limited(after) => write!(f, "over the limit for {} ms", after.as_millis()),
         }
     }
 }
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -154,4 +154,6 @@
         /// Whether the sender is about to stop.
         is_leaving: bool,
     },
+    /// A message about the limits of workspaces.
+    Limits(cardamomhold_limit::message::Message),
 }
--- a/crates/cardamomhold_entry/src/metrics.rs
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -23,6 +23,8 @@
     waiting: prometheus::IntGaugeVec,
     calls: prometheus::IntCounterVec,
     callers: prometheus::IntGauge,
+    limited: prometheus::IntCounterVec,
+    limit_holder: prometheus::IntGauge,
 }
 
 fn counter(
@@ -81,14 +83,25 @@
                 "cardamomhold_callers",
                 "Open connections of callers",
             )?,
+            limited: counter(
+                "cardamomhold_limit_operations_total",
+                "Operations of workspaces with a limit, as decided by this instance",
+                &["workspace", "result"],
+            )?,
+            limit_holder: prometheus::IntGauge::new(
+                "cardamomhold_limit_holder",
+                "Whether this instance grants the tokens of all workspaces",
+            )?,
         };
-        let collectors: [Box<dyn Collector>; 6] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(metrics.statements.clone()),
             Box::new(metrics.failures.clone()),
             Box::new(metrics.opened.clone()),
             Box::new(metrics.waiting.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.callers.clone()),
+            Box::new(metrics.limited.clone()),
+            Box::new(metrics.limit_holder.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector)?;
@@ -137,6 +150,16 @@
         self.callers.add(change);
     }
 
+    /// Counts an operation of a workspace with a limit.
+    pub fn record_limited(&self, workspace: &str, result: &str) {
+        self.limited.with_label_values(&[workspace, result]).inc();
+    }
+
+    /// Sets whether this instance grants the tokens of all workspaces.
+    pub fn set_limit_holder(&self, is_holder: bool) {
+        self.limit_holder.set(is_holder.into());
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -68,6 +68,19 @@
     },
 }
 
+impl Body<'_> {
+    /// Whether a member that runs it has begun an operation.
+    pub fn starts_operation(&self) -> bool {
+        match self {
+            Self::Prepare(commands) => commands
+                .iter()
+                .any(|c| matches!(c, link::Command::Begin { .. })),
+            Self::Call(_) => true,
+            Self::Ping { .. } => false,
+        }
+    }
+}
+
 /// Reply to a request, with the owner's report.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 pub struct Reply {
@@ -109,6 +122,11 @@
         /// Time after which there is room, in milliseconds.
         after_ms: u32,
     },
+    /// The workspace is over its limit; nothing ran.
+    Limited {
+        /// Time after which there may be a token, in milliseconds.
+        after_ms: u32,
+    },
 }
 
 impl From<Failure> for link::LinkError {
@@ -121,6 +139,9 @@
             Failure::Overloaded { after_ms } => {
                 Self::Overloaded(time::Duration::from_millis(after_ms.into()))
             }
+            Failure::Limited { after_ms } => {
+                Self::Limited(time::Duration::from_millis(after_ms.into()))
+            }
         }
     }
 }
@@ -135,6 +156,9 @@
             link::LinkError::Overloaded(after) => Self::Overloaded {
                 after_ms: after.as_millis() as u32,
             },
+            link::LinkError::Limited(after) => Self::Limited {
+                after_ms: after.as_millis() as u32,
+            },
         }
     }
 }
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::group;
 use crate::groups;
+use crate::limits;
 use crate::link;
 use crate::relay::frame;
 use crate::session;
@@ -40,6 +41,8 @@
     pub groups: watch::Receiver<groups::Groups<L>>,
     /// Phase of the instance's shutdown.
     pub phase: watch::Receiver<stop::Phase>,
+    /// Limits of workspaces.
+    pub limits: limits::Handle,
 }
 
 impl<L> Clone for Context<L> {
@@ -47,6 +50,7 @@
         Self {
             groups: self.groups.clone(),
             phase: self.phase.clone(),
+            limits: self.limits.clone(),
         }
     }
 }
@@ -102,6 +106,7 @@
     job: admission::Job<L>,
     group: group::Handle<L>,
     header: frame::Header,
+    permit: limits::Permit,
 }
 
 /// State of one connection from another instance.
@@ -152,8 +157,12 @@
             }
             None => self.acquire(request, remaining, limit).await?,
         };
+        if request.body.starts_operation() {
+            work.permit.mark_sent();
+        }
         let executed = tokio::time::timeout_at(limit, execute(&mut work, &request.body)).await;
         let executed = executed.unwrap_or(Err(frame::Failure::Broken));
+        work.permit.record(has_run(&executed));
         self.last_report.load = work.job.load();
         match executed {
             Ok((outcome, Next::Hold)) => {
@@ -210,13 +219,19 @@
             .get(header.group.as_str())
             .cloned();
         let group = group.ok_or(frame::Failure::Unreachable)?;
+        let workspace = header.grant.as_ref().map(|g| &g.workspace);
         let now = clock::now();
+        let target = now.after(time::Duration::from_micros(header.target_us));
+        let deadline = now.after(remaining.saturating_sub(REFUSAL_RESERVE));
+        let limits = &self.context.limits;
+        let permit = limits.acquire(workspace, target, deadline).await;
+        let mut permit = permit.map_err(limited)?;
         let work = admission::Request {
             rank: to_rank(header.rank),
             caller: header.caller.clone(),
-            workspace: header.grant.as_ref().map(|g| g.workspace.clone()),
-            target: now.after(time::Duration::from_micros(header.target_us)),
-            deadline: now.after(remaining.saturating_sub(REFUSAL_RESERVE)),
+            workspace: workspace.cloned(),
+            target,
+            deadline,
         };
         let (reply, admitted) = oneshot::channel();
         let message = group::Message::Admit {
@@ -238,11 +253,16 @@
                 admission::Refusal::Unreachable => frame::Failure::Unreachable,
             })?;
         self.last_report.waited_us = job.waited.as_micros() as u32;
+        if let Err(after) = permit.renew().await {
+            job.finish(None, Some(connection));
+            return Err(limited(after));
+        }
         let mut work = Work {
             connection,
             job,
             group,
             header,
+            permit,
         };
         if let Err(failure) = clear_state(&mut work.connection, limit).await {
             work.job.finish(Some(false), None);
@@ -266,6 +286,23 @@
     }
 }
 
+/// The failure of a request whose workspace is over its limit.
+fn limited(after: time::Duration) -> frame::Failure {
+    frame::Failure::Limited {
+        after_ms: after.as_millis() as u32,
+    }
+}
+
+/// Whether the member may have run something of a request.
+fn has_run(executed: &Result<(frame::Outcome, Next), frame::Failure>) -> bool {
+    match executed {
+        Ok((frame::Outcome::Answered(answer), _)) => !answer.is_not_run(),
+        Ok(_) => true,
+        Err(frame::Failure::Refused(code)) => !code.allows_retry(),
+        Err(_) => true,
+    }
+}
+
 /// Rank of a route's priority in an owner's queue.
 pub fn to_rank(priority: u8) -> rank::Rank {
     let index = usize::from(priority).min(rank::Rank::ALL.len() - 1);
--- a/crates/cardamomhold_entry/tests/cut_owners.rs
+++ b/crates/cardamomhold_entry/tests/cut_owners.rs
@@ -91,6 +91,7 @@
             relay::owner::Context {
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                limits: Default::default(),
             },
         );
         for _ in 0..100 {
@@ -156,6 +157,7 @@
             relay::owner::Context {
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                limits: Default::default(),
             },
         );
         tokio::time::sleep(time::Duration::from_millis(5_000)).await;
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -93,6 +93,7 @@
             relay::owner::Context {
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                limits: Default::default(),
             },
         );
         let good = request("READ x");
--- a/crates/cardamomhold_entry/tests/relayed_statements.rs
+++ b/crates/cardamomhold_entry/tests/relayed_statements.rs
@@ -45,6 +45,7 @@
     let context = relay::owner::Context {
         groups: world.groups.clone(),
         phase: world.phases.subscribe(),
+        limits: Default::default(),
     };
     relay::owner::start(listener, context);
     (world, address)
@@ -310,6 +311,7 @@
             groups: tokio::sync::watch::channel(Default::default()).1,
             phase: world.phases.subscribe(),
             metrics: metrics::Metrics::new().unwrap(),
+            limits: Default::default(),
         };
         let ran = attempt::run(&context, &world::group_name(), &mut checkout, &call, None).await;
         assert_eq!(ran.unwrap_err().code, answer::Code::Aborted);
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -19,6 +19,7 @@
 use cardamomhold_entry::coordinator;
 use cardamomhold_entry::group;
 use cardamomhold_entry::groups;
+use cardamomhold_entry::limits;
 use cardamomhold_entry::link;
 use cardamomhold_entry::metrics;
 use cardamomhold_entry::owners;
@@ -310,6 +311,7 @@
             samples: sampled,
             coordinator: coordinator.clone(),
             metrics: metrics.clone(),
+            limits: limits::Handle::default(),
         });
         let world = Self {
             coordinator,
@@ -355,6 +357,7 @@
             samples: self.samples.subscribe(),
             coordinator: self.coordinator.clone(),
             metrics: self.metrics.clone(),
+            limits: limits::Handle::default(),
         }
     }
 
@@ -375,6 +378,7 @@
             groups: self.groups.clone(),
             phase: self.phases.subscribe(),
             metrics: self.metrics.clone(),
+            limits: limits::Handle::default(),
         }
     }
 
