--- a/crates/cardamomhold_limit/src/allowance.rs
+++ b/crates/cardamomhold_limit/src/allowance.rs
@@ -16,17 +16,7 @@
 use crate::reserve;
 use crate::stock;
 
-/// Interval between two requests ahead of need.
-const AHEAD_INTERVAL: time::Duration = time::Duration::from_millis(40);
-
-/// Time after which a request counts as lost while operations wait.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(50);
-
-/// Requests without tokens to the known holder after which voters are asked for another one.
-const MAX_FAILURES: u32 = 2;
-
-/// Requests whose answers are still accepted.
-const MAX_REQUESTS: usize = 8;
+mod requests;
 
 /// Workspaces in one request, which bounds the datagram to a few hundred bytes.
 const MAX_WANTED: usize = 16;
@@ -67,32 +57,15 @@
     pub result: Result<Permit, time::Duration>,
 }
 
-#[derive(Debug)]
-struct Sent {
-    number: u64,
-    at: Timestamp,
-    workspaces: Vec<name::WorkspaceName>,
-}
-
 /// Tokens and requests of an instance.
 #[derive(Debug)]
 pub struct Allowance {
-    own: name::InstanceName,
     incarnation: u64,
     bounds: bounds::Bounds,
     limits: allocator::Limits,
     stocks: collections::BTreeMap<name::WorkspaceName, stock::Stock>,
     reserve: reserve::Reserve,
-    /// The last requests, the newest last.
-    requests: collections::VecDeque<Sent>,
-    /// The request whose answer is awaited.
-    awaited: Option<u64>,
-    last_sent: Option<Timestamp>,
-    number: u64,
-    /// Requests without tokens since the last answer with some.
-    failures: u32,
-    holder: Option<name::InstanceName>,
-    is_redirected: bool,
+    requests: requests::Requests,
     /// Number of jitters drawn.
     draws: u64,
     cleaned: Timestamp,
@@ -108,19 +81,12 @@
         bounds: bounds::Bounds,
     ) -> Self {
         Self {
-            own: own.clone(),
             incarnation,
             bounds,
             limits: allocator::Limits::new(),
             stocks: collections::BTreeMap::new(),
             reserve: reserve::Reserve::new(started, own, bounds),
-            requests: collections::VecDeque::new(),
-            awaited: None,
-            last_sent: None,
-            number: 0,
-            failures: 0,
-            holder: None,
-            is_redirected: false,
+            requests: requests::Requests::new(own, incarnation),
             draws: 0,
             cleaned: started,
             decisions: Vec::new(),
@@ -156,17 +122,17 @@
 
     /// The holder of the tenure, as far as this instance knows.
     pub fn holder(&self) -> Option<&name::InstanceName> {
-        self.holder.as_ref()
+        self.requests.holder.as_ref()
     }
 
     /// Whether the last requests brought no tokens.
     pub fn is_failing(&self) -> bool {
-        self.failures >= MAX_FAILURES
+        self.requests.is_failing()
     }
 
     /// Number of requests without tokens since the last answer with some.
     pub fn failures(&self) -> u32 {
-        self.failures
+        self.requests.failures
     }
 
     /// Asks for the token of an operation, which waits for it until `until` at most.
@@ -296,60 +262,25 @@
         }
     }
 
-    /// When the next request is due at the earliest while operations wait.
-    fn due(&self) -> Timestamp {
-        let Some(sent) = self.last_sent else {
-            return Timestamp(0);
-        };
-        match self.awaited.is_some() || (self.failures > 0 && !self.is_redirected) {
-            true => sent.after(ANSWER_TIMEOUT),
-            false => sent,
-        }
-    }
-
     /// The next request, if one is due.
     pub fn request(&mut self, now: Timestamp) -> Option<allocator::Request> {
         let is_waiting = self.stocks.values().any(|s| !s.waiting.is_empty());
         let due = match is_waiting {
-            true => self.due(),
-            false => self
-                .last_sent
-                .map_or(Timestamp(0), |at| at.after(AHEAD_INTERVAL).max(self.due())),
+            true => self.requests.due(),
+            false => self.requests.due_ahead(),
         };
         if now < due {
             return None;
         }
-        let (wanted, is_urgent) = self.wanted(now);
-        if !is_urgent {
-            return None;
-        }
-        if self.awaited.take().is_some() {
-            self.failures += 1;
-        }
-        self.is_redirected = false;
-        self.number += 1;
-        self.awaited = Some(self.number);
-        self.last_sent = Some(now);
-        if self.requests.len() >= MAX_REQUESTS {
-            self.requests.pop_front();
-        }
-        self.requests.push_back(Sent {
-            number: self.number,
-            at: now,
-            workspaces: wanted.iter().map(|w| w.workspace.clone()).collect(),
-        });
-        Some(allocator::Request {
-            incarnation: self.incarnation,
-            number: self.number,
-            wanted,
-        })
+        let (wanted, is_needed) = self.wanted(now);
+        is_needed.then(|| self.requests.start(now, wanted))
     }
 
     /// What to ask for, those with waiting operations first, and whether a request is needed now.
     fn wanted(&mut self, now: Timestamp) -> (Vec<allocator::Wanted>, bool) {
         let span = self.bounds.term() / 2;
         let mut all = Vec::new();
-        let mut is_urgent = false;
+        let mut is_needed = false;
         for (name, stock) in &mut self.stocks {
             let waiting = stock.waiting.len() as u32;
             if waiting == 0 && now < stock.empty_until {
@@ -361,7 +292,7 @@
                 likely.saturating_sub(tokens),
                 possible.saturating_sub(tokens),
             );
-            is_urgent |= waiting > 0 || possible > tokens;
+            is_needed |= waiting > 0 || possible > tokens;
             if waiting > 0 || possible > 0 {
                 all.push(allocator::Wanted {
                     workspace: name.clone(),
@@ -378,7 +309,7 @@
             )
         });
         all.truncate(MAX_WANTED);
-        (all, is_urgent)
+        (all, is_needed)
     }
 
     /// Stores the tokens of an answer.
@@ -388,24 +319,12 @@
         from: &name::InstanceName,
         answer: &allocator::Answer,
     ) {
-        if answer.incarnation != self.incarnation {
-            return;
-        }
-        let index = self.requests.iter().position(|r| r.number == answer.number);
-        let Some(sent) = index.and_then(|i| self.requests.remove(i)) else {
+        let Some(sent) = self.requests.finish(from, answer) else {
             return;
         };
-        if self.awaited == Some(answer.number) {
-            self.awaited = None;
-        }
         let Some(grants) = &answer.grants else {
-            self.failures += 1;
-            self.is_redirected = self.failures == 1 && answer.holder.is_some();
-            self.holder = answer.holder.clone();
             return;
         };
-        self.holder = Some(from.clone());
-        self.failures = 0;
         let until = sent.at.after(self.bounds.term());
         for workspace in &sent.workspaces {
             let grant = grants.iter().find(|g| g.workspace == *workspace);
@@ -426,25 +345,20 @@
         }
     }
 
-    /// The instance to ask: the holder or, while it isn't known or doesn't answer, one of the
-    /// voters in turn.
-    pub fn target<'a>(
-        &'a self,
-        voters: &'a collections::BTreeSet<name::InstanceName>,
-    ) -> Option<&'a name::InstanceName> {
-        let holder = self.holder.as_ref().filter(|h| **h != self.own);
-        if let Some(holder) = holder.filter(|_| !self.is_failing()) {
-            return Some(holder);
-        }
-        let turn = self.number as usize % voters.len().max(1);
-        voters.iter().nth(turn)
+    /// The instance to send a request to: the holder or, while it isn't known or doesn't answer,
+    /// one of the voters in turn.
+    pub fn target(
+        &mut self,
+        voters: &collections::BTreeSet<name::InstanceName>,
+    ) -> Option<name::InstanceName> {
+        self.requests.target(voters)
     }
 
     /// When something is due.
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let waiting = self.stocks.values().flat_map(|s| &s.waiting);
         let overdue = waiting.map(|w| w.until).min()?;
-        Some(match self.due() {
+        Some(match self.requests.due() {
             due if due > now => overdue.min(due),
             _ => overdue,
         })
--- a/crates/cardamomhold_limit/src/limiter.rs
+++ b/crates/cardamomhold_limit/src/limiter.rs
@@ -221,10 +221,13 @@
         }
         let mut others = self.candidate.voters();
         others.remove(own.as_str());
-        let known = self.voter.holder(now).filter(|h| **h != own);
-        let known = known.filter(|_| self.allowance.holder().is_none());
-        let target = known.or_else(|| self.allowance.target(&others));
-        if let Some(target) = target.filter(|t| **t != own).cloned() {
+        let confirmed = self.voter.holder(now).filter(|h| **h != own).cloned();
+        let is_unknown = self.allowance.holder().is_none();
+        let target = match confirmed.filter(|_| is_unknown) {
+            Some(confirmed) => Some(confirmed),
+            None => self.allowance.target(&others),
+        };
+        if let Some(target) = target {
             self.send(&target, message::Message::Tokens(request));
         }
     }
