--- a/crates/cardamomhold_limit/tests/world/mod.rs
+++ b/crates/cardamomhold_limit/tests/world/mod.rs
@@ -11,7 +11,6 @@
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::voters;
-use cardamomhold_limit::allocator;
 use cardamomhold_limit::allowance;
 use cardamomhold_limit::bounds;
 use cardamomhold_limit::limiter;
@@ -20,7 +19,12 @@
 use rand::RngExt;
 use rand::SeedableRng;
 
+mod changes;
+mod load;
 mod oracle;
+mod plan;
+
+pub use plan::Plan;
 
 /// Duration of a history, in milliseconds.
 pub const DURATION_MS: u64 = 20_000;
@@ -93,25 +97,6 @@
     wake: u64,
 }
 
-/// How a history goes.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    pub instances: usize,
-    pub zones: usize,
-    pub loss: f64,
-    pub duplicates: f64,
-    pub max_delay_ms: u64,
-    pub has_faults: bool,
-    pub has_changes: bool,
-    /// Whether the load keeps coming to the same instances.
-    pub is_steady: bool,
-    /// Operations of a workspace, as a multiple of its rate.
-    pub load: f64,
-    /// Longest time in a member's queue.
-    pub max_queue_ms: u64,
-    pub first: directory::Limit,
-}
-
 pub struct World {
     pub rng: rand_pcg::Pcg64Mcg,
     disabled: Disabled,
@@ -147,19 +132,7 @@
 impl World {
     pub fn random(seed: u64, disabled: Disabled) -> Self {
         let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
-        let plan = Plan {
-            instances: rng.random_range(3..=7),
-            zones: rng.random_range(2..=3),
-            loss: [0.0, 0.02, 0.2][rng.random_range(0..3)],
-            duplicates: [0.0, 0.05][rng.random_range(0..2)],
-            max_delay_ms: [3, 40, 400, 1_200][rng.random_range(0..4)],
-            has_faults: rng.random_bool(0.8),
-            has_changes: rng.random_bool(0.5) && disabled != Disabled::StartAbstention,
-            is_steady: false,
-            load: [0.6, 1.5, 3.0][rng.random_range(0..3)],
-            max_queue_ms: [5, 100, 1_500][rng.random_range(0..3)],
-            first: random_limit(&mut rng),
-        };
+        let plan = Plan::random(&mut rng, disabled);
         Self::new(rng, plan, disabled)
     }
 
@@ -288,7 +261,7 @@
             Event::Start(index) => self.start(index),
             Event::ChangeVoters => self.change_voters(),
             Event::ChangeLimits => {
-                let limit = random_limit(&mut self.rng);
+                let limit = plan::random_limit(&mut self.rng);
                 self.limits.push(limit);
                 self.oracle.begin_version(self.now);
                 self.spread();
@@ -338,188 +311,6 @@
         self.after(1_500, Event::Read(index));
     }
 
-    /// Lets all instances read the store.
-    fn spread(&mut self) {
-        for index in 0..self.instances.len() {
-            self.after(2_000, Event::Read(index));
-        }
-    }
-
-    fn read(&mut self, index: usize) {
-        let is_apart = self.partitioned == Some(self.instances[index].zone);
-        if is_apart && self.now < self.partitioned_until {
-            self.at_us(self.partitioned_until, Event::Read(index));
-            return;
-        }
-        let mut stored = self.stored.clone();
-        if self.disabled == Disabled::Majority {
-            stored.current = [self.instances[index].name.clone()].into();
-            stored.next = None;
-        }
-        let version = self.limits.len() - 1;
-        let limit = self.limits[version];
-        let mut limits = allocator::Limits::new();
-        for workspace in 0..WORKSPACES {
-            limits.insert(workspace_name(workspace), limit);
-        }
-        let instance = &mut self.instances[index];
-        if instance.limiter.is_none() {
-            return;
-        }
-        instance.generation = stored.generation;
-        instance.version = version;
-        self.oracle.set_version(self.now, index, version);
-        self.with(index, |limiter, now| {
-            limiter.set_voters(now, &stored);
-            limiter.set_limits(now, limits);
-        });
-        self.accept_proposal();
-    }
-
-    /// Proposes another set of voters.
-    fn change_voters(&mut self) {
-        let count = self.instances.len().min(3);
-        let start = self.rng.random_range(0..self.instances.len());
-        let indices = (0..count).map(|i| (start + i) % self.instances.len());
-        let next: voters::Set = indices.map(instance_name).collect();
-        let proposing = self.stored.proposing(next);
-        self.stored = match (self.stored.next.is_some(), self.disabled) {
-            (true, _) => self.stored.withdrawn(),
-            (false, Disabled::Proposal) => proposing.accepted(),
-            (false, _) => proposing,
-        };
-        self.spread();
-        let pause = self.rng.random_range(1_000..6_000);
-        self.at(self.now / 1_000 + pause, Event::ChangeVoters);
-    }
-
-    /// Accepts the proposal when a majority has adopted it.
-    fn accept_proposal(&mut self) {
-        let generation = self.stored.generation;
-        let has_adopted = |name: &name::InstanceName| {
-            let instance = self.instances.iter().find(|i| i.name == *name);
-            instance.is_some_and(|i| i.limiter.is_some() && i.generation >= generation)
-        };
-        if self.stored.next.is_some() && self.stored.is_majority(has_adopted) {
-            self.stored = self.stored.accepted();
-            self.spread();
-        }
-    }
-
-    fn change_load(&mut self) {
-        let count = self.instances.len();
-        for workspace in 0..WORKSPACES {
-            let is_moved = self.rng.random_bool(0.3);
-            if is_moved {
-                let start = self.rng.random_range(0..count);
-                let spread = self.rng.random_range(1..=count);
-                self.targets[workspace] = (0..spread).map(|i| (start + i) % count).collect();
-            }
-            let is_on = self.rng.random_bool(0.8);
-            self.factors[workspace] = if is_on { self.plan.load } else { 0.0 };
-        }
-        let pause = self.rng.random_range(500..4_000);
-        self.at(self.now / 1_000 + pause, Event::ChangeLoad);
-    }
-
-    fn fault(&mut self) {
-        let index = self.rng.random_range(0..self.instances.len());
-        match self.rng.random_range(0..3) {
-            0 => {
-                let ms = self.rng.random_range(50..3_000);
-                self.instances[index].frozen_until = self.now + ms * 1_000;
-            }
-            1 => {
-                self.instances[index].limiter = None;
-                self.instances[index].frozen_until = 0;
-                self.oracle.stop(self.now, index);
-                self.after(2_000, Event::Start(index));
-            }
-            _ => {
-                self.partitioned = Some(self.rng.random_range(0..self.plan.zones));
-                self.partitioned_until = self.now + self.rng.random_range(200..5_000) * 1_000;
-            }
-        }
-        let pause = self.rng.random_range(200..4_000);
-        self.at(self.now / 1_000 + pause, Event::Fault);
-    }
-
-    /// An operation comes to one of the instances that the workspace's clients use.
-    fn operate(&mut self, workspace: usize) {
-        let rate = self.limits.last().unwrap().rate * self.factors[workspace];
-        let pause = match rate > 0.0 {
-            true => -(1.0 - self.rng.random::<f64>()).ln() / rate,
-            false => 0.1,
-        };
-        let next = self.now + (pause.min(1.0) * 1e6) as u64 + 1;
-        self.at_us(next, Event::Operation(workspace));
-        let targets = &self.targets[workspace];
-        let index = targets[self.rng.random_range(0..targets.len())];
-        let instance = &mut self.instances[index];
-        if rate == 0.0 || self.now < instance.frozen_until || instance.limiter.is_none() {
-            return;
-        }
-        instance.next_id += 1;
-        let id = instance.next_id;
-        instance.waiting.insert(id, workspace);
-        let mut taken = None;
-        self.with(index, |limiter, now| {
-            let until = now.after(time::Duration::from_millis(100));
-            taken = match limiter.is_limited(&workspace_name(workspace)) {
-                true => Some(limiter.take(now, id, &workspace_name(workspace), until)),
-                // The instance has no configuration yet.
-                false => None,
-            };
-        });
-        match taken {
-            Some(allowance::Taken::Waiting) => {}
-            Some(allowance::Taken::Permitted(permit)) => self.queue(index, id, Some(permit)),
-            Some(allowance::Taken::Refused(_)) => {
-                self.instances[index].waiting.remove(&id);
-                self.refused[workspace] += 1;
-            }
-            None => {
-                self.instances[index].waiting.remove(&id);
-            }
-        }
-    }
-
-    /// A permitted operation enters a member's queue.
-    fn queue(&mut self, index: usize, id: u64, permit: Option<allowance::Permit>) {
-        if let Some(workspace) = self.instances[index].waiting.remove(&id) {
-            // The queue stalls, and lets all operations go at the end of each period.
-            let period = self.plan.max_queue_ms * 1_000;
-            let leaves = (self.now / period + 1) * period;
-            self.at_us(leaves, Event::Leave(index, workspace, permit));
-        }
-    }
-
-    fn leave(&mut self, index: usize, workspace: usize, permit: Option<allowance::Permit>) {
-        let is_returned = self.rng.random_bool(0.02);
-        let is_checked = self.disabled != Disabled::QueueCheck;
-        let name = workspace_name(workspace);
-        let mut permit = permit;
-        let mut is_sent = false;
-        self.with(index, |limiter, now| {
-            if is_checked && permit.is_some_and(|p| now >= p.until) {
-                permit = match limiter.take(now, 0, &name, now) {
-                    allowance::Taken::Permitted(permit) => Some(permit),
-                    _ => None,
-                };
-            }
-            let Some(permit) = permit else {
-                return;
-            };
-            match is_returned {
-                true => limiter.put_back(now, &name, permit),
-                false => is_sent = true,
-            }
-        });
-        if is_sent {
-            self.after(PATH_MS, Event::Arrive(workspace));
-        }
-    }
-
     /// Runs a step of an instance and carries out what it decides.
     fn with(&mut self, index: usize, step: impl FnOnce(&mut limiter::Limiter, Timestamp)) {
         let instance = &mut self.instances[index];
@@ -578,10 +369,3 @@
         self.after(max, Event::Deliver(to, from, message));
     }
 }
-
-fn random_limit(rng: &mut rand_pcg::Pcg64Mcg) -> directory::Limit {
-    directory::Limit {
-        rate: [2.0, 20.0, 60.0, 150.0][rng.random_range(0..4)],
-        burst: [0.0, 10.0, 60.0, 200.0][rng.random_range(0..4)],
-    }
-}
