--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -61,8 +61,7 @@
     pub leases: watch::Sender<view::Lease>,
     /// The newest sample of each primary's log position.
     pub samples: watch::Sender<view::Samples>,
-    /// Incremented when the store's watches must be restarted: after an outage, or when this
-    /// instance lags behind others.
+    /// Incremented when the store's watches must restart: after an outage, or when others are ahead.
     pub epoch: watch::Sender<u64>,
     /// Whether another instance would tell this one of newer versions in the store.
     pub informed: watch::Sender<bool>,
@@ -126,8 +125,7 @@
     store_answered: Option<Timestamp>,
     /// Start of the current store outage, and its first problem.
     outage: Option<(Timestamp, String)>,
-    /// End of the last long store outage of this instance; other instances may not have had
-    /// it.
+    /// End of this instance's last long store outage; others may not have had it.
     store_regained: Option<Timestamp>,
     /// When a group without a leadership was first found.
     missing_since: Option<Timestamp>,
@@ -183,8 +181,7 @@
             instances: registry::Instances::new(),
             roster: roster::Roster::default(),
             round: None,
-            // Starts at the current time, so that answers to an earlier process of this instance
-            // don't match.
+            // Starts at the current time, as answers to an earlier process must not match.
             last_round: clock::now().0,
             failovers: failovers::Failovers::default(),
             probe_requesters: collections::BTreeMap::new(),
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -158,6 +158,10 @@
             None => self.acquire(request, remaining, limit).await?,
         };
         if request.body.starts_operation() {
+            if let Err(after) = work.permit.renew().await {
+                work.job.finish(None, Some(work.connection));
+                return Err(limited(after));
+            }
             work.permit.mark_sent();
         }
         let executed = tokio::time::timeout_at(limit, execute(&mut work, &request.body)).await;
@@ -225,7 +229,7 @@
         let deadline = now.after(remaining.saturating_sub(REFUSAL_RESERVE));
         let limits = &self.context.limits;
         let permit = limits.acquire(workspace, target, deadline).await;
-        let mut permit = permit.map_err(limited)?;
+        let permit = permit.map_err(limited)?;
         let work = admission::Request {
             rank: to_rank(header.rank),
             caller: header.caller.clone(),
@@ -253,10 +257,6 @@
                 admission::Refusal::Unreachable => frame::Failure::Unreachable,
             })?;
         self.last_report.waited_us = job.waited.as_micros() as u32;
-        if let Err(after) = permit.renew().await {
-            job.finish(None, Some(connection));
-            return Err(limited(after));
-        }
         let mut work = Work {
             connection,
             job,
