--- a/crates/cardamomhold_limit/src/allowance/requests.rs
+++ b/crates/cardamomhold_limit/src/allowance/requests.rs
@@ -9,7 +9,12 @@
 use crate::allocator;
 
 /// Interval between two requests ahead of need.
-const AHEAD_INTERVAL: time::Duration = time::Duration::from_millis(40);
+const AHEAD_INTERVAL: time::Duration = time::Duration::from_millis(80);
+
+/// Interval between two requests while operations wait: an owner of 40 operations a second, of
+/// many workspaces, sends about half as many datagrams, and an operation waits 5 ms longer on
+/// average.
+const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
 /// Time after which a request counts as lost while operations wait. Two fit into the time for which
 /// an operation waits.
@@ -80,7 +85,8 @@
         let follows = self.hint.is_some() && self.redirects <= MAX_REDIRECTS;
         match self.awaited.is_some() || (self.failures > 0 && !follows) {
             true => sent.after(ANSWER_TIMEOUT),
-            false => sent,
+            false if follows => sent,
+            false => sent.after(REQUEST_INTERVAL),
         }
     }
 
