--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::group;
 use crate::groups;
+use crate::limits;
 use crate::link;
 use crate::relay::frame;
 use crate::session;
@@ -48,6 +49,8 @@
     pub groups: watch::Receiver<groups::Groups<L>>,
     /// Phase of the instance's shutdown.
     pub phase: watch::Receiver<stop::Phase>,
+    /// Limits of workspaces.
+    pub limits: limits::Handle,
 }
 
 impl<L> Clone for Context<L> {
@@ -56,6 +59,7 @@
             views: self.views.clone(),
             groups: self.groups.clone(),
             phase: self.phase.clone(),
+            limits: self.limits.clone(),
         }
     }
 }
@@ -111,6 +115,7 @@
     job: admission::Job<L>,
     group: group::Handle<L>,
     header: frame::Header,
+    permit: limits::Permit,
 }
 
 /// State of one connection from another instance.
@@ -180,8 +185,16 @@
             }
             None => self.acquire(request, remaining, limit).await?,
         };
+        if request.body.starts_operation() {
+            if let Err(after) = work.permit.renew().await {
+                work.job.finish(None, Some(work.connection));
+                return Err(limited(after));
+            }
+            work.permit.mark_sent();
+        }
         let executed = tokio::time::timeout_at(limit, execute(&mut work, &request.body)).await;
         let executed = executed.unwrap_or(Err(frame::Failure::Broken));
+        work.permit.record(has_run(&executed));
         self.last_report.load = work.job.load();
         match executed {
             Ok((outcome, Next::Hold)) => {
@@ -261,13 +274,19 @@
             .get(header.group.as_str())
             .cloned();
         let group = group.ok_or(frame::Failure::Unreachable)?;
+        let workspace = header.grant.as_ref().map(|g| &g.workspace);
         let now = clock::now();
+        let target = now.after(time::Duration::from_micros(header.target_us));
+        let deadline = now.after(remaining.saturating_sub(REFUSAL_RESERVE));
+        let limits = &self.context.limits;
+        let permit = limits.acquire(workspace, target, deadline).await;
+        let permit = permit.map_err(limited)?;
         let work = admission::Request {
             rank: to_rank(header.rank),
             caller: header.caller.clone(),
-            workspace: header.grant.as_ref().map(|g| g.workspace.clone()),
-            target: now.after(time::Duration::from_micros(header.target_us)),
-            deadline: now.after(remaining.saturating_sub(REFUSAL_RESERVE)),
+            workspace: workspace.cloned(),
+            target,
+            deadline,
         };
         let (reply, admitted) = oneshot::channel();
         let message = group::Message::Admit {
@@ -294,6 +313,7 @@
             job,
             group,
             header,
+            permit,
         };
         if let Err(failure) = clear_state(&mut work.connection, limit).await {
             work.job.finish(Some(false), None);
@@ -317,6 +337,23 @@
     }
 }
 
+/// The failure of a request whose workspace is over its limit.
+fn limited(after: time::Duration) -> frame::Failure {
+    frame::Failure::Limited {
+        after_ms: after.as_millis() as u32,
+    }
+}
+
+/// Whether the member may have run something of a request.
+fn has_run(executed: &Result<(frame::Outcome, Next), frame::Failure>) -> bool {
+    match executed {
+        Ok((frame::Outcome::Answered(answer), _)) => !answer.is_not_run(),
+        Ok(_) => true,
+        Err(frame::Failure::Refused(code)) => !code.allows_retry(),
+        Err(_) => true,
+    }
+}
+
 /// Rank of a route's priority in an owner's queue.
 pub fn to_rank(priority: u8) -> rank::Rank {
     let index = usize::from(priority).min(rank::Rank::ALL.len() - 1);
--- a/crates/cardamomhold_entry/tests/cut_owners.rs
+++ b/crates/cardamomhold_entry/tests/cut_owners.rs
@@ -92,6 +92,7 @@
                 views: owner.views.subscribe(),
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                limits: Default::default(),
             },
         );
         for _ in 0..100 {
@@ -158,6 +159,7 @@
                 views: owner.views.subscribe(),
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                limits: Default::default(),
             },
         );
         tokio::time::sleep(time::Duration::from_millis(5_000)).await;
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -94,6 +94,7 @@
                 views: owner.views.subscribe(),
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                limits: Default::default(),
             },
         );
         let good = request("READ x");
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -19,6 +19,7 @@
 use cardamomhold_entry::coordinator;
 use cardamomhold_entry::group;
 use cardamomhold_entry::groups;
+use cardamomhold_entry::limits;
 use cardamomhold_entry::link;
 use cardamomhold_entry::metrics;
 use cardamomhold_entry::owners;
@@ -320,6 +321,7 @@
             samples: sampled,
             coordinator: coordinator.clone(),
             metrics: metrics.clone(),
+            limits: limits::Handle::default(),
         });
         let world = Self {
             coordinator,
@@ -365,6 +367,7 @@
             samples: self.samples.subscribe(),
             coordinator: self.coordinator.clone(),
             metrics: self.metrics.clone(),
+            limits: limits::Handle::default(),
         }
     }
 
@@ -385,6 +388,7 @@
             groups: self.groups.clone(),
             phase: self.phases.subscribe(),
             metrics: self.metrics.clone(),
+            limits: limits::Handle::default(),
         }
     }
 
