--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -77,7 +77,7 @@
         /// The right to run the operation, where the workspace may have a limit.
         permit: Option<limits::Permit>,
         /// The connection, or why there is none.
-        result: Result<admission::Admitted<L>, admission::Refusal>,
+        result: Box<Result<admission::Admitted<L>, admission::Refusal>>,
     },
     /// A granted request has the permit of its workspace, or the time after which there may be one.
     Permitted {
@@ -367,7 +367,7 @@
                 if let Some(waiting) = self.waiting.get_mut(&grant.id) {
                     waiting.permit = permit;
                 }
-                self.handle_admitted(now, grant, change, result);
+                self.handle_admitted(now, grant, change, *result);
             }
             Message::Permitted { grant, result } => self.handle_permitted(now, grant, result),
             Message::Sampled { member, sample } => self.record_sample(now, &member, sample),
--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -118,7 +118,7 @@
                 grant,
                 change,
                 permit,
-                result,
+                result: Box::new(result),
             });
         });
     }
--- a/crates/cardamomhold_entry/tests/held_connections.rs
+++ b/crates/cardamomhold_entry/tests/held_connections.rs
@@ -50,6 +50,7 @@
         views: world.views.subscribe(),
         groups: world.groups.clone(),
         phase: world.phases.subscribe(),
+        limits: Default::default(),
     };
     relay::owner::start(listener, context);
     let target = link::Target {
@@ -140,6 +141,7 @@
             lease: world.leases.subscribe(),
             groups: tokio::sync::watch::channel(Default::default()).1,
             phase: world.phases.subscribe(),
+            limits: Default::default(),
             metrics: metrics::Metrics::new().unwrap(),
         };
         let ran = attempt::run(&context, &world::group_name(), &mut checkout, &call, None).await;
