--- a/crates/cardamomhold_entry/tests/relayed_grants.rs
+++ b/crates/cardamomhold_entry/tests/relayed_grants.rs
@@ -47,6 +47,7 @@
         views: world.views.subscribe(),
         groups: world.groups.clone(),
         phase: world.phases.subscribe(),
+        limits: Default::default(),
     };
     relay::owner::start(listener, context);
     (world, address)
@@ -199,6 +200,7 @@
             groups: tokio::sync::watch::channel(Default::default()).1,
             phase: world.phases.subscribe(),
             metrics: metrics::Metrics::new().unwrap(),
+            limits: Default::default(),
         };
         let mut link = connect(&world, via).await;
         link.set_priority(link::Priority {
