--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -188,16 +188,22 @@
                 self.execute(request, name, arguments).await
             }
             statement::Statement::Set { name, value } => {
+                if !self.session.may_set(name, value) {
+                    return self.answer_too_big().await;
+                }
                 self.session.set(name, value);
-                self.answer_success().await
+                self.answer_kept().await
             }
             statement::Statement::Prepare {
                 name,
                 access,
                 shape,
             } => {
+                if !self.session.may_prepare(name, shape) {
+                    return self.answer_too_big().await;
+                }
                 self.session.prepare(name, access, shape);
-                self.answer_success().await
+                self.answer_kept().await
             }
             statement::Statement::Deallocate { name } => {
                 if self.session.deallocate(name) {
@@ -212,6 +218,18 @@
         }
     }
 
+    /// Charges what the session keeps, and once more for its copy on a connection.
+    async fn answer_kept(&mut self) -> io::Result<()> {
+        self.writer.keep(2 * self.session.kept_bytes()).await?;
+        self.answer_success().await
+    }
+
+    async fn answer_too_big(&mut self) -> io::Result<()> {
+        let text = "the session keeps too much, deallocate statements";
+        let answer = answer::Answer::refused(answer::Code::TooBig, text, self.state());
+        self.writer.answer(&answer).await
+    }
+
     async fn answer_unknown_statement(&mut self) -> io::Result<()> {
         let text = "no such prepared statement";
         let code = answer::Code::UnknownStatement;
--- a/crates/cardamomhold_entry/src/checkout.rs
+++ b/crates/cardamomhold_entry/src/checkout.rs
@@ -157,6 +157,9 @@
 impl<L> Drop for Checkout<L> {
     fn drop(&mut self) {
         let mut connection = self.connection.take();
+        if let Some(connection) = &mut connection {
+            connection.applied.trim();
+        }
         let report = self.job.take().map(|job| {
             let report = link::Report {
                 load: job.load(),
--- a/crates/cardamomhold_entry/src/front.rs
+++ b/crates/cardamomhold_entry/src/front.rs
@@ -32,4 +32,12 @@
     /// # Errors
     /// The connection broke.
     fn answer(&mut self, answer: &answer::Answer) -> impl Future<Output = io::Result<()>>;
+
+    /// Charges what the session keeps, in bytes altogether; the default charges nothing.
+    ///
+    /// # Errors
+    /// The connection must be closed, since memory is short.
+    fn keep(&mut self, _bytes: usize) -> impl Future<Output = io::Result<()>> {
+        async { Ok(()) }
+    }
 }
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::time;
 
+use cardamomhold_budget::accounts;
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
@@ -226,6 +227,11 @@
     /// Type of the connections that it opens.
     type Link: Link;
 
+    /// Accounts to which connections to other instances are charged; the default has no limits.
+    fn accounts(&self) -> accounts::Handle {
+        accounts::Handle::unlimited()
+    }
+
     /// Opens a connection; returns it with the member's log position.
     ///
     /// # Errors
--- a/crates/cardamomhold_entry/src/metrics.rs
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use cardamomhold_budget::accounts;
 use cardamomhold_core::name;
 use prometheus::core::Collector;
 
@@ -23,6 +24,8 @@
     waiting: prometheus::IntGaugeVec,
     calls: prometheus::IntCounterVec,
     callers: prometheus::IntGauge,
+    shed: prometheus::IntCounterVec,
+    charged: prometheus::IntGauge,
 }
 
 fn counter(
@@ -81,14 +84,25 @@
                 "cardamomhold_callers",
                 "Open connections of callers",
             )?,
+            shed: counter(
+                "cardamomhold_shed_total",
+                "Connections that were refused or closed to stay within the limits",
+                &["reason"],
+            )?,
+            charged: prometheus::IntGauge::new(
+                "cardamomhold_charged_bytes",
+                "Bytes held for callers and other instances",
+            )?,
         };
-        let collectors: [Box<dyn Collector>; 6] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(metrics.statements.clone()),
             Box::new(metrics.failures.clone()),
             Box::new(metrics.opened.clone()),
             Box::new(metrics.waiting.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.callers.clone()),
+            Box::new(metrics.shed.clone()),
+            Box::new(metrics.charged.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector)?;
@@ -137,6 +151,16 @@
         self.callers.add(change);
     }
 
+    /// Records what the task of the budget reports.
+    pub fn record_budget(&self, report: accounts::Report) {
+        match report {
+            accounts::Report::Shed(reason) => {
+                self.shed.with_label_values(&[reason.as_str()]).inc();
+            }
+            accounts::Report::Charged(bytes) => self.charged.set(bytes as i64),
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
--- a/crates/cardamomhold_entry/src/relay.rs
+++ b/crates/cardamomhold_entry/src/relay.rs
@@ -9,6 +9,7 @@
 use std::net;
 use std::time;
 
+use cardamomhold_budget::budget;
 use cardamomhold_core::position;
 use cardamomhold_lead::candidate;
 
@@ -60,10 +61,13 @@
             let (link, position) = self.0.open(target).await?;
             return Ok((Link::Direct(link), position));
         };
+        let account = self.0.accounts().open(budget::Kind::Outgoing).await;
+        let refused = || link::LinkError::Unreachable(io::ErrorKind::QuotaExceeded.into());
+        let account = account.ok_or_else(refused)?;
         let stream = connect::open(owner.address)
             .await
             .map_err(link::LinkError::Unreachable)?;
-        let client = Box::new(client::Client::new(stream, target));
+        let client = Box::new(client::Client::charged(stream, target, account));
         Ok((Link::Relayed(client), None))
     }
 
--- a/crates/cardamomhold_entry/src/relay/client.rs
+++ b/crates/cardamomhold_entry/src/relay/client.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use cardamomhold_budget::accounts;
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
@@ -27,8 +28,13 @@
 impl Client {
     /// Creates a client on a stream to the owner of the target's connections.
     pub fn new(stream: TcpStream, target: &link::Target) -> Self {
+        Self::charged(stream, target, accounts::Account::default())
+    }
+
+    /// Creates a client whose frames are charged to `account`.
+    pub fn charged(stream: TcpStream, target: &link::Target, account: accounts::Account) -> Self {
         Self {
-            frames: frame::Frames::new(stream),
+            frames: frame::Frames::charged(stream, account),
             group: target.group.clone(),
             member: target.member.clone(),
             priority: None,
@@ -145,7 +151,10 @@
         };
         self.frames.send(&request).await.map_err(broken)?;
         let reply = self.frames.next().await.map_err(broken)?;
-        let reply: frame::Reply = frame::decode(&reply).map_err(broken)?;
+        let decoded = frame::decode(&reply);
+        drop(reply);
+        self.frames.release();
+        let reply: frame::Reply = decoded.map_err(broken)?;
         self.report = Some(reply.report);
         Ok(reply.result)
     }
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -4,13 +4,14 @@
 use std::io;
 use std::time;
 
+use bytes::Buf;
+use cardamomhold_budget::accounts;
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_workspace::access;
-use futures_util::SinkExt;
-use futures_util::StreamExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio_util::codec;
 
 use crate::answer;
 use crate::connect;
@@ -19,6 +20,19 @@
 /// Maximum length of a frame, in bytes; one frame carries all rows of an answer.
 const MAX_FRAME_LEN: usize = 16 * 1024 * 1024;
 
+/// Length of the length that precedes a frame, in bytes.
+const LENGTH_LEN: usize = 4;
+
+/// Smallest buffer for a frame, in bytes; an ordinary request fits.
+const MIN_BUFFER_LEN: usize = 2 << 10;
+
+/// Times that a received frame is charged: once for itself, and for its decoded rows, whose buffer
+/// may be twice as long as they are.
+const DECODED_COPIES: usize = 3;
+
+/// Time in which the other instance must take a frame.
+const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
 /// Header of a request; an owner uses it to check out a connection, unless it has one for this
 /// client already.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
@@ -164,20 +178,42 @@
 
 /// A connection between two instances that carries length-delimited frames.
 #[derive(Debug)]
-pub struct Frames(codec::Framed<TcpStream, codec::LengthDelimitedCodec>);
+pub struct Frames {
+    stream: TcpStream,
+    input: bytes::BytesMut,
+    /// Charged with the frame that is received, and with its decoded form.
+    received: accounts::Account,
+    /// Charged with the frame that is sent, and with its content.
+    sent: accounts::Account,
+}
 
 impl Frames {
-    /// Sends and receives frames on a stream.
+    /// Sends and receives frames on a stream; nothing is charged.
     pub fn new(stream: TcpStream) -> Self {
-        let codec = codec::LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_LEN)
-            .new_codec();
-        Self(codec::Framed::new(stream, codec))
+        Self::charged(stream, accounts::Account::default())
+    }
+
+    /// Sends and receives frames on a stream, charged to `account`.
+    pub fn charged(stream: TcpStream, account: accounts::Account) -> Self {
+        Self {
+            stream,
+            input: bytes::BytesMut::new(),
+            sent: account.share(),
+            received: account,
+        }
+    }
+
+    /// Sends small frames without a delay.
+    ///
+    /// # Errors
+    /// The connection failed.
+    pub fn set_nodelay(&self) -> io::Result<()> {
+        self.stream.set_nodelay(true)
     }
 
     /// Whether the connection is open and nothing waits to be read on it.
     pub fn is_idle(&self) -> bool {
-        connect::is_idle(self.0.get_ref())
+        self.input.is_empty() && connect::is_idle(&self.stream)
     }
 
     /// Encodes and sends a frame.
@@ -185,21 +221,84 @@
     /// # Errors
     /// [`FrameError`].
     pub async fn send<T: serde::Serialize>(&mut self, content: &T) -> Result<(), FrameError> {
-        let bytes = postcard::to_stdvec(content).map_err(FrameError::Codec)?;
-        let bytes = bytes::Bytes::from(bytes);
-        self.0.send(bytes).await.map_err(FrameError::Io)
+        let size = postcard::ser_flavors::Size::default();
+        let len = postcard::serialize_with_flavor(content, size).map_err(FrameError::Codec)?;
+        if len > MAX_FRAME_LEN {
+            return Err(FrameError::Io(io::ErrorKind::InvalidData.into()));
+        }
+        self.sent.hold(len);
+        let reserved = self.sent.reserve(2 * len).await;
+        reserved.map_err(|gave_way| FrameError::Io(gave_way.into()))?;
+        let mut frame = Vec::with_capacity(LENGTH_LEN + len);
+        frame.extend_from_slice(&(len as u32).to_be_bytes());
+        let frame = postcard::to_extend(content, frame).map_err(FrameError::Codec)?;
+        let sending = tokio::time::timeout(SEND_TIMEOUT, self.stream.write_all(&frame));
+        let sent = tokio::select! {
+            biased;
+            sent = sending => sent.unwrap_or_else(|elapsed| Err(elapsed.into())),
+            gave_way = self.sent.notified() => Err(gave_way.into()),
+        };
+        drop(frame);
+        self.sent.release_to(0);
+        sent.map_err(FrameError::Io)
     }
 
-    /// Receives the next frame, undecoded.
+    /// Receives the next frame, undecoded; it stays charged until [`Frames::release`] or the next
+    /// call. Cancel safe.
     ///
     /// # Errors
     /// [`FrameError`].
     pub async fn next(&mut self) -> Result<bytes::BytesMut, FrameError> {
-        match self.0.next().await {
-            Some(frame) => frame.map_err(FrameError::Io),
-            None => Err(FrameError::Closed),
+        if self.input.is_empty() {
+            self.release();
+        }
+        loop {
+            let needed = match self.input.first_chunk::<LENGTH_LEN>() {
+                Some(len) => LENGTH_LEN + u32::from_be_bytes(*len) as usize,
+                None => LENGTH_LEN,
+            };
+            if needed > LENGTH_LEN + MAX_FRAME_LEN {
+                return Err(FrameError::Io(io::ErrorKind::InvalidData.into()));
+            }
+            if needed > LENGTH_LEN && self.input.len() >= needed {
+                self.input.advance(LENGTH_LEN);
+                let frame = self.input.split_to(needed - LENGTH_LEN);
+                if self.input.is_empty() {
+                    // The frame alone keeps the buffer.
+                    self.input = bytes::BytesMut::new();
+                }
+                return Ok(frame);
+            }
+            self.receive(needed).await?;
         }
     }
+
+    /// Reads more of a frame of `needed` bytes.
+    async fn receive(&mut self, needed: usize) -> Result<(), FrameError> {
+        if self.input.capacity() < needed.max(MIN_BUFFER_LEN) {
+            let next = needed.max(MIN_BUFFER_LEN);
+            let reserved = self.received.reserve(DECODED_COPIES * next).await;
+            reserved.map_err(|gave_way| FrameError::Io(gave_way.into()))?;
+            let mut input = bytes::BytesMut::with_capacity(next);
+            input.extend_from_slice(&self.input);
+            self.input = input;
+        }
+        let read = tokio::select! {
+            biased;
+            read = self.stream.read_buf(&mut self.input) => read.map_err(FrameError::Io)?,
+            gave_way = self.received.notified() => return Err(FrameError::Io(gave_way.into())),
+        };
+        match (read, self.input.is_empty()) {
+            (0, true) => Err(FrameError::Closed),
+            (0, false) => Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into())),
+            _ => Ok(()),
+        }
+    }
+
+    /// Releases what is charged for the last received frame.
+    pub fn release(&mut self) {
+        self.received.release_to(0);
+    }
 }
 
 /// Decodes a frame.
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -3,10 +3,11 @@
 use std::net;
 use std::time;
 
+use cardamomhold_budget::accounts;
+use cardamomhold_budget::budget;
 use cardamomhold_core::rank;
 use cardamomhold_pool::sample;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -54,11 +55,24 @@
 /// Serves other instances until the process ends. While this instance shuts down, it only
 /// finishes open transactions.
 pub fn start<L: link::Link>(listener: TcpListener, context: Context<L>) {
+    start_charged(listener, context, accounts::Handle::unlimited());
+}
+
+/// As [`start`], with the connections and their frames charged to `accounts`.
+pub fn start_charged<L: link::Link>(
+    listener: TcpListener,
+    context: Context<L>,
+    accounts: accounts::Handle,
+) {
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    tokio::task::spawn_local(serve(stream, from, context.clone()));
+                    // Without an account, the connection is closed.
+                    if let Some(account) = accounts.open(budget::Kind::Peer).await {
+                        let frames = frame::Frames::charged(stream, account);
+                        tokio::task::spawn_local(serve(frames, from, context.clone()));
+                    }
                 }
                 Err(error) => {
                     log::warn!("event=relay_accept_failed error=\"{error}\"");
@@ -69,8 +83,12 @@
     });
 }
 
-async fn serve<L: link::Link>(stream: TcpStream, from: net::SocketAddr, context: Context<L>) {
-    if let Err(error) = stream.set_nodelay(true) {
+async fn serve<L: link::Link>(
+    mut frames: frame::Frames,
+    from: net::SocketAddr,
+    context: Context<L>,
+) {
+    if let Err(error) = frames.set_nodelay() {
         log::debug!("event=relay_slow from={from} error=\"{error}\"");
     }
     let mut server = Server {
@@ -78,7 +96,6 @@
         work: None,
         last_report: link::Report::default(),
     };
-    let mut frames = frame::Frames::new(stream);
     let error = loop {
         let request = match frames.next().await {
             Ok(request) => request,
--- a/crates/cardamomhold_entry/src/session.rs
+++ b/crates/cardamomhold_entry/src/session.rs
@@ -8,6 +8,16 @@
 
 use crate::statement;
 
+/// Most bytes that a session keeps: two prepared statements or four values of the longest line.
+pub const MAX_KEPT_BYTES: usize = 4 << 20;
+
+/// Bytes that each value and prepared statement takes beside its texts.
+const ENTRY_BYTES: usize = 256;
+
+/// Most bytes of applied state that are remembered for an idle connection; a larger state is
+/// cleared by the connection's next user.
+const MAX_APPLIED_BYTES: usize = 64 << 10;
+
 /// A prepared statement of a session.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Prepared {
@@ -39,6 +49,7 @@
 pub struct Session {
     values: collections::BTreeMap<String, String>,
     prepared: collections::HashMap<String, Prepared>,
+    kept_bytes: usize,
     /// The state of its transaction.
     pub transaction: Transaction,
     /// Log position of the last acknowledged commit, and when it was acknowledged.
@@ -73,10 +84,37 @@
     }
 }
 
+impl Prepared {
+    fn kept_bytes(&self, name: &str) -> usize {
+        ENTRY_BYTES + name.len() + self.shape.len() + self.shared_name.len()
+    }
+}
+
 impl Session {
+    /// Bytes of the values and prepared statements.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Whether a value may be set without exceeding [`MAX_KEPT_BYTES`].
+    pub fn may_set(&self, name: &str, value: &str) -> bool {
+        let replaced = self.values.get(name).map_or(0, |v| value_bytes(name, v));
+        self.kept_bytes - replaced + value_bytes(name, value) <= MAX_KEPT_BYTES
+    }
+
+    /// Whether a statement may be prepared without exceeding [`MAX_KEPT_BYTES`].
+    pub fn may_prepare(&self, name: &str, shape: &str) -> bool {
+        let replaced = self.prepared.get(name).map_or(0, |p| p.kept_bytes(name));
+        // Two copies: the shape, and the shared name that contains it.
+        let added = ENTRY_BYTES + name.len() + 2 * (shape.len() + 1);
+        self.kept_bytes - replaced + added <= MAX_KEPT_BYTES
+    }
+
     /// Sets a value.
     pub fn set(&mut self, name: &str, value: &str) {
-        self.values.insert(name.to_owned(), value.to_owned());
+        let replaced = self.values.insert(name.to_owned(), value.to_owned());
+        self.kept_bytes -= replaced.map_or(0, |v| value_bytes(name, &v));
+        self.kept_bytes += value_bytes(name, value);
     }
 
     /// Prepares a statement; replaces one of the same name.
@@ -90,12 +128,16 @@
             shape: shape.to_owned(),
             shared_name: format!("{prefix}_{shape}"),
         };
-        self.prepared.insert(name.to_owned(), prepared);
+        self.kept_bytes += prepared.kept_bytes(name);
+        let replaced = self.prepared.insert(name.to_owned(), prepared);
+        self.kept_bytes -= replaced.map_or(0, |p| p.kept_bytes(name));
     }
 
     /// Removes a prepared statement; false when there is none.
     pub fn deallocate(&mut self, name: &str) -> bool {
-        self.prepared.remove(name).is_some()
+        let removed = self.prepared.remove(name);
+        self.kept_bytes -= removed.as_ref().map_or(0, |p| p.kept_bytes(name));
+        removed.is_some()
     }
 
     /// Looks up a prepared statement.
@@ -129,7 +171,23 @@
     }
 }
 
+fn value_bytes(name: &str, value: &str) -> usize {
+    ENTRY_BYTES + name.len() + value.len()
+}
+
 impl Applied {
+    /// Forgets a large state before the connection is idle; the next use clears it at the member.
+    pub fn trim(&mut self) {
+        let values = self.values.iter().map(|(n, v)| value_bytes(n, v));
+        let prepared = self.prepared.iter().map(|p| ENTRY_BYTES + p.len());
+        if values.chain(prepared).sum::<usize>() > MAX_APPLIED_BYTES {
+            *self = Self {
+                is_unknown: true,
+                ..Self::default()
+            };
+        }
+    }
+
     /// Whether no session state has been applied.
     pub fn is_empty(&self) -> bool {
         !self.is_unknown && self.values.is_empty() && self.prepared.is_empty()
