--- a/crates/cardamomhold_daemon/src/settings.rs
+++ b/crates/cardamomhold_daemon/src/settings.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net;
 
+use cardamomhold_budget::plan;
 use cardamomhold_core::name;
 use serde::de;
 
@@ -35,6 +36,20 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Secret that signs session tokens; the same on every instance.
     pub token_secret: String,
+    /// Memory that the process may use, in MB of 10^6 bytes.
+    #[serde(default = "default_memory")]
+    pub memory_mb: u64,
+    /// Descriptors that the process may open.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: u64,
+}
+
+fn default_memory() -> u64 {
+    plan::DEFAULT_MEMORY_MB
+}
+
+fn default_max_fds() -> u64 {
+    plan::DEFAULT_MAX_FDS
 }
 
 /// Reason why settings are rejected.
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -81,6 +81,8 @@
             platform: self.platform.address(),
             seeds: Vec::new(),
             token_secret: "a secret for tests only".to_owned(),
+            memory_mb: 512,
+            max_fds: 8_192,
         }
     }
 
