--- a/crates/cardamomhold_budget/src/accounts.rs
+++ b/crates/cardamomhold_budget/src/accounts.rs
@@ -97,7 +97,7 @@
 /// Starts the task; it ends with its last handle and account.
 pub fn start(
     limits: plan::Limits,
-    clock: fn() -> Timestamp,
+    clock: impl Fn() -> Timestamp + Send + 'static,
     report: impl Fn(Report) + Send + 'static,
 ) -> Handle {
     let (messages, mailbox) = mpsc::unbounded_channel();
--- a/crates/cardamomhold_budget/src/accounts/task.rs
+++ b/crates/cardamomhold_budget/src/accounts/task.rs
@@ -35,20 +35,20 @@
 }
 
 /// The task's state.
-pub(super) struct Task<F> {
+pub(super) struct Task<C, F> {
     budget: budget::Budget,
     limits: plan::Limits,
-    clock: fn() -> Timestamp,
+    clock: C,
     messages: mpsc::WeakUnboundedSender<accounts::Message>,
     connections: collections::HashMap<budget::Holder, Connection>,
     unlogged: collections::BTreeMap<budget::Reason, Unlogged>,
     report: F,
 }
 
-impl<F: Fn(accounts::Report)> Task<F> {
+impl<C: Fn() -> Timestamp, F: Fn(accounts::Report)> Task<C, F> {
     pub(super) fn new(
         limits: plan::Limits,
-        clock: fn() -> Timestamp,
+        clock: C,
         messages: mpsc::WeakUnboundedSender<accounts::Message>,
         report: F,
     ) -> Self {
--- a/crates/cardamomhold_daemon/src/batch.rs
+++ b/crates/cardamomhold_daemon/src/batch.rs
@@ -19,6 +19,12 @@
 /// Maximum length of a batch, in bytes.
 pub const MAX_BATCH_LEN: usize = 32 * 1024 * 1024;
 
+/// Maximum length of a connection's named prepared statements, in bytes.
+pub const MAX_PREPARED_LEN: usize = 4 * 1024 * 1024;
+
+/// Bytes that each prepared statement takes beside its texts.
+const PREPARED_BYTES: usize = 256;
+
 #[derive(Debug, Clone)]
 struct Prepared {
     query: String,
@@ -29,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct Builder {
     prepared: collections::HashMap<String, Prepared>,
+    /// Bytes of the prepared statements.
+    kept_bytes: usize,
     frames: BytesMut,
     statements: Vec<statement::Statement>,
     steps: Vec<Step>,
@@ -245,6 +253,17 @@
         }
     }
 
+    /// Bytes of the prepared statements.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    fn remove_prepared(&mut self, name: &str) {
+        if let Some(removed) = self.prepared.remove(name) {
+            self.kept_bytes -= PREPARED_BYTES + name.len() + removed.query.len();
+        }
+    }
+
     /// Whether there are no messages of an incomplete batch.
     pub fn is_empty(&self) -> bool {
         self.frames.is_empty() && self.steps.is_empty()
@@ -259,7 +278,8 @@
 
     fn finish(&mut self, is_simple: bool, sync: bool) -> Batch {
         let batch = Batch {
-            frames: self.frames.split().freeze(),
+            // A split buffer would stay allocated with the batch's size for as long as the session.
+            frames: std::mem::take(&mut self.frames).freeze(),
             statements: std::mem::take(&mut self.statements),
             is_simple,
             sync,
@@ -291,11 +311,19 @@
                 "too many prepared statements".to_owned(),
             ));
         }
+        let added = PREPARED_BYTES + name.len() + parse.query.len();
+        if !name.is_empty() && self.kept_bytes + added > MAX_PREPARED_LEN {
+            return Err(sqlstate::BadInput::Protocol(
+                "prepared statements too long".to_owned(),
+            ));
+        }
         self.add_statements(&parse.query);
         let prepared = Prepared {
             query: parse.query.clone(),
             types: parse.type_oids.clone(),
         };
+        self.remove_prepared(&name);
+        self.kept_bytes += added;
         self.prepared.insert(name.clone(), prepared);
         self.unnamed_source = Some(name);
         self.steps.push(Step::Parse);
@@ -350,8 +378,7 @@
 
     fn close(&mut self, mut close: extendedquery::Close) {
         if close.target_type == extendedquery::TARGET_TYPE_BYTE_STATEMENT {
-            self.prepared
-                .remove(close.name.as_deref().unwrap_or_default());
+            self.remove_prepared(close.name.as_deref().unwrap_or_default());
             close.name = None;
         }
         self.steps.push(Step::Close);
--- a/crates/cardamomhold_daemon/src/caller.rs
+++ b/crates/cardamomhold_daemon/src/caller.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use bytes::BytesMut;
+use cardamomhold_budget::accounts;
 use cardamomhold_config::config;
 use cardamomhold_core::name;
 use cardamomhold_core::outcome;
@@ -40,6 +41,16 @@
 /// Version that is reported to drivers.
 const SERVER_VERSION: &str = "16.0 (cardamomhold)";
 
+/// Time in which a caller must take what is sent to it. A row of 16 MiB takes 14 s on the slowest
+/// link of the deployments, 10 Mbit/s.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// Largest output buffer that an idle session keeps, in bytes.
+const MAX_IDLE_OUT: usize = accounts::FREE_BYTES;
+
+/// Copies of the settings: in the session, in a transaction's ticket, and encoded.
+const SETTING_COPIES: usize = 3;
+
 /// Context that all caller tasks share.
 #[derive(Debug, Clone)]
 pub struct Context {
@@ -129,13 +140,20 @@
     pub(crate) rotation: usize,
     pub(crate) budget: budget::Budget,
     pub(crate) sent_token: String,
+    /// Charged with what the session keeps.
+    pub(crate) kept: accounts::Account,
 }
 
 /// Serves a caller's socket until it closes.
-pub async fn run(context: Context, socket: net::TcpStream, cancel_target: CancelTarget) {
+pub async fn run(
+    context: Context,
+    socket: net::TcpStream,
+    account: accounts::Account,
+    cancel_target: CancelTarget,
+) {
     context.metrics.record_connect();
     let metrics = context.metrics.clone();
-    if let Err(end) = handshake::run(context, socket, cancel_target).await {
+    if let Err(end) = handshake::run(context, socket, account, cancel_target).await {
         log::debug!(
             "event=caller_end number={} end=\"{end:?}\"",
             cancel_target.number
@@ -149,6 +167,10 @@
         self.send_startup().await?;
         let mut stop = self.context.stop.clone();
         loop {
+            self.charge_kept().await?;
+            if self.builder.is_empty() {
+                self.reader.release();
+            }
             let is_idle = self.transaction.is_none() && self.builder.is_empty();
             let stop_phase = if is_idle {
                 stop::Phase::Draining
@@ -187,6 +209,19 @@
         }
     }
 
+    /// Charges prepared statements and settings, the latter once more for the copies that go with
+    /// each transaction.
+    async fn charge_kept(&mut self) -> Result<(), End> {
+        let settings = self.session.setting_bytes();
+        let kept = self.builder.kept_bytes() + SETTING_COPIES * settings;
+        self.kept
+            .reserve(kept)
+            .await
+            .map_err(frame::FrameError::from)?;
+        self.kept.release_to(kept);
+        Ok(())
+    }
+
     async fn send_startup(&mut self) -> Result<(), End> {
         answer::put(&mut self.out, &startup::Authentication::Ok);
         for (name, value) in [
@@ -221,9 +256,17 @@
     }
 
     pub(crate) async fn flush(&mut self) -> Result<(), End> {
-        let written = self.writer.write_all(&self.out).await;
+        let writing = tokio::time::timeout(ANSWER_TIMEOUT, self.writer.write_all(&self.out));
+        let written = tokio::select! {
+            biased;
+            written = writing => matches!(written, Ok(Ok(()))),
+            _ = self.kept.notified() => false,
+        };
         self.out.clear();
-        written.map_err(|_| End::Gone)
+        if self.out.capacity() > MAX_IDLE_OUT {
+            self.out = BytesMut::new();
+        }
+        written.then_some(()).ok_or(End::Gone)
     }
 
     /// Sends "ready for query", with the session token when it has changed.
--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::time;
 
+use cardamomhold_budget::accounts;
+use cardamomhold_budget::budget;
+use cardamomhold_budget::plan;
 use cardamomhold_core::token;
 use cardamomhold_fleet::fleet;
 use cardamomhold_platform::client;
@@ -159,6 +162,11 @@
             leaderships::start(platform.clone(), own.name.clone(), config.updates.clone());
         let phase = watch::Sender::new(stop::Phase::default());
         let stop = stop::Stop::new(phase.subscribe());
+        let limits = plan::Limits::of_machine(settings.memory_mb, settings.max_fds);
+        log::info!("event=limits {limits}");
+        let shed = metrics.clone();
+        let report = move |report| shed.record_budget(report);
+        let accounts = accounts::start(limits, move || clock.now(), report);
         let owner = owner::start(owner::Context {
             instance: own.name.clone(),
             config: config.config.clone(),
@@ -168,6 +176,7 @@
             leaderships,
             metrics: metrics.clone(),
             stop: stop.clone(),
+            accounts: accounts.clone(),
         });
         let (ready, ready_receiver) = watch::channel(false);
         let cancels = broadcast::Sender::new(CANCEL_CAPACITY);
@@ -212,7 +221,7 @@
         services.spawn(http::run(metrics_listener, metrics, ready_receiver));
         services.spawn(sweep::run(sweep));
         services.spawn(await_config(config.config.clone(), ready.clone()));
-        let callers = tokio::spawn(accept(callers_listener, context));
+        let callers = tokio::spawn(accept(callers_listener, context, accounts));
         log::info!(
             "event=started instance={} zone={} listen={listen} peer={peer}",
             settings.instance,
@@ -363,7 +372,11 @@
 }
 
 /// Accepts callers until the instance drains; returns the tasks that still run.
-async fn accept(listener: net::TcpListener, context: caller::Context) -> task::JoinSet<()> {
+async fn accept(
+    listener: net::TcpListener,
+    context: caller::Context,
+    accounts: accounts::Handle,
+) -> task::JoinSet<()> {
     let mut callers = task::JoinSet::new();
     let mut stop = context.stop.clone();
     let mut number = 0u32;
@@ -384,10 +397,14 @@
         if socket.set_nodelay(true).is_err() {
             continue;
         }
+        // Without an account, the connection is closed.
+        let Some(account) = accounts.open(budget::Kind::Caller).await else {
+            continue;
+        };
         number = number.wrapping_add(1);
         let secret = uuid::Uuid::new_v4().as_u128() as i32;
         let cancel_target = caller::CancelTarget::new(&context.instance, number, secret);
-        callers.spawn(caller::run(context.clone(), socket, cancel_target));
+        callers.spawn(caller::run(context.clone(), socket, account, cancel_target));
     }
 }
 
--- a/crates/cardamomhold_daemon/src/execution.rs
+++ b/crates/cardamomhold_daemon/src/execution.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use cardamomhold_budget::accounts;
+use cardamomhold_budget::budget;
 use cardamomhold_core::outcome;
 use cardamomhold_endpoint::connection;
 
@@ -36,6 +38,8 @@
     pub idle: time::Duration,
     /// Phase of the instance's shutdown.
     pub stop: stop::Stop,
+    /// Accounts to which the answers of endpoints are charged.
+    pub accounts: accounts::Handle,
 }
 
 /// Serves a stream from its first batch to the end of its transaction.
@@ -95,10 +99,13 @@
             };
             context.group.await_fresh(freshness, deadline).await?;
         }
-        let checkout = context
+        let mut checkout = context
             .endpoint
             .admit(ticket, context.weight, deadline)
             .await?;
+        let account = context.accounts.open(budget::Kind::Outgoing).await;
+        let account = account.ok_or(outcome::Refusal::ConnectFailed)?;
+        checkout.connection().charge_to(account);
         let is_read = ticket.access.is_read();
         let mut admission = None;
         if !is_read {
@@ -137,6 +144,9 @@
         let result = served.unwrap_or_else(|| Err(self.term_end_failure()));
         // After any other failure the connection's state is unknown, and it is closed.
         if matches!(result, Ok(()) | Err(stream::Failure::Ran { .. })) {
+            let connection = self.checkout.connection();
+            connection.release();
+            connection.charge_to(accounts::Account::default());
             self.checkout.release().await;
         }
         result
--- a/crates/cardamomhold_daemon/src/handshake.rs
+++ b/crates/cardamomhold_daemon/src/handshake.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use bytes::BytesMut;
+use cardamomhold_budget::accounts;
 use cardamomhold_core::name;
 use cardamomhold_fleet::hash;
 use cardamomhold_queue::budget;
@@ -29,10 +30,13 @@
 pub async fn run(
     context: caller::Context,
     socket: net::TcpStream,
+    account: accounts::Account,
     cancel_target: caller::CancelTarget,
 ) -> Result<(), caller::End> {
     let (read, mut writer) = socket.into_split();
     let mut reader = frame::Reader::for_caller(read);
+    let kept = account.share();
+    reader.charge_to(account);
     let startup = await_startup(&context, &mut reader, &mut writer);
     // A socket without a startup message is closed.
     let startup = match tokio::time::timeout(HANDSHAKE_TIMEOUT, startup).await {
@@ -40,8 +44,9 @@
         Ok(Ok(None)) | Err(_) => return Ok(()),
         Ok(Err(end)) => return Err(end),
     };
+    kept.start();
     let caller_limit = context.caller_limit.clone();
-    let mut caller = match build_caller(context, reader, writer, cancel_target, &startup) {
+    let mut caller = match build_caller(context, reader, writer, kept, cancel_target, &startup) {
         Ok(caller) => caller,
         Err(rejected) => {
             let (input, mut writer) = *rejected;
@@ -152,6 +157,7 @@
     context: caller::Context,
     reader: frame::Reader<tcp::OwnedReadHalf>,
     writer: tcp::OwnedWriteHalf,
+    kept: accounts::Account,
     cancel_target: caller::CancelTarget,
     startup: &startup::Startup,
 ) -> Result<caller::Caller, Box<Rejected>> {
@@ -174,6 +180,7 @@
         rotation: cancel_target.number as usize,
         budget: budget::Budget::default(),
         sent_token: String::new(),
+        kept,
     };
     match new_caller.apply_options(startup) {
         Ok(()) => Ok(new_caller),
--- a/crates/cardamomhold_daemon/src/metrics.rs
+++ b/crates/cardamomhold_daemon/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use cardamomhold_budget::accounts;
 use cardamomhold_core::name;
 use cardamomhold_core::rank;
 use prometheus::core::Collector;
@@ -21,6 +22,8 @@
     failures: prometheus::IntCounterVec,
     reads: prometheus::IntCounterVec,
     callers: prometheus::IntGauge,
+    shed: prometheus::IntCounterVec,
+    charged: prometheus::IntGauge,
     waits: prometheus::HistogramVec,
     loads: prometheus::IntGaugeVec,
 }
@@ -50,6 +53,15 @@
         )?;
         let callers =
             prometheus::IntGauge::new("cardamomhold_callers", "Open connections of callers")?;
+        let shed = counter(
+            "cardamomhold_shed_total",
+            "Connections that were refused or closed to stay within the limits",
+            &["reason"],
+        )?;
+        let charged = prometheus::IntGauge::new(
+            "cardamomhold_charged_bytes",
+            "Bytes held for callers and endpoints' answers",
+        )?;
         let options = prometheus::HistogramOpts::new(
             "cardamomhold_queue_seconds",
             "Time that transactions waited for a place at an endpoint",
@@ -61,13 +73,15 @@
             "Waiting and running transactions, their limit, and open connections",
         );
         let loads = prometheus::IntGaugeVec::new(options, &["member", "of"])?;
-        let collectors: [Box<dyn Collector>; 6] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(waits.clone()),
             Box::new(loads.clone()),
             Box::new(statements.clone()),
             Box::new(failures.clone()),
             Box::new(reads.clone()),
             Box::new(callers.clone()),
+            Box::new(shed.clone()),
+            Box::new(charged.clone()),
         ];
         for collector in collectors {
             registry.register(collector)?;
@@ -78,6 +92,8 @@
             failures,
             reads,
             callers,
+            shed,
+            charged,
             waits,
             loads,
         })
@@ -141,6 +157,16 @@
         }
     }
 
+    /// Records what the task of the budget reports.
+    pub fn record_budget(&self, report: accounts::Report) {
+        match report {
+            accounts::Report::Shed(reason) => {
+                self.shed.with_label_values(&[reason.as_str()]).inc();
+            }
+            accounts::Report::Charged(bytes) => self.charged.set(bytes as i64),
+        }
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
--- a/crates/cardamomhold_daemon/src/owner.rs
+++ b/crates/cardamomhold_daemon/src/owner.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use cardamomhold_budget::accounts;
 use cardamomhold_config::config;
 use cardamomhold_core::name;
 use cardamomhold_core::outcome;
@@ -88,6 +89,8 @@
     pub metrics: metrics::Metrics,
     /// Phase of the instance's shutdown.
     pub stop: stop::Stop,
+    /// Accounts to which the answers of endpoints are charged.
+    pub accounts: accounts::Handle,
 }
 
 /// Starts the task; it ends when its last handle is dropped.
@@ -292,6 +295,7 @@
             retention: spec.key_retention(),
             idle: time::Duration::from_millis(config.stop_rule().idle_ms),
             stop: self.context.stop.clone(),
+            accounts: self.context.accounts.clone(),
         })
     }
 
--- a/crates/cardamomhold_daemon/src/relay.rs
+++ b/crates/cardamomhold_daemon/src/relay.rs
@@ -13,6 +13,9 @@
 
 /// Length of the output buffer at which it is forwarded, in bytes.
 const CHUNK_LEN: usize = 16 * 1024;
+/// Length above which a stream holds only one message, in bytes.
+const LARGE_LEN: usize = 4 * CHUNK_LEN;
+
 /// Maximum length of the held messages, in bytes.
 const MAX_HELD_LEN: usize = 4 * 1024 * 1024;
 const COMMIT_TAG: &str = "COMMIT";
@@ -97,6 +100,7 @@
             Some(message) => message,
             None => {
                 state.flush(down, progress).await?;
+                connection.release();
                 connection.next().await?
             }
         };
@@ -109,6 +113,7 @@
         if state.out.len() >= CHUNK_LEN {
             state.hold_all = false;
             state.flush(down, progress).await?;
+            connection.release();
         }
     }
     state.flush(down, progress).await?;
@@ -214,6 +219,12 @@
         }
         progress.forwarded = true;
         let frames = self.out.split().freeze();
+        if frames.len() > LARGE_LEN {
+            // A large message is sent once the caller's task has taken all earlier ones, so that
+            // the stream holds one.
+            let places = down.reserve_many(down.max_capacity()).await;
+            drop(places.map_err(|_| RelayError::CallerGone)?);
+        }
         let sent = down.send(stream::Down::Frames(frames)).await;
         sent.map_err(|_| RelayError::CallerGone)
     }
--- a/crates/cardamomhold_daemon/tests/stale_owner.rs
+++ b/crates/cardamomhold_daemon/tests/stale_owner.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use cardamomhold_budget::accounts;
 use cardamomhold_config::config;
 use cardamomhold_core::name;
 use cardamomhold_core::outcome;
@@ -68,6 +69,7 @@
         leaderships,
         metrics: metrics::Metrics::new().expect("metrics"),
         stop: stop::Stop::new(phase),
+        accounts: accounts::Handle::unlimited(),
     });
     let (mut stream, end) = stream::pair();
     let request = owner::Request::Open(Box::new(ticket()), end);
--- a/crates/cardamomhold_endpoint/src/connection.rs
+++ b/crates/cardamomhold_endpoint/src/connection.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use bytes::BytesMut;
+use cardamomhold_budget::accounts;
 use cardamomhold_core::position;
 use cardamomhold_wire::answer;
 use cardamomhold_wire::frame;
@@ -150,6 +151,16 @@
         }
     }
 
+    /// Charges what is read from now on to `account`.
+    pub fn charge_to(&mut self, account: accounts::Account) {
+        self.reader.charge_to(account);
+    }
+
+    /// Releases the charge of the messages that have been read.
+    pub fn release(&mut self) {
+        self.reader.release();
+    }
+
     /// Sends encoded messages.
     ///
     /// # Errors
--- a/crates/cardamomhold_session/src/session.rs
+++ b/crates/cardamomhold_session/src/session.rs
@@ -127,6 +127,17 @@
         result
     }
 
+    /// Bytes of the settings, staged ones included.
+    pub fn setting_bytes(&self) -> usize {
+        let staged = self.staged.iter().map(|change| match change {
+            Change::Set(setting) => setting.name.len() + setting.statement.len(),
+            Change::Reset(name) => name.len(),
+        });
+        let settings = self.settings.iter();
+        let settings = settings.map(|s| s.name.len() + s.statement.len());
+        settings.chain(staged).sum()
+    }
+
     /// Iterates over the statements that apply the session's settings to a connection.
     pub fn setup_statements(&self) -> impl Iterator<Item = &str> {
         self.settings.iter().map(|s| s.statement.as_str())
--- a/crates/cardamomhold_wire/src/frame.rs
+++ b/crates/cardamomhold_wire/src/frame.rs
@@ -6,6 +6,7 @@
 
 use bytes::Buf;
 use bytes::BytesMut;
+use cardamomhold_budget::accounts;
 use pgwire::messages;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
@@ -16,8 +17,16 @@
 /// Longest accepted message from an endpoint, in bytes; one row must fit.
 pub const MAX_ENDPOINT_MESSAGE_LEN: usize = 64 * 1024 * 1024;
 
-/// Bytes of buffer space reserved for each read.
-const READ_SIZE: usize = 16 * 1024;
+/// Longest startup message, in bytes: names, and some parameters such as a session token.
+pub const MAX_STARTUP_LEN: usize = 16 * 1024;
+
+/// Bytes of buffer space reserved for each read; an idle connection's free allowance.
+const READ_SIZE: usize = accounts::FREE_BYTES;
+
+/// Times that a message is charged while it is handled: decoded, classified by its tokens,
+/// encoded again, and in the buffers of a stream.
+const HANDLED_COPIES: usize = 5;
+
 /// Length of a message's type and length field, in bytes.
 const HEADER_LEN: usize = 5;
 /// Length of the length field, in bytes; the announced length includes it.
@@ -41,6 +50,8 @@
     TooShort(usize),
     /// The message is too short for its fields.
     MissingFields,
+    /// The connection has to be closed, since memory is short.
+    GaveWay,
     /// The bytes aren't a message of the protocol.
     Malformed(pgwire::error::PgWireError),
 }
@@ -53,6 +64,7 @@
             Self::TooLarge { len, limit } => write!(f, "message of {len} bytes, at most {limit}"),
             Self::TooShort(len) => write!(f, "message of {len} bytes, at least {LENGTH_LEN}"),
             Self::MissingFields => f.write_str("malformed message: it ends before its fields do"),
+            Self::GaveWay => accounts::GaveWay.fmt(f),
             Self::Malformed(error) => write!(f, "malformed message: {error}"),
         }
     }
@@ -66,6 +78,12 @@
     }
 }
 
+impl From<accounts::GaveWay> for FrameError {
+    fn from(_: accounts::GaveWay) -> Self {
+        Self::GaveWay
+    }
+}
+
 /// Reads messages from one half of a socket.
 #[derive(Debug)]
 pub struct Reader<R> {
@@ -73,6 +91,10 @@
     buf: BytesMut,
     context: messages::DecodeContext,
     limit: usize,
+    /// Charged with the buffer and the messages that are being handled.
+    account: accounts::Account,
+    /// Charge of the messages since the last release, in bytes.
+    handled: usize,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
@@ -98,9 +120,59 @@
             buf: BytesMut::new(),
             context,
             limit,
+            account: accounts::Account::default(),
+            handled: 0,
         }
     }
 
+    /// Charges the buffer and the messages that are being handled to `account`, from now on.
+    pub fn charge_to(&mut self, account: accounts::Account) {
+        self.account = account;
+        self.handled = 0;
+    }
+
+    /// Releases the charge of the messages that have been read, as they have been handled, and the
+    /// buffer if it is empty.
+    pub fn release(&mut self) {
+        self.handled = 0;
+        if self.buf.is_empty() {
+            self.buf = BytesMut::new();
+        }
+        self.account.release_to(self.charge(self.buf.capacity()));
+    }
+
+    /// Charge for a buffer of this size and the messages that are being handled.
+    fn charge(&self, capacity: usize) -> usize {
+        let buffer = if capacity <= READ_SIZE { 0 } else { capacity };
+        buffer + self.handled
+    }
+
+    /// Charges the handling of the next message once all of it is in the buffer.
+    async fn charge_handling(&mut self) -> Result<(), FrameError> {
+        let Some(len) = self.announced_len().filter(|len| self.buf.len() > *len) else {
+            return Ok(());
+        };
+        let added = HANDLED_COPIES * len;
+        let total = self.charge(self.buf.capacity()) + added;
+        self.account.reserve(total).await?;
+        self.handled += added;
+        Ok(())
+    }
+
+    /// Length that the next message announces; none for a startup message, or before it is known.
+    fn announced_len(&self) -> Option<usize> {
+        if self.is_starting() || self.buf.len() < HEADER_LEN {
+            return None;
+        }
+        Some((&self.buf[1..HEADER_LEN]).get_u32() as usize)
+    }
+
+    /// Whether a caller's startup message is awaited, which has no type byte. Only a reader of
+    /// caller messages has this limit.
+    fn is_starting(&self) -> bool {
+        self.context.awaiting_frontend_startup && self.limit == MAX_CALLER_MESSAGE_LEN
+    }
+
     /// Reads a caller's next message; `None` when the connection ended between two messages.
     ///
     /// Cancel safe: bytes that were read stay in the buffer.
@@ -112,6 +184,7 @@
     ) -> Result<Option<messages::PgWireFrontendMessage>, FrameError> {
         loop {
             self.check_size()?;
+            self.charge_handling().await?;
             let decoded = decode_guarded(|| {
                 messages::PgWireFrontendMessage::decode(&mut self.buf, &self.context)
             })?;
@@ -133,6 +206,7 @@
         &mut self,
     ) -> Result<Option<messages::PgWireBackendMessage>, FrameError> {
         loop {
+            self.charge_handling().await?;
             if let Some(message) = self.try_next_backend()? {
                 return Ok(Some(message));
             }
@@ -159,8 +233,12 @@
     }
 
     async fn fill(&mut self) -> Result<bool, FrameError> {
-        self.buf.reserve(READ_SIZE);
-        let n = self.io.read_buf(&mut self.buf).await?;
+        self.make_room().await?;
+        let n = tokio::select! {
+            biased;
+            read = self.io.read_buf(&mut self.buf) => read?,
+            gave_way = self.account.notified() => return Err(gave_way.into()),
+        };
         if n > 0 {
             return Ok(true);
         }
@@ -170,12 +248,31 @@
         Err(FrameError::Truncated)
     }
 
-    fn check_size(&self) -> Result<(), FrameError> {
-        // A caller's startup packet has no type byte, so its length is at another offset. Only a
-        // reader of caller messages has this limit.
-        if self.context.awaiting_frontend_startup && self.limit == MAX_CALLER_MESSAGE_LEN {
+    /// Makes room for a read. A larger buffer is charged first, together with the old one.
+    async fn make_room(&mut self) -> Result<(), FrameError> {
+        let len = self.buf.len();
+        if self.buf.capacity() - len >= READ_SIZE {
             return Ok(());
         }
+        let message = self.announced_len().map_or(0, |announced| announced + 1);
+        let next = (2 * len).min(message).max(len) + READ_SIZE;
+        let next = if len == 0 { READ_SIZE } else { next };
+        self.account.reserve(self.charge(next) + len).await?;
+        let mut buf = BytesMut::with_capacity(next);
+        buf.extend_from_slice(&self.buf);
+        self.buf = buf;
+        Ok(())
+    }
+
+    fn check_size(&self) -> Result<(), FrameError> {
+        if self.is_starting() {
+            let len = self.buf.len();
+            let limit = MAX_STARTUP_LEN;
+            return match len > limit {
+                true => Err(FrameError::TooLarge { len, limit }),
+                false => Ok(()),
+            };
+        }
         if self.buf.len() < HEADER_LEN {
             return Ok(());
         }
