--- a/crates/cardamomhold_daemon/src/daemon.rs
+++ b/crates/cardamomhold_daemon/src/daemon.rs
@@ -6,7 +6,6 @@
 use std::time;
 
 use cardamomhold_budget::accounts;
-use cardamomhold_budget::budget;
 use cardamomhold_budget::plan;
 use cardamomhold_core::token;
 use cardamomhold_fleet::fleet;
@@ -21,6 +20,7 @@
 use tokio::task;
 use tonic::transport::server;
 
+use crate::accept;
 use crate::caller;
 use crate::caller_limit;
 use crate::clock;
@@ -221,7 +221,7 @@
         services.spawn(http::run(metrics_listener, metrics, ready_receiver));
         services.spawn(sweep::run(sweep));
         services.spawn(await_config(config.config.clone(), ready.clone()));
-        let callers = tokio::spawn(accept(callers_listener, context, accounts));
+        let callers = tokio::spawn(accept::run(callers_listener, context, accounts));
         log::info!(
             "event=started instance={} zone={} listen={listen} peer={peer}",
             settings.instance,
@@ -370,43 +370,3 @@
         log::error!("event=peer_service_end error=\"{error}\"");
     }
 }
-
-/// Accepts callers until the instance drains; returns the tasks that still run.
-async fn accept(
-    listener: net::TcpListener,
-    context: caller::Context,
-    accounts: accounts::Handle,
-) -> task::JoinSet<()> {
-    let mut callers = task::JoinSet::new();
-    let mut stop = context.stop.clone();
-    let mut number = 0u32;
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.await_phase(stop::Phase::Draining) => return callers,
-        };
-        while callers.try_join_next().is_some() {}
-        let socket = match accepted {
-            Ok((socket, _)) => socket,
-            Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if socket.set_nodelay(true).is_err() {
-            continue;
-        }
-        // Without an account, the connection is closed.
-        let Some(account) = accounts.open(budget::Kind::Caller).await else {
-            continue;
-        };
-        number = number.wrapping_add(1);
-        let secret = uuid::Uuid::new_v4().as_u128() as i32;
-        let cancel_target = caller::CancelTarget::new(&context.instance, number, secret);
-        callers.spawn(caller::run(context.clone(), socket, account, cancel_target));
-    }
-}
-
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
--- a/crates/cardamomhold_daemon/src/lib.rs
+++ b/crates/cardamomhold_daemon/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(error.to_string().contains("colour"));
 //! ```
 
+mod accept;
 mod apply;
 pub mod attempt;
 pub mod batch;
