--- a/crates/cardamomhold_entry/src/closing.rs
+++ b/crates/cardamomhold_entry/src/closing.rs
@@ -4,6 +4,7 @@
 //! on its way. Such a request is refused in full, as not run, so that its caller repeats it
 //! elsewhere at once.
 
+use std::io;
 use std::time;
 
 use crate::answer;
@@ -22,18 +23,26 @@
     text: &str,
 ) -> usize {
     let refusal = answer::Answer::refused(answer::Code::Busy, text, answer::State::Idle);
-    let end = clock::instant(clock::now().after(LINGER));
     let mut refused = 0;
-    while writer.announce_end(&refusal).await.is_ok() {
-        let incoming = tokio::time::timeout_at(end, reader.next()).await;
-        let (Ok(Ok(front::Incoming::Request(_))) | Ok(Ok(front::Incoming::Malformed))) = incoming
-        else {
-            break;
-        };
-        refused += 1;
-        if writer.complete_refusal(&refusal).await.is_err() {
-            break;
+    let end = clock::instant(clock::now().after(LINGER));
+    let refusing = refuse_crossed(reader, writer, &refusal, &mut refused);
+    // The connection is closed in each case: at the limit, or as the caller has closed its side.
+    let _ = tokio::time::timeout_at(end, refusing).await;
+    refused
+}
+
+async fn refuse_crossed<R: front::Reader, W: front::Writer>(
+    reader: &mut R,
+    writer: &mut W,
+    refusal: &answer::Answer,
+    refused: &mut usize,
+) -> io::Result<()> {
+    loop {
+        writer.announce_end(refusal).await?;
+        if reader.next().await? == front::Incoming::Close {
+            return Ok(());
         }
+        writer.complete_refusal(refusal).await?;
+        *refused += 1;
     }
-    refused
 }
--- a/crates/cardamomhold_entry/src/front.rs
+++ b/crates/cardamomhold_entry/src/front.rs
@@ -48,4 +48,12 @@
         &mut self,
         refusal: &answer::Answer,
     ) -> impl Future<Output = io::Result<()>>;
+
+    /// Charges what the session keeps, in bytes altogether; the default charges nothing.
+    ///
+    /// # Errors
+    /// The connection must be closed, since memory is short.
+    fn keep(&mut self, _bytes: usize) -> impl Future<Output = io::Result<()>> {
+        async { Ok(()) }
+    }
 }
--- a/crates/cardamomhold_entry/src/metrics.rs
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use cardamomhold_budget::accounts;
 use cardamomhold_core::name;
 use prometheus::core::Collector;
 
@@ -27,6 +28,8 @@
     unauthorized: prometheus::IntCounterVec,
     limited: prometheus::IntCounterVec,
     limit_holder: prometheus::IntGauge,
+    shed: prometheus::IntCounterVec,
+    charged: prometheus::IntGauge,
 }
 
 fn counter(
@@ -104,8 +107,17 @@
                 "cardamomhold_limit_holder",
                 "Whether this instance grants the tokens of all workspaces",
             )?,
+            shed: counter(
+                "cardamomhold_shed_total",
+                "Connections that were refused or closed to stay within the limits",
+                &["reason"],
+            )?,
+            charged: prometheus::IntGauge::new(
+                "cardamomhold_charged_bytes",
+                "Bytes held for callers and other instances",
+            )?,
         };
-        let collectors: [Box<dyn Collector>; 10] = [
+        let collectors: [Box<dyn Collector>; 12] = [
             Box::new(metrics.statements.clone()),
             Box::new(metrics.failures.clone()),
             Box::new(metrics.opened.clone()),
@@ -116,6 +128,8 @@
             Box::new(metrics.unauthorized.clone()),
             Box::new(metrics.limited.clone()),
             Box::new(metrics.limit_holder.clone()),
+            Box::new(metrics.shed.clone()),
+            Box::new(metrics.charged.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector)?;
@@ -185,6 +199,16 @@
         self.limit_holder.set(is_holder.into());
     }
 
+    /// Records what the task of the budget reports.
+    pub fn record_budget(&self, report: accounts::Report) {
+        match report {
+            accounts::Report::Shed(reason) => {
+                self.shed.with_label_values(&[reason.as_str()]).inc();
+            }
+            accounts::Report::Charged(bytes) => self.charged.set(bytes as i64),
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
