--- a/crates/cardamomhold_entry/src/limits/task.rs
+++ b/crates/cardamomhold_entry/src/limits/task.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task;
 
 use crate::clock;
 use crate::limits::Command;
@@ -61,8 +62,9 @@
     is_failing: bool,
 }
 
-/// Starts the task; it ends with the process.
-pub fn start(context: Context) -> Handle {
+/// Starts the task, which ends with the process; without it, all operations of workspaces with a
+/// limit would be refused.
+pub fn start(context: Context) -> (Handle, task::JoinHandle<()>) {
     let (commands, mailbox) = mpsc::unbounded_channel();
     let (refusals, published) = watch::channel(Refusals::default());
     let settings = limiter::Settings {
@@ -81,10 +83,11 @@
         refusals,
         is_failing: false,
     };
-    tokio::task::spawn_local(task.run(mailbox));
-    Handle {
+    let running = task::spawn_local(task.run(mailbox));
+    let handle = Handle {
         task: Some((commands, published)),
-    }
+    };
+    (handle, running)
 }
 
 impl Task {
--- a/crates/cardamomhold_entry/tests/granted_tokens.rs
+++ b/crates/cardamomhold_entry/tests/granted_tokens.rs
@@ -95,7 +95,7 @@
         let peers = peers::Peers::open(name, entry.address).await.unwrap();
         let (coordinator, mut events) = coordinator::mailbox();
         peers.listen(coordinator);
-        let limits = limits::start(limits::task::Context {
+        let (limits, _) = limits::start(limits::task::Context {
             instance: name.clone(),
             bounds: bounds::Bounds {
                 window: time::Duration::from_secs(5),
--- a/crates/cardamomhold_entry/tests/limited_operations.rs
+++ b/crates/cardamomhold_entry/tests/limited_operations.rs
@@ -52,7 +52,10 @@
 
 /// The groups of an instance whose workspace `small` has a limit and `free` has none; the instance
 /// is the only voter.
-async fn limited(world: &world::World) -> (limits::Handle, group::Handle<world::Member>) {
+async fn limited<C: link::Connector>(
+    world: &world::World,
+    connector: C,
+) -> (limits::Handle, group::Handle<C::Link>) {
     let mut workspaces = directory::Directory::default();
     let limit = directory::Limit {
         rate: 5.0,
@@ -69,7 +72,7 @@
         view.catalog = catalog.into();
     });
     let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
-    let limits = limits::start(limits::task::Context {
+    let (limits, _) = limits::start(limits::task::Context {
         instance: world.instance.clone(),
         bounds: bounds::Bounds {
             window: time::Duration::from_secs(5),
@@ -85,7 +88,7 @@
     limits.send(limits::Command::Voters(voters));
     let mut groups = groups::start(groups::Context {
         limits: limits.clone(),
-        ..world.groups_context(world.members.clone())
+        ..world.groups_context(connector)
     });
     let name = world::group_name();
     let group = groups.wait_for(|g| g.contains_key(name.as_str())).await;
@@ -100,7 +103,7 @@
     let fleet = world::fleet(INSTANCES);
     let owner = owners::of_member(&fleet, "zone-a", &world::member("a"))[0].clone();
     let world = world::World::with_instance(&owner, INSTANCES);
-    let (limits, group) = limited(&world).await;
+    let (limits, group) = limited(&world, world.members.clone()).await;
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     let groups: groups::Groups<_> =
@@ -188,33 +191,54 @@
     }
 }
 
+/// Sends operations of both workspaces; checks how many of them get a connection.
+async fn assert_limited<L: link::Link>(group: &group::Handle<L>) {
+    for (workspace, expected) in [("small", 1..=MAX_SERVED), ("free", OPERATIONS..=OPERATIONS)] {
+        let mut served = 0;
+        for _ in 0..OPERATIONS {
+            let (reply, granted) = tokio::sync::oneshot::channel();
+            let request = request(workspace);
+            let message = group::Message::Request { request, reply };
+            assert!(group.send(message).is_ok());
+            match granted.await.unwrap() {
+                Ok(mut checkout) => {
+                    checkout.permit.mark_sent();
+                    served += 1;
+                }
+                Err(group::Refusal::Overloaded(after)) => assert!(!after.is_zero()),
+                Err(refusal) => panic!("{refusal:?}"),
+            }
+        }
+        assert!(expected.contains(&served), "{workspace}: {served}");
+    }
+}
+
 /// Guards against operations of this instance's own clients that pass beyond the limit, on the way
-/// through its own queue or on direct connections.
+/// through its own queue.
 #[test]
 fn at_entry() {
     world::run_in_real_time(async {
         // One instance owns all members.
         let world = world::World::new(1);
-        let (_, group) = limited(&world).await;
-        for (workspace, expected) in [("small", 1..=MAX_SERVED), ("free", OPERATIONS..=OPERATIONS)]
-        {
-            let mut served = 0;
-            for _ in 0..OPERATIONS {
-                let (reply, granted) = tokio::sync::oneshot::channel();
-                let request = request(workspace);
-                let message = group::Message::Request { request, reply };
-                assert!(group.send(message).is_ok());
-                match granted.await.unwrap() {
-                    Ok(mut checkout) => {
-                        checkout.permit.mark_sent();
-                        served += 1;
-                    }
-                    Err(group::Refusal::Overloaded(after)) => assert!(!after.is_zero()),
-                    Err(refusal) => panic!("{refusal:?}"),
-                }
-            }
-            assert!(expected.contains(&served), "{workspace}: {served}");
-        }
+        let (_, group) = limited(&world, world.members.clone()).await;
+        assert_limited(&group).await;
+    });
+}
+
+/// Guards against operations that pass beyond the limit on direct connections, which an instance
+/// opens while it reaches no owner.
+#[test]
+fn without_owner() {
+    world::run_in_real_time(async {
+        // A port on which nobody listens.
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let closed = listener.local_addr().unwrap();
+        drop(listener);
+        let world = world::World::relayed(closed, INSTANCES);
+        let connector = relay::Connector(world.members.clone());
+        let (_, group) = limited(&world, connector).await;
+        assert_limited(&group).await;
+        assert!(world.members.script.borrow().opened() > 0);
     });
 }
 
@@ -223,7 +247,7 @@
 fn unused_permits() {
     world::run_in_real_time(async {
         let world = world::World::new(1);
-        let (limits, _) = limited(&world).await;
+        let (limits, _) = limited(&world, world.members.clone()).await;
         let workspace = grant("small").workspace;
         for _ in 0..OPERATIONS {
             let deadline = clock::now().after(time::Duration::from_secs(1));
@@ -238,7 +262,7 @@
 fn entry_remembers() {
     world::run_in_real_time(async {
         let world = world::World::new(1);
-        let (limits, _) = limited(&world).await;
+        let (limits, _) = limited(&world, world.members.clone()).await;
         let context = attempt::Context {
             limits: limits.clone(),
             ..world.context()
