--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -236,8 +236,9 @@
 
     pub(super) fn ping(&self, owner: link::Owner, target: link::Target, ping: Ping) {
         let handle = self.handle.clone();
+        let traffic = self.context.metrics.traffic().clone();
         tokio::task::spawn_local(async move {
-            let is_answering = relay::ping_owner(owner.address, &target).await;
+            let is_answering = relay::ping_owner(owner.address, &target, &traffic).await;
             // The receiver is gone when the group's task has ended.
             let _ = handle.send(Message::OwnerPinged {
                 owner: owner.name,
--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -60,4 +60,5 @@
 pub mod statement;
 pub mod stop;
 pub mod store;
+pub mod traffic;
 pub mod view;
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -155,3 +155,27 @@
         is_leaving: bool,
     },
 }
+
+impl Message {
+    /// Name of the kind in the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::LeadershipRequest { .. } => "leadership_request",
+            Self::LeadershipReply { state: None, .. } => "leadership_reply",
+            Self::LeadershipReply { state: Some(_), .. } => "leadership_reply_state",
+            Self::RenewalRequest { .. } => "renewal_request",
+            Self::RenewalReply { state: None, .. } => "renewal_reply",
+            Self::RenewalReply { state: Some(_), .. } => "renewal_reply_state",
+            Self::Announce(_) => "announce",
+            Self::Ack { .. } => "ack",
+            Self::FailoverRequest { .. } => "failover_request",
+            Self::FailoverAck => "failover_ack",
+            Self::ProbeRequest { .. } => "probe_request",
+            Self::ProbeReply { .. } => "probe_reply",
+            Self::LockAcquired { .. } => "lock_acquired",
+            Self::LockReleased(_) => "lock_released",
+            Self::VoterPing => "voter_ping",
+            Self::VoterPong { .. } => "voter_pong",
+        }
+    }
+}
--- a/crates/cardamomhold_entry/src/metrics.rs
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::core::Collector;
 
 use crate::answer;
+use crate::traffic;
 use crate::view;
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -23,6 +24,7 @@
     waiting: prometheus::IntGaugeVec,
     calls: prometheus::IntCounterVec,
     callers: prometheus::IntGauge,
+    traffic: traffic::Traffic,
 }
 
 fn counter(
@@ -81,6 +83,7 @@
                 "cardamomhold_callers",
                 "Open connections of callers",
             )?,
+            traffic: traffic::Traffic::new()?,
         };
         let collectors: [Box<dyn Collector>; 6] = [
             Box::new(metrics.statements.clone()),
@@ -90,7 +93,8 @@
             Box::new(metrics.calls.clone()),
             Box::new(metrics.callers.clone()),
         ];
-        for collector in collectors {
+        let traffic = metrics.traffic.collectors();
+        for collector in collectors.into_iter().chain(traffic) {
             metrics.registry.register(collector)?;
         }
         Ok(metrics)
@@ -132,6 +136,11 @@
         self.calls.with_label_values(&[call, result]).inc();
     }
 
+    /// Counters of messages by kind.
+    pub fn traffic(&self) -> &traffic::Traffic {
+        &self.traffic
+    }
+
     /// Adds `change` to the number of open caller connections.
     pub fn add_callers(&self, change: i64) {
         self.callers.add(change);
--- a/crates/cardamomhold_entry/src/peers.rs
+++ b/crates/cardamomhold_entry/src/peers.rs
@@ -8,6 +8,7 @@
 
 use crate::coordinator;
 use crate::message;
+use crate::traffic;
 
 /// Size of the receive buffer, in bytes; longer datagrams are truncated.
 const MAX_DATAGRAM_LEN: usize = 60_000;
@@ -17,6 +18,7 @@
 pub struct Peers {
     name: name::InstanceName,
     socket: std::sync::Arc<UdpSocket>,
+    traffic: traffic::Traffic,
 }
 
 impl Peers {
@@ -24,17 +26,23 @@
     ///
     /// # Errors
     /// The address can't be bound.
-    pub async fn open(name: &name::InstanceName, address: net::SocketAddr) -> io::Result<Self> {
+    pub async fn open(
+        name: &name::InstanceName,
+        address: net::SocketAddr,
+        traffic: traffic::Traffic,
+    ) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         Ok(Self {
             name: name.clone(),
             socket: socket.into(),
+            traffic,
         })
     }
 
     /// Starts the task that receives datagrams and passes them to the coordinator.
     pub fn listen(&self, coordinator: coordinator::Handle) {
         let socket = self.socket.clone();
+        let traffic = self.traffic.clone();
         tokio::task::spawn_local(async move {
             let mut buffer = vec![0; MAX_DATAGRAM_LEN];
             loop {
@@ -46,11 +54,19 @@
                         continue;
                     }
                 };
-                match postcard::from_bytes(&buffer[..len]) {
-                    Ok(envelope) => coordinator.send(coordinator::Event::Datagram(from, envelope)),
-                    Err(error) => log::warn!(
-                        "event=datagram_unreadable from={from} bytes={len} error=\"{error}\""
-                    ),
+                let received = traffic::Direction::Received;
+                match postcard::from_bytes::<message::Envelope>(&buffer[..len]) {
+                    Ok(envelope) => {
+                        let kind = envelope.message.kind();
+                        traffic.record(traffic::Channel::Peer, kind, received, len);
+                        coordinator.send(coordinator::Event::Datagram(from, envelope));
+                    }
+                    Err(error) => {
+                        traffic.record(traffic::Channel::Peer, "unreadable", received, len);
+                        log::warn!(
+                            "event=datagram_unreadable from={from} bytes={len} error=\"{error}\""
+                        );
+                    }
                 }
             }
         });
@@ -65,9 +81,16 @@
         };
         match postcard::to_stdvec(&envelope) {
             Ok(bytes) => {
-                if let Err(error) = self.socket.try_send_to(&bytes, to) {
-                    log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
-                }
+                let kind = match self.socket.try_send_to(&bytes, to) {
+                    Ok(_) => envelope.message.kind(),
+                    Err(error) => {
+                        log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
+                        "unsent"
+                    }
+                };
+                let sent = traffic::Direction::Sent;
+                self.traffic
+                    .record(traffic::Channel::Peer, kind, sent, bytes.len());
             }
             Err(error) => log::warn!("event=datagram_unwritable error=\"{error}\""),
         }
--- a/crates/cardamomhold_entry/src/relay.rs
+++ b/crates/cardamomhold_entry/src/relay.rs
@@ -11,10 +11,12 @@
 
 use cardamomhold_core::position;
 use cardamomhold_lead::candidate;
+use tokio::net::TcpStream;
 
 use crate::answer;
 use crate::connect;
 use crate::link;
+use crate::traffic;
 
 pub mod client;
 pub mod frame;
@@ -32,14 +34,27 @@
 /// Timeout of a ping to an owner, connecting included.
 const PING_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// Opens and counts a connection to an owner.
+async fn connect_owner(
+    owner: net::SocketAddr,
+    traffic: &traffic::Traffic,
+) -> Result<TcpStream, link::LinkError> {
+    let sent = traffic::Direction::Sent;
+    traffic.record(traffic::Channel::Relay, "connect", sent, 0);
+    let opened = connect::open(owner).await;
+    opened.map_err(link::LinkError::Unreachable)
+}
+
 /// Pings the owner at the address `owner`; returns whether the target's member answers it, none
 /// when the owner itself doesn't answer.
-pub async fn ping_owner(owner: net::SocketAddr, target: &link::Target) -> Option<bool> {
+pub async fn ping_owner(
+    owner: net::SocketAddr,
+    target: &link::Target,
+    traffic: &traffic::Traffic,
+) -> Option<bool> {
     let pinging = async {
-        let stream = connect::open(owner)
-            .await
-            .map_err(link::LinkError::Unreachable)?;
-        client::Client::new(stream, target).ping().await
+        let stream = connect_owner(owner, traffic).await?;
+        client::Client::new(stream, target, traffic).ping().await
     };
     let pinged = tokio::time::timeout(PING_TIMEOUT, pinging).await;
     pinged.ok().and_then(Result::ok)
@@ -47,7 +62,20 @@
 
 /// Opens connections to members, through the owner where the target names one.
 #[derive(Debug, Clone)]
-pub struct Connector<C>(pub C);
+pub struct Connector<C> {
+    direct: C,
+    traffic: traffic::Traffic,
+}
+
+impl<C> Connector<C> {
+    /// Creates a connector that opens direct connections with `direct`.
+    pub fn new(direct: C, traffic: &traffic::Traffic) -> Self {
+        Self {
+            direct,
+            traffic: traffic.clone(),
+        }
+    }
+}
 
 impl<C: link::Connector> link::Connector for Connector<C> {
     type Link = Link<C::Link>;
@@ -57,18 +85,16 @@
         target: &link::Target,
     ) -> Result<(Self::Link, Option<position::Position>), link::LinkError> {
         let Some(owner) = &target.via else {
-            let (link, position) = self.0.open(target).await?;
+            let (link, position) = self.direct.open(target).await?;
             return Ok((Link::Direct(link), position));
         };
-        let stream = connect::open(owner.address)
-            .await
-            .map_err(link::LinkError::Unreachable)?;
-        let client = Box::new(client::Client::new(stream, target));
+        let stream = connect_owner(owner.address, &self.traffic).await?;
+        let client = Box::new(client::Client::new(stream, target, &self.traffic));
         Ok((Link::Relayed(client), None))
     }
 
     async fn reach(&self, target: &link::Target) -> Result<(), link::LinkError> {
-        self.0.reach(target).await
+        self.direct.reach(target).await
     }
 }
 
--- a/crates/cardamomhold_entry/src/relay/client.rs
+++ b/crates/cardamomhold_entry/src/relay/client.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::link;
 use crate::relay::frame;
+use crate::traffic;
 
 /// A connection to an owner, for commands to one member.
 #[derive(Debug)]
@@ -22,11 +23,12 @@
     /// Whether the owner has a connection of the member for this client: inside a transaction.
     is_held: bool,
     report: Option<link::Report>,
+    traffic: traffic::Traffic,
 }
 
 impl Client {
     /// Creates a client on a stream to the owner of the target's connections.
-    pub fn new(stream: TcpStream, target: &link::Target) -> Self {
+    pub fn new(stream: TcpStream, target: &link::Target, traffic: &traffic::Traffic) -> Self {
         Self {
             frames: frame::Frames::new(stream),
             group: target.group.clone(),
@@ -34,6 +36,7 @@
             priority: None,
             is_held: false,
             report: None,
+            traffic: traffic.clone(),
         }
     }
 
@@ -143,9 +146,14 @@
             left_us: remaining.as_micros() as u64,
             body,
         };
-        self.frames.send(&request).await.map_err(broken)?;
-        let reply = self.frames.next().await.map_err(broken)?;
-        let reply: frame::Reply = frame::decode(&reply).map_err(broken)?;
+        let len = self.frames.send(&request).await.map_err(broken)?;
+        let (channel, sent) = (traffic::Channel::Relay, traffic::Direction::Sent);
+        self.traffic.record(channel, request.body.kind(), sent, len);
+        let bytes = self.frames.next().await.map_err(broken)?;
+        let reply: frame::Reply = frame::decode(&bytes).map_err(broken)?;
+        let received = traffic::Direction::Received;
+        self.traffic
+            .record(channel, reply.result.kind(), received, bytes.len());
         self.report = Some(reply.report);
         Ok(reply.result)
     }
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -68,6 +68,17 @@
     },
 }
 
+impl Body<'_> {
+    /// Name of the kind in the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Prepare(_) => "prepare",
+            Self::Call(_) => "call",
+            Self::Ping { .. } => "ping",
+        }
+    }
+}
+
 /// Reply to a request, with the owner's report.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 pub struct Reply {
@@ -93,6 +104,22 @@
     },
 }
 
+impl Outcome {
+    /// Name of the kind in the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Prepared(_) => "prepared",
+            Self::Answered(_) => "answered",
+            Self::Failed(Failure::Unreachable) => "unreachable",
+            Self::Failed(Failure::Broken) => "broken",
+            Self::Failed(Failure::Garbled) => "garbled",
+            Self::Failed(Failure::Refused(_)) => "refused",
+            Self::Failed(Failure::Overloaded { .. }) => "overloaded",
+            Self::Pong { .. } => "pong",
+        }
+    }
+}
+
 /// Why a request failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Failure {
@@ -180,14 +207,16 @@
         connect::is_idle(self.0.get_ref())
     }
 
-    /// Encodes and sends a frame.
+    /// Encodes and sends a frame; returns its length in bytes.
     ///
     /// # Errors
     /// [`FrameError`].
-    pub async fn send<T: serde::Serialize>(&mut self, content: &T) -> Result<(), FrameError> {
+    pub async fn send<T: serde::Serialize>(&mut self, content: &T) -> Result<usize, FrameError> {
         let bytes = postcard::to_stdvec(content).map_err(FrameError::Codec)?;
         let bytes = bytes::Bytes::from(bytes);
-        self.0.send(bytes).await.map_err(FrameError::Io)
+        let len = bytes.len();
+        self.0.send(bytes).await.map_err(FrameError::Io)?;
+        Ok(len)
     }
 
     /// Receives the next frame, undecoded.
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -20,6 +20,7 @@
 use crate::relay::frame;
 use crate::session;
 use crate::stop;
+use crate::traffic;
 
 /// How long a member's answer is awaited beyond the deadline of the request.
 const ANSWER_GRACE: time::Duration = time::Duration::from_millis(50);
@@ -40,6 +41,8 @@
     pub groups: watch::Receiver<groups::Groups<L>>,
     /// Phase of the instance's shutdown.
     pub phase: watch::Receiver<stop::Phase>,
+    /// Counters of the frames.
+    pub traffic: traffic::Traffic,
 }
 
 impl<L> Clone for Context<L> {
@@ -47,6 +50,7 @@
         Self {
             groups: self.groups.clone(),
             phase: self.phase.clone(),
+            traffic: self.traffic.clone(),
         }
     }
 }
@@ -73,6 +77,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=relay_slow from={from} error=\"{error}\"");
     }
+    let traffic = context.traffic.clone();
     let mut server = Server {
         context,
         work: None,
@@ -84,12 +89,21 @@
             Ok(request) => request,
             Err(error) => break error,
         };
-        let reply = match frame::decode(&request) {
-            Ok(request) => server.handle(&request).await,
+        let len = request.len();
+        let reply = match frame::decode::<frame::Request<'_>>(&request) {
+            Ok(request) => {
+                let received = traffic::Direction::Received;
+                traffic.record(traffic::Channel::Relay, request.body.kind(), received, len);
+                server.handle(&request).await
+            }
             Err(error) => break error,
         };
-        if let Err(error) = frames.send(&reply).await {
-            break error;
+        match frames.send(&reply).await {
+            Ok(len) => {
+                let sent = traffic::Direction::Sent;
+                traffic.record(traffic::Channel::Relay, reply.result.kind(), sent, len);
+            }
+            Err(error) => break error,
         }
     };
     log::debug!("event=relay_ended from={from} error=\"{error}\"");
--- a/crates/cardamomhold_entry/tests/cut_owners.rs
+++ b/crates/cardamomhold_entry/tests/cut_owners.rs
@@ -26,7 +26,8 @@
 /// Starts the group of an instance that relays to owners at `address`.
 async fn relaying(address: net::SocketAddr) -> (world::World, group::Handle<Link>) {
     let world = world::World::relayed(address, INSTANCES);
-    let mut groups = groups::start(world.groups_context(relay::Connector(world.members.clone())));
+    let connector = relay::Connector::new(world.members.clone(), world.traffic());
+    let mut groups = groups::start(world.groups_context(connector));
     let name = world::group_name();
     let groups = groups.wait_for(|g| g.contains_key(name.as_str()));
     let group = groups.await.unwrap().get(name.as_str()).unwrap().clone();
@@ -91,6 +92,7 @@
             relay::owner::Context {
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                traffic: owner.traffic().clone(),
             },
         );
         for _ in 0..100 {
@@ -156,6 +158,7 @@
             relay::owner::Context {
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                traffic: owner.traffic().clone(),
             },
         );
         tokio::time::sleep(time::Duration::from_millis(5_000)).await;
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -93,6 +93,7 @@
             relay::owner::Context {
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
+                traffic: owner.traffic().clone(),
             },
         );
         let good = request("READ x");
@@ -125,7 +126,7 @@
             }),
             workspace: None,
         };
-        let connector = relay::Connector(owner.members.clone());
+        let connector = relay::Connector::new(owner.members.clone(), owner.traffic());
         let (mut link, _) = connector.open(&target).await.unwrap();
         let deadline = clock::now().after(time::Duration::from_secs(5));
         link.set_priority(link::Priority {
--- a/crates/cardamomhold_entry/tests/relayed_statements.rs
+++ b/crates/cardamomhold_entry/tests/relayed_statements.rs
@@ -45,6 +45,7 @@
     let context = relay::owner::Context {
         groups: world.groups.clone(),
         phase: world.phases.subscribe(),
+        traffic: world.traffic().clone(),
     };
     relay::owner::start(listener, context);
     (world, address)
@@ -65,7 +66,7 @@
         via: Some(owner_at(via)),
         workspace: None,
     };
-    let connector = relay::Connector(world.members.clone());
+    let connector = relay::Connector::new(world.members.clone(), world.traffic());
     let (mut link, _) = connector.open(&target).await.unwrap();
     let deadline = clock::now().after(time::Duration::from_secs(20));
     link.set_priority(link::Priority {
@@ -191,7 +192,7 @@
 #[test]
 fn owner_answers_ping() {
     world::run_in_real_time(async {
-        let (_world, via) = owner().await;
+        let (world, via) = owner().await;
         let target = link::Target {
             group: world::group_name(),
             member: world::member("a"),
@@ -199,10 +200,11 @@
             via: Some(owner_at(via)),
             workspace: None,
         };
-        assert_eq!(relay::ping_owner(via, &target).await, Some(true));
+        let traffic = world.traffic();
+        assert_eq!(relay::ping_owner(via, &target, traffic).await, Some(true));
         let hung = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let hung = hung.local_addr().unwrap();
-        assert_eq!(relay::ping_owner(hung, &target).await, None);
+        assert_eq!(relay::ping_owner(hung, &target, traffic).await, None);
     });
 }
 
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -24,6 +24,7 @@
 use cardamomhold_entry::owners;
 use cardamomhold_entry::registry;
 use cardamomhold_entry::stop;
+use cardamomhold_entry::traffic;
 use cardamomhold_entry::view;
 use cardamomhold_lead::candidate;
 use cardamomhold_lead::record;
@@ -364,6 +365,11 @@
         owners::of_member(&fleet, &format!("zone-{member_name}"), &member(member_name))[0].clone()
     }
 
+    /// Counters of the instance's messages.
+    pub fn traffic(&self) -> &traffic::Traffic {
+        self.metrics.traffic()
+    }
+
     pub fn set_isolation(&self, isolation: view::Isolation) {
         self.leases.send_modify(|l| l.isolation = isolation);
     }
