--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::lease;
+use cardamomhold_lead::pages;
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_lead::renewal;
@@ -33,6 +34,7 @@
 use crate::store;
 use crate::view;
 
+mod announcement;
 mod electorate;
 mod event;
 mod failover;
@@ -48,9 +50,6 @@
 /// failovers.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// How long an announcement is repeated when no handover waits for its acknowledgements.
-const ANNOUNCEMENT_PERIOD: time::Duration = time::Duration::from_millis(1_000);
-
 /// Channels on which the coordinator publishes its state.
 #[derive(Debug)]
 pub struct Published {
@@ -67,14 +66,6 @@
     pub informed: watch::Sender<bool>,
 }
 
-/// A leadership that is announced repeatedly.
-struct Announcement {
-    record: record::Leadership,
-    acks: Option<mpsc::UnboundedSender<name::InstanceName>>,
-    unacknowledged: collections::BTreeSet<name::InstanceName>,
-    since: Timestamp,
-}
-
 /// A renewal request that was sent to a reader.
 #[derive(Debug, Clone, Copy)]
 struct RenewalRequest {
@@ -88,8 +79,8 @@
 struct HeldRequest {
     from: net::SocketAddr,
     number: u64,
-    /// Digest of the other instance's leaderships.
-    digest: u64,
+    /// The other instance's leaderships and voters.
+    held: message::Held,
     since: Timestamp,
 }
 
@@ -101,6 +92,10 @@
     handle: Handle,
     published: Published,
     records: record::Leaderships,
+    /// Identifies this run in the marks of the other instances.
+    run_id: u32,
+    /// How much of the other instances' leaderships this one has received.
+    marks: pages::Marks,
     lease: lease::Lease,
     is_leased: bool,
     /// The promotion lock.
@@ -118,7 +113,7 @@
         collections::BTreeMap<name::GroupName, collections::BTreeSet<net::SocketAddr>>,
     /// Groups with a running handover or creation of their first leadership.
     running: collections::BTreeSet<name::GroupName>,
-    announcements: collections::BTreeMap<name::GroupName, Announcement>,
+    announcements: collections::BTreeMap<name::GroupName, announcement::Announcement>,
     /// When the store last answered a read.
     store_answered: Option<Timestamp>,
     /// Start of the current store outage, and its first problem.
@@ -165,6 +160,7 @@
         phase: watch::Receiver<stop::Phase>,
     ) -> Self {
         let tenure = promotion_lock::Tenure::new(clock::now(), &own);
+        let run_id = clock::run_id();
         Self {
             own,
             adapters,
@@ -172,6 +168,8 @@
             handle,
             published,
             records: record::Leaderships::default(),
+            run_id: run_id as u32,
+            marks: pages::Marks::default(),
             lease: lease::Lease::new(clock::now()),
             is_leased: false,
             tenure,
@@ -198,7 +196,7 @@
             held: collections::BTreeMap::new(),
             failing: collections::BTreeMap::new(),
             seen: message::Seen::default(),
-            exchange: exchange::Exchange::new(clock::run_id()),
+            exchange: exchange::Exchange::new(run_id),
             lag: lag::Lag::default(),
             currency: currency::Currency::default(),
         }
@@ -300,6 +298,8 @@
         log::info!("event=instances count={}", instances.len());
         self.electorate.record_instances(clock::now());
         self.instances = instances;
+        let instances = &self.instances;
+        self.marks.retain(|name| instances.contains_key(name));
         let fleet = sync::Arc::new(self.instances.clone());
         self.published.views.send_modify(|v| v.fleet = fleet);
     }
@@ -315,55 +315,19 @@
 
     /// Stores and publishes a leadership if it is newer; `source` is for the log.
     fn update_record(&mut self, record: &record::Leadership, source: &str) {
-        if !self.records.update(record) {
-            return;
+        if self.records.update(record) {
+            log_update(record, source);
+            self.publish_records();
         }
-        log::info!(
-            "event=leadership group={} change={} primary={} term={} source={source}",
-            record.group,
-            record.change,
-            record.primary.as_ref().map_or("none", |p| p.as_str()),
-            record.term
-        );
+    }
+
+    fn publish_records(&mut self) {
         let records = self.records.clone();
         self.published
             .views
             .send_modify(|v| v.leaderships = records.into());
     }
 
-    fn announce(
-        &mut self,
-        now: Timestamp,
-        record: record::Leadership,
-        acks: Option<mpsc::UnboundedSender<name::InstanceName>>,
-    ) {
-        self.update_record(&record, "own");
-        if let Some(acks) = &acks {
-            // The receiver is gone when the handover has ended.
-            let _ = acks.send(self.own.clone());
-        }
-        let mut unacknowledged: collections::BTreeSet<_> = self.instances.keys().cloned().collect();
-        unacknowledged.remove(self.own.as_str());
-        let announcement = Announcement {
-            record,
-            acks,
-            unacknowledged,
-            since: now,
-        };
-        self.send_announcement(&announcement);
-        let group = announcement.record.group.clone();
-        self.announcements.insert(group, announcement);
-    }
-
-    fn send_announcement(&self, announcement: &Announcement) {
-        for name in &announcement.unacknowledged {
-            if let Some(entry) = self.instances.get(name.as_str()) {
-                let message = message::Message::Announce(announcement.record.clone());
-                self.peers.send(entry.address, message);
-            }
-        }
-    }
-
     fn broadcast(&self, message: &message::Message) {
         for (name, entry) in &self.instances {
             if *name != self.own {
@@ -386,14 +350,14 @@
         self.request_release(now);
         self.check_failovers(now);
     }
+}
 
-    fn repeat_announcements(&mut self, now: Timestamp) {
-        self.announcements.retain(|_, a| {
-            let is_awaited = a.acks.as_ref().is_some_and(|acks| !acks.is_closed());
-            is_awaited || now.since(a.since) < ANNOUNCEMENT_PERIOD
-        });
-        for announcement in self.announcements.values() {
-            self.send_announcement(announcement);
-        }
-    }
+fn log_update(record: &record::Leadership, source: &str) {
+    log::info!(
+        "event=leadership group={} change={} primary={} term={} source={source}",
+        record.group,
+        record.change,
+        record.primary.as_ref().map_or("none", |p| p.as_str()),
+        record.term
+    );
 }
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -119,7 +119,7 @@
         if requests.reader
             && let Some(address) = address
         {
-            self.send_renewal(now, level, address);
+            self.send_renewal(now, level, &reader, address);
         }
         if requests.majority && !self.instances.is_empty() {
             self.start_round(now);
@@ -147,7 +147,13 @@
         (level, reader.clone())
     }
 
-    fn send_renewal(&mut self, now: Timestamp, level: renewal::Level, address: net::SocketAddr) {
+    pub(super) fn send_renewal(
+        &mut self,
+        now: Timestamp,
+        level: renewal::Level,
+        reader: &name::InstanceName,
+        address: net::SocketAddr,
+    ) {
         self.last_request += 1;
         let number = self.last_request;
         let sent = RenewalRequest {
@@ -161,15 +167,16 @@
         }
         let request = message::Message::RenewalRequest {
             number,
-            digest: self.digest(),
+            held: self.held(reader),
             seen: self.seen,
             report: self.exchange.report(),
         };
         self.peers.send(address, request);
     }
 
-    /// Answers a renewal request at once if the last confirmation is young; otherwise keeps it for
-    /// the next one, which then is new for the other instance too.
+    /// Answers a renewal request at once if the last confirmation is young, or if the answer
+    /// confirms nothing because it has only some of the leaderships that the other instance lacks.
+    /// Otherwise keeps it for the next confirmation, which then is new for the other instance too.
     pub(super) fn hold_renewal(
         &mut self,
         now: Timestamp,
@@ -177,7 +184,8 @@
         request: HeldRequest,
     ) {
         let age = self.lease.age(now);
-        if age.is_some_and(|age| age <= renewal::MAX_FRESH_AGE) {
+        let is_fresh = age.is_some_and(|age| age <= renewal::MAX_FRESH_AGE);
+        if is_fresh || !self.completes(&request.held) {
             self.answer_renewal(now, &request);
             return;
         }
@@ -212,14 +220,12 @@
         self.last_round += 1;
         let number = self.last_round;
         self.round = Some(round::Round::new(number, now, voters));
-        let request = message::Message::LeadershipRequest {
-            number,
-            digest: self.digest(),
-        };
         for name in voters.names() {
             let entry = self.instances.get(name.as_str());
             if let Some(entry) = entry.filter(|_| name != self.own) {
-                self.peers.send(entry.address, request.clone());
+                let held = self.held(&name);
+                let request = message::Message::LeadershipRequest { number, held };
+                self.peers.send(entry.address, request);
             }
         }
         if self.lease.may_confirm_others() {
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -5,8 +5,10 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::pages;
 use cardamomhold_lead::renewal;
 
+use crate::coordinator;
 use crate::coordinator::Coordinator;
 use crate::coordinator::HeldRequest;
 use crate::link;
@@ -35,12 +37,12 @@
             message,
         } = envelope;
         match message {
-            message::Message::LeadershipRequest { number, digest } => {
+            message::Message::LeadershipRequest { number, held } => {
                 if self.lease.may_confirm_others() {
                     let reply = message::Message::LeadershipReply {
                         number,
                         generation: self.electorate.generation(),
-                        state: self.state_unless_known(digest),
+                        state: self.state_beyond(&held),
                     };
                     self.peers.send(from, reply);
                 }
@@ -50,12 +52,18 @@
                 generation,
                 state,
             } => {
-                self.update_state(state, &name);
-                self.count_answer(now, number, generation, &name);
+                let is_current = self.round.as_ref().is_some_and(|r| r.number == number);
+                if self.update_state(state, &name, is_current) {
+                    self.count_answer(now, number, generation, &name);
+                } else if is_current {
+                    let held = self.held(&name);
+                    let request = message::Message::LeadershipRequest { number, held };
+                    self.peers.send(from, request);
+                }
             }
             message::Message::RenewalRequest {
                 number,
-                digest,
+                held,
                 seen,
                 report,
             } => {
@@ -67,7 +75,7 @@
                 let request = HeldRequest {
                     from,
                     number,
-                    digest,
+                    held,
                     since: now,
                 };
                 self.hold_renewal(now, &name, request);
@@ -81,11 +89,11 @@
                 seen,
                 samples,
             } => {
-                self.update_state(state, &name);
+                let request = self.requests.iter().find(|r| r.number == number).copied();
+                let is_complete = self.update_state(state, &name, request.is_some());
                 self.update_lock(now, lock.as_ref());
                 self.check_lag(now, seen);
-                let request = self.requests.iter().find(|r| r.number == number);
-                if let Some(request) = request.copied() {
+                if let Some(request) = request {
                     self.renewal.record_answer(request.level);
                     self.currency.record_report(now, seen);
                     // The request arrived after it was sent, and was kept for some time before the
@@ -95,8 +103,14 @@
                     if self.exchange.apply_answer(now, answered, &samples) {
                         self.publish_samples();
                     }
-                    // The answer states the confirmation's age when it was sent.
-                    self.extend_lease(now, Timestamp(answered.0.saturating_sub(age_us)));
+                    // The answer states the confirmation's age when it was sent. It confirms nothing
+                    // to an instance that lacks some of the leaderships.
+                    match is_complete {
+                        true => {
+                            self.extend_lease(now, Timestamp(answered.0.saturating_sub(age_us)))
+                        }
+                        false => self.send_renewal(now, request.level, &name, from),
+                    }
                 }
             }
             message::Message::Announce(record) => {
@@ -165,25 +179,6 @@
         }
     }
 
-    pub(super) fn handle_ack(
-        &mut self,
-        name: &name::InstanceName,
-        group: &name::GroupName,
-        change: u64,
-    ) {
-        let Some(announcement) = self.announcements.get_mut(group.as_str()) else {
-            return;
-        };
-        if announcement.record.change != change {
-            return;
-        }
-        announcement.unacknowledged.remove(name.as_str());
-        if let Some(acks) = &announcement.acks {
-            // The receiver is gone when the handover has ended.
-            let _ = acks.send(name.clone());
-        }
-    }
-
     pub(super) fn count_answer(
         &mut self,
         now: Timestamp,
@@ -202,31 +197,79 @@
         }
     }
 
-    /// Stores the leaderships and voters of an answer.
-    fn update_state(&mut self, state: Option<message::State>, source: &name::InstanceName) {
-        let Some(state) = state else {
-            return;
+    /// Stores the leaderships and voters of an answer; returns whether this instance now has all
+    /// leaderships that the sender had. The voters are adopted only then. An answer that isn't
+    /// `is_expected` may be to a request of an earlier process of this instance, which had other
+    /// leaderships, so that it shows nothing about what this one lacks.
+    fn update_state(
+        &mut self,
+        state: message::State,
+        source: &name::InstanceName,
+        is_expected: bool,
+    ) -> bool {
+        let (page, voters) = match state {
+            message::State::Same(_) if !is_expected => return false,
+            message::State::Changed { page, .. } if !is_expected => {
+                for record in &page.records {
+                    self.update_record(record, source.as_str());
+                }
+                return false;
+            }
+            message::State::Same(mark) => {
+                let digest = self.records.digest();
+                let page = pages::Page::same(mark.run_id, mark.version, digest);
+                (page, None)
+            }
+            message::State::Changed { page, voters } => (page, voters),
         };
-        for record in &state.records {
-            self.update_record(record, source.as_str());
+        let before = self.records.version();
+        let records = &mut self.records;
+        let is_complete = self.marks.store(source, &page, records, |record| {
+            coordinator::log_update(record, source.as_str());
+        });
+        if self.records.version() != before {
+            self.publish_records();
+        }
+        if is_complete {
+            self.update_voters(voters.as_ref());
+        }
+        is_complete
+    }
+
+    /// What this instance has, for a request to `receiver`.
+    pub(super) fn held(&self, receiver: &name::InstanceName) -> message::Held {
+        message::Held {
+            digest: self.records.digest(),
+            generation: self.electorate.generation(),
+            mark: self.marks.get(receiver),
         }
-        self.update_voters(state.voters.as_ref());
     }
 
-    /// Digest of the leaderships and voters.
-    pub(super) fn digest(&self) -> u64 {
-        self.records.digest() ^ self.electorate.generation().rotate_left(32)
+    /// What another instance lacks: at most a page of leaderships, and the voters.
+    fn state_beyond(&self, held: &message::Held) -> message::State {
+        let (run_id, version) = (self.run_id, self.records.version());
+        let is_same = held.digest == self.records.digest();
+        let voters = self.electorate.voters();
+        let voters = voters.filter(|v| v.generation > held.generation);
+        if is_same && voters.is_none() {
+            return message::State::Same(pages::Mark { run_id, version });
+        }
+        let page = match is_same {
+            true => pages::Page::same(run_id, version, held.digest),
+            false => self.records.page(run_id, held.mark),
+        };
+        let voters = voters.filter(|_| page.is_last).cloned();
+        message::State::Changed { page, voters }
     }
 
-    /// All leaderships and the voters, or none when `digest` is this instance's.
-    fn state_unless_known(&self, digest: u64) -> Option<message::State> {
-        if digest == self.digest() {
-            return None;
+    /// Whether one answer gives another instance everything that it lacks.
+    pub(super) fn completes(&self, held: &message::Held) -> bool {
+        if held.digest == self.records.digest() {
+            return true;
         }
-        Some(message::State {
-            records: self.records.iter().cloned().collect(),
-            voters: self.electorate.voters().cloned(),
-        })
+        let page = self.records.page(self.run_id, held.mark);
+        let known = held.mark.filter(|m| m.run_id == self.run_id);
+        page.is_last && page.after <= known.map_or(0, |m| m.version)
     }
 
     fn publish_samples(&self) {
@@ -246,7 +289,7 @@
             number: request.number,
             age_us: age.as_micros() as u64,
             held_us: now.since(request.since).as_micros() as u64,
-            state: self.state_unless_known(request.digest),
+            state: self.state_beyond(&request.held),
             lock: self.tenure.lock().cloned(),
             seen: self.currency.report(now, self.lag.known(self.seen)),
             samples: self.exchange.answer(now),
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -1,6 +1,7 @@
 //! Datagrams between instances.
 
 use cardamomhold_core::name;
+use cardamomhold_lead::pages;
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_lead::suspicion;
@@ -40,14 +41,31 @@
     }
 }
 
-/// What an instance knows of leaderships and voters. They are sent together, since an instance
-/// must not adopt voters without the leaderships that were known when they took effect.
+/// What the sender of a request has of the leaderships and voters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Held {
+    /// Digest of its leaderships.
+    pub digest: u64,
+    /// Generation of the voters that it has adopted.
+    pub generation: u64,
+    /// How much of the receiver's copy of the leaderships it has received.
+    pub mark: Option<pages::Mark>,
+}
+
+/// What an instance knows of leaderships and voters beyond what another one has. They are sent
+/// together, since an instance must not adopt voters without the leaderships that were known when
+/// they took effect.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct State {
-    /// The leaderships.
-    pub records: Vec<record::Leadership>,
-    /// The voters; none if the sender knows of none.
-    pub voters: Option<voters::Voters>,
+pub enum State {
+    /// Nothing: the digests are equal. The sender's copy has changed up to this mark.
+    Same(pages::Mark),
+    /// Something.
+    Changed {
+        /// Leaderships, some of them if there are many.
+        page: pages::Page,
+        /// The voters; none if the receiver has them.
+        voters: Option<voters::Voters>,
+    },
 }
 
 /// Content of a datagram.
@@ -57,8 +75,8 @@
     LeadershipRequest {
         /// Number of the request.
         number: u64,
-        /// Digest of the sender's leaderships and voters.
-        digest: u64,
+        /// The sender's leaderships and voters.
+        held: Held,
     },
     /// Answers [`Message::LeadershipRequest`]; sent only by instances that have received the
     /// store's leaderships since they started.
@@ -67,15 +85,15 @@
         number: u64,
         /// Generation of the voters that the sender has adopted.
         generation: u64,
-        /// The sender's leaderships and voters; none when the digest of the request matches them.
-        state: Option<State>,
+        /// The sender's leaderships and voters.
+        state: State,
     },
     /// Asks the zone's reader for the leaderships and for the age of their confirmation.
     RenewalRequest {
         /// Number of the request.
         number: u64,
-        /// Digest of the sender's leaderships and voters.
-        digest: u64,
+        /// The sender's leaderships and voters.
+        held: Held,
         /// Newest versions that the sender has received from the store.
         seen: Seen,
         /// The sender's samples of the primaries' log positions.
@@ -89,8 +107,8 @@
         age_us: u64,
         /// Time for which the sender kept the request before this answer, in microseconds.
         held_us: u64,
-        /// The sender's leaderships and voters; none when the digest of the request matches them.
-        state: Option<State>,
+        /// The sender's leaderships and voters.
+        state: State,
         /// The promotion lock.
         lock: Option<promotion_lock::PromotionLock>,
         /// Newest versions that the sender knows to be in the store; none if it may have missed
@@ -161,11 +179,17 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::LeadershipRequest { .. } => "leadership_request",
-            Self::LeadershipReply { state: None, .. } => "leadership_reply",
-            Self::LeadershipReply { state: Some(_), .. } => "leadership_reply_state",
+            Self::LeadershipReply {
+                state: State::Same(_),
+                ..
+            } => "leadership_reply",
+            Self::LeadershipReply { .. } => "leadership_reply_state",
             Self::RenewalRequest { .. } => "renewal_request",
-            Self::RenewalReply { state: None, .. } => "renewal_reply",
-            Self::RenewalReply { state: Some(_), .. } => "renewal_reply_state",
+            Self::RenewalReply {
+                state: State::Same(_),
+                ..
+            } => "renewal_reply",
+            Self::RenewalReply { .. } => "renewal_reply_state",
             Self::Announce(_) => "announce",
             Self::Ack { .. } => "ack",
             Self::FailoverRequest { .. } => "failover_request",
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod candidate;
 pub mod failure_detector;
 pub mod lease;
+pub mod pages;
 pub mod promotion_lock;
 pub mod record;
 pub mod renewal;
--- a/crates/cardamomhold_lead/src/record.rs
+++ b/crates/cardamomhold_lead/src/record.rs
@@ -6,6 +6,8 @@
 use cardamomhold_core::position;
 use xxhash_rust::xxh3;
 
+use crate::pages;
+
 /// Record of a group's primary.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Leadership {
@@ -81,24 +83,42 @@
     }
 }
 
+/// A record with the number of the change that stored it.
+#[derive(Debug, Clone)]
+struct Stored {
+    record: Leadership,
+    version: u64,
+}
+
 /// An instance's copy of the newest leadership records.
 #[derive(Debug, Clone, Default)]
 pub struct Leaderships {
     /// Wrapping sum of the digests of all records.
     digest: u64,
-    records: collections::BTreeMap<name::GroupName, Leadership>,
+    records: collections::BTreeMap<name::GroupName, Stored>,
+    /// Number of changes of this copy.
+    version: u64,
+    /// The groups by the change that stored their records.
+    changes: collections::BTreeMap<u64, name::GroupName>,
 }
 
 impl Leaderships {
     /// Stores a record if it is newer than the group's current one; returns whether it was.
     pub fn update(&mut self, record: &Leadership) -> bool {
-        let current = self.records.get(record.group.as_str());
+        let current = self.get(record.group.as_str());
         if current.is_some_and(|c| c.change >= record.change) {
             return false;
         }
-        if let Some(replaced) = self.records.insert(record.group.clone(), record.clone()) {
-            self.digest = self.digest.wrapping_sub(digest_of(&replaced));
+        self.version += 1;
+        let stored = Stored {
+            record: record.clone(),
+            version: self.version,
+        };
+        if let Some(replaced) = self.records.insert(record.group.clone(), stored) {
+            self.digest = self.digest.wrapping_sub(digest_of(&replaced.record));
+            self.changes.remove(&replaced.version);
         }
+        self.changes.insert(self.version, record.group.clone());
         self.digest = self.digest.wrapping_add(digest_of(record));
         true
     }
@@ -108,14 +128,82 @@
         self.digest
     }
 
+    /// Number of changes of this copy.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the record of a group.
     pub fn get(&self, group: &str) -> Option<&Leadership> {
-        self.records.get(group)
+        self.records.get(group).map(|s| &s.record)
     }
 
     /// Iterates over all records, ordered by group.
     pub fn iter(&self) -> impl Iterator<Item = &Leadership> {
-        self.records.values()
+        self.records.values().map(|s| &s.record)
+    }
+
+    /// The page for an instance that has this copy up to `mark`; `run_id` identifies this run.
+    pub fn page(&self, run_id: u32, mark: Option<pages::Mark>) -> pages::Page {
+        match mark.filter(|m| m.run_id == run_id) {
+            Some(mark) => self.page_after(run_id, mark.version),
+            None => self.newest_page(run_id),
+        }
+    }
+
+    /// The oldest changes after `after`.
+    fn page_after(&self, run_id: u32, after: u64) -> pages::Page {
+        let changes = self.changes.range(after.saturating_add(1)..);
+        let (records, last) = self.collect(changes);
+        let is_last = self
+            .changes
+            .last_key_value()
+            .is_none_or(|(v, _)| *v <= last.max(after));
+        let version = if is_last { self.version } else { last };
+        pages::Page {
+            after,
+            to: pages::Mark { run_id, version },
+            is_last,
+            digest: self.digest,
+            records,
+        }
+    }
+
+    /// The newest changes.
+    fn newest_page(&self, run_id: u32) -> pages::Page {
+        let (records, first) = self.collect(self.changes.iter().rev());
+        let is_all = records.len() == self.records.len();
+        pages::Page {
+            after: if is_all { 0 } else { first - 1 },
+            to: pages::Mark {
+                run_id,
+                version: self.version,
+            },
+            is_last: true,
+            digest: self.digest,
+            records,
+        }
+    }
+
+    /// As many records as fit a page, at least one if there is any, and the last one's change.
+    fn collect<'a>(
+        &self,
+        changes: impl Iterator<Item = (&'a u64, &'a name::GroupName)>,
+    ) -> (Vec<Leadership>, u64) {
+        let mut records = Vec::new();
+        let (mut len, mut last) = (0, 0);
+        for (version, group) in changes {
+            let Some(record) = self.get(group.as_str()) else {
+                continue;
+            };
+            len += pages::size(record);
+            if len > pages::MAX_PAGE_LEN && !records.is_empty() {
+                break;
+            }
+            records.push(record.clone());
+            last = *version;
+        }
+        (records, last)
     }
 }
 
