--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -81,6 +81,8 @@
     number: u64,
     /// The other instance's leaderships and voters.
     held: message::Held,
+    /// Stamp of the last answer that the other instance has received.
+    reference: Option<exchange::Stamp>,
     since: Timestamp,
 }
 
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -76,6 +76,7 @@
                     from,
                     number,
                     held,
+                    reference: report.reference,
                     since: now,
                 };
                 self.hold_renewal(now, &name, request);
@@ -292,7 +293,7 @@
             state: self.state_beyond(&request.held),
             lock: self.tenure.lock().cloned(),
             seen: self.currency.report(now, self.lag.known(self.seen)),
-            samples: self.exchange.answer(now),
+            samples: self.exchange.answer_to(now, request.reference),
         };
         self.peers.send(request.from, reply);
     }
--- a/crates/cardamomhold_pool/src/exchange.rs
+++ b/crates/cardamomhold_pool/src/exchange.rs
@@ -51,6 +51,8 @@
     /// Identifies the run of the sender's process, since the next run may restart the clock.
     run_id: u64,
     sent_us: u64,
+    /// Number of the sender's last change before the answer.
+    version: u64,
 }
 
 /// Samples that an instance sends with a request.
@@ -77,6 +79,10 @@
 pub struct Exchange {
     run_id: u64,
     newest: collections::BTreeMap<name::GroupName, sample::Sample>,
+    /// Number of the change that stored each sample.
+    versions: collections::BTreeMap<name::GroupName, u64>,
+    /// Number of the last change.
+    version: u64,
     /// Stamp of the last received answer, and the time when it arrived.
     last_answer: Option<(Stamp, Timestamp)>,
 }
@@ -88,6 +94,8 @@
         Self {
             run_id,
             newest: collections::BTreeMap::new(),
+            versions: collections::BTreeMap::new(),
+            version: 0,
             last_answer: None,
         }
     }
@@ -99,6 +107,8 @@
             return false;
         }
         self.newest.insert(group.clone(), sample);
+        self.version += 1;
+        self.versions.insert(group.clone(), self.version);
         true
     }
 
@@ -145,12 +155,24 @@
         })
     }
 
-    /// Samples to send with an answer at `now`.
+    /// Samples to send with an answer at `now` to an instance of which nothing is known.
     pub fn answer(&self, now: Timestamp) -> Answer {
+        self.answer_after(now, 0)
+    }
+
+    /// Samples to send at `now` with the answer to a request whose report has this `reference`: those
+    /// stored since the last answer that the requesting instance has received.
+    pub fn answer_to(&self, now: Timestamp, reference: Option<Stamp>) -> Answer {
+        let known = reference.filter(|s| s.run_id == self.run_id);
+        self.answer_after(now, known.map_or(0, |s| s.version))
+    }
+
+    fn answer_after(&self, now: Timestamp, version: u64) -> Answer {
         let mut samples = Vec::new();
         for (group, sample) in &self.newest {
             let age = now.since(sample.sent);
-            if age > MAX_FORWARD_AGE {
+            let is_known = self.versions.get(group).is_some_and(|v| *v <= version);
+            if is_known || age > MAX_FORWARD_AGE {
                 continue;
             }
             samples.push(RelativeSample {
@@ -162,6 +184,7 @@
         let stamp = Stamp {
             run_id: self.run_id,
             sent_us: now.0,
+            version: self.version,
         };
         Answer { stamp, samples }
     }
