--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -20,6 +20,7 @@
 
 use crate::clock;
 use crate::control_reader;
+use crate::creations;
 use crate::currency;
 use crate::failovers;
 use crate::handover;
@@ -123,8 +124,8 @@
     /// End of the last long store outage of this instance; other instances may not have had
     /// it.
     store_regained: Option<Timestamp>,
-    /// When a group without a leadership was first found.
-    missing_since: Option<Timestamp>,
+    /// Groups without a leadership.
+    creations: creations::Creations,
     control_reader: control_reader::Handle,
     renewal: renewal::Renewal,
     /// The last renewal requests to readers, the newest last.
@@ -190,7 +191,7 @@
             store_answered: None,
             outage: None,
             store_regained: None,
-            missing_since: None,
+            creations: creations::Creations::default(),
             control_reader,
             renewal: renewal::Renewal::default(),
             requests: collections::VecDeque::new(),
--- a/crates/cardamomhold_entry/src/coordinator/failover.rs
+++ b/crates/cardamomhold_entry/src/coordinator/failover.rs
@@ -5,7 +5,6 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
-use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_lead::suspicion;
 
@@ -46,15 +45,20 @@
         if self.electorate.voters().is_none() {
             return;
         }
+        if !self.instances.contains_key(self.own.as_str()) {
+            // Its rank isn't known yet, so that all instances that start would act at once.
+            return;
+        }
+        let records = &self.records;
+        self.creations.retain(|g| records.get(g.as_str()).is_none());
         let view = self.published.views.borrow().clone();
         for spec in &view.catalog.groups {
             let group = &spec.name;
             if self.records.get(group.as_str()).is_some() || self.running.contains(group) {
                 continue;
             }
-            let since = *self.missing_since.get_or_insert(now);
             let rank = registry::successor_rank(&self.instances, &self.own, None);
-            if now < since.after(promotion_lock::RANK_DELAY * rank) {
+            if !self.creations.begin(now, group, rank) {
                 continue;
             }
             let job = self.handover_job(group, suspicion::Cause::Unfinished);
@@ -275,11 +279,13 @@
 
     fn local_state(&self) -> failovers::LocalState {
         let holder = self.tenure.holder();
+        // Without its own entry an instance doesn't know its rank.
+        let is_registered = self.instances.contains_key(self.own.as_str());
         failovers::LocalState {
             is_holder: self.tenure.is_holder(),
             holder: self.tenure.signs(),
             store_regained: self.store_regained,
-            is_disconnected: self.outage.is_some(),
+            is_disconnected: self.outage.is_some() || !is_registered,
             rank: registry::successor_rank(&self.instances, &self.own, holder),
             witnesses: self.electorate.witnesses(&self.instances),
         }
--- a/crates/cardamomhold_entry/src/failovers.rs
+++ b/crates/cardamomhold_entry/src/failovers.rs
@@ -76,7 +76,8 @@
     /// End of this instance's last long store outage. Until then, the holder's silence may have
     /// been caused by this instance's own disconnection.
     pub store_regained: Option<Timestamp>,
-    /// Whether the store doesn't answer this instance, which then can't act.
+    /// Whether the store doesn't answer this instance, or it doesn't know its rank: it then can't
+    /// act.
     pub is_disconnected: bool,
     /// Its rank among the holder's successors, 0 the first.
     pub rank: u32,
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -292,7 +292,9 @@
         self.routes.reset(&view.fleet);
         let mut infos = Vec::new();
         for member in view.members.values() {
-            if member.group != *group {
+            // Before the instances are known no owner is, and direct connections of all instances
+            // that start would exceed what the member accepts.
+            if member.group != *group || view.fleet.is_empty() {
                 continue;
             }
             infos.push(member::MemberInfo {
--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod control;
 pub mod control_reader;
 pub mod coordinator;
+pub mod creations;
 pub mod currency;
 pub mod explain;
 pub mod failovers;
