--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -310,6 +310,7 @@
             self.change = change;
             self.failure_detector = failure_detector::Detector::default();
         }
+        self.pool.set_instances(view.fleet.len());
         self.pool.set_primary(view.primary(group.as_str()));
         self.pool.set_members(&infos);
         self.configure_owned(&view, spec);
--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -28,9 +28,27 @@
 /// Delay before the first probe of a failed member; doubled with each further failure.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
-/// Maximum delay before a probe.
+/// Maximum delay before a probe, in a fleet of at most [`FULL_RATE_INSTANCES`].
 const MAX_RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
 
+/// Maximum delay before a probe in a fleet of any size.
+const MAX_LARGE_RETRY_DELAY: time::Duration = time::Duration::from_millis(4_000);
+
+/// Number of instances up to which each probes a member at the full rate. All probes go to the
+/// member's owner, as a connection each: 100 instances opened 547 connections a second at one.
+const FULL_RATE_INSTANCES: usize = 32;
+
+/// The maximum delay before a probe with this number of instances, at which all together probe a
+/// member no more often than [`FULL_RATE_INSTANCES`] do.
+pub(crate) fn max_probe_delay(instances: usize) -> time::Duration {
+    let share = instances as f64 / FULL_RATE_INSTANCES as f64;
+    let delay = MAX_RETRY_DELAY.mul_f64(share.max(1.0));
+    delay.min(MAX_LARGE_RETRY_DELAY)
+}
+
+/// Doublings of the delay before a probe, which reach the maximum.
+const MAX_DOUBLINGS: u32 = 7;
+
 /// Pause after the member refused a request because it had no free slot or connection; doubled
 /// with each further refusal for lack of a connection.
 const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(10);
@@ -263,10 +281,10 @@
     }
 
     /// Records that a connection broke or could not be opened.
-    pub(crate) fn record_failure(&mut self, now: Timestamp) {
-        let delay = RETRY_DELAY * 2u32.pow(self.failures.min(3));
+    pub(crate) fn record_failure(&mut self, now: Timestamp, max_delay: time::Duration) {
+        let delay = RETRY_DELAY * 2u32.pow(self.failures.min(MAX_DOUBLINGS));
         self.failures += 1;
-        self.retry_at = now.after(delay.min(MAX_RETRY_DELAY));
+        self.retry_at = now.after(delay.min(max_delay));
     }
 }
 
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -94,6 +94,8 @@
     queue: wait_queue::WaitQueue,
     /// Whether waiting for a lease is of no use.
     is_isolated: bool,
+    /// Longest delay before a probe.
+    probe_delay: time::Duration,
 }
 
 impl<L> Default for Pool<L> {
@@ -104,6 +106,7 @@
             samples: sample::Samples::default(),
             queue: wait_queue::WaitQueue::default(),
             is_isolated: false,
+            probe_delay: member::max_probe_delay(1),
         }
     }
 }
@@ -133,6 +136,11 @@
         }
     }
 
+    /// Sets the number of instances, which together probe a member that is down.
+    pub fn set_instances(&mut self, count: usize) {
+        self.probe_delay = member::max_probe_delay(count);
+    }
+
     /// Sets the primary of the current leadership; `None` while the leadership changes.
     pub fn set_primary(&mut self, primary: Option<&name::MemberName>) {
         self.primary = primary.cloned();
@@ -330,7 +338,9 @@
             Completion::NoSlot => member.record_no_slot(now),
             Completion::NoConnection => member.record_no_connection(now),
             Completion::Behind(needed) => member.record_miss(now, needed),
-            Completion::Failed | Completion::TimedOut => member.record_failure(now),
+            Completion::Failed | Completion::TimedOut => {
+                member.record_failure(now, self.probe_delay);
+            }
             Completion::StatementFailed => member.mark_up(),
             Completion::Unserved => member.mark_silent(now),
             Completion::OwnerLost | Completion::Unused => {}
@@ -399,7 +409,7 @@
         if is_reachable {
             member.mark_up();
         } else {
-            member.record_failure(now);
+            member.record_failure(now, self.probe_delay);
         }
     }
 
