--- a/crates/cardamomhold_entry/src/coordinator/failover.rs
+++ b/crates/cardamomhold_entry/src/coordinator/failover.rs
@@ -136,7 +136,7 @@
                 self.poll_instances(now, group, change);
             }
             if !local.is_holder {
-                self.request_failover(&record, true);
+                self.request_failover(now, local.rank, &record, true);
             }
             return;
         }
@@ -309,7 +309,7 @@
                 continue;
             }
             if !local.is_holder {
-                self.request_failover(record, has_failed);
+                self.request_failover(now, local.rank, record, has_failed);
             }
             if has_failed && may_poll {
                 self.poll_instances(now, group, record.change);
@@ -325,8 +325,18 @@
         }
     }
 
-    /// Asks the promotion lock's holder for a failover, if the holder is known.
-    pub(super) fn request_failover(&self, record: &record::Leadership, has_failed: bool) {
+    /// Asks the promotion lock's holder for a failover, if the holder is known and wasn't asked a
+    /// moment ago.
+    fn request_failover(
+        &mut self,
+        now: Timestamp,
+        rank: u32,
+        record: &record::Leadership,
+        has_failed: bool,
+    ) {
+        if !self.failovers.begin_request(now, &record.group, rank) {
+            return;
+        }
         let entry = self
             .tenure
             .holder()
--- a/crates/cardamomhold_entry/src/failovers.rs
+++ b/crates/cardamomhold_entry/src/failovers.rs
@@ -21,6 +21,17 @@
 /// Minimum interval between two polls about the same primary.
 const MIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// Minimum interval between two requests to the promotion lock's holder about the same group, for
+/// the instances that may succeed it soon.
+const MIN_REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// The same for the other instances: their turn comes later by rank, and the holder has to answer
+/// all of them.
+const LATE_REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+
+/// Number of the holder's successors that ask often.
+const EARLY_SUCCESSORS: u32 = 32;
+
 /// A failover that a group needs.
 #[derive(Debug)]
 struct Failover {
@@ -36,6 +47,8 @@
     observations: collections::BTreeMap<name::GroupName, (u64, suspicion::Observations)>,
     polls: collections::BTreeMap<name::GroupName, Poll>,
     probes: collections::BTreeMap<name::GroupName, Probe>,
+    /// When the holder was last asked.
+    requests: collections::BTreeMap<name::GroupName, Timestamp>,
 }
 
 /// The last poll about a primary.
@@ -127,6 +140,20 @@
         Some(turn)
     }
 
+    /// Whether the holder is to be asked now for a failover, by the successor of this rank.
+    pub fn begin_request(&mut self, now: Timestamp, group: &name::GroupName, rank: u32) -> bool {
+        let interval = match rank < EARLY_SUCCESSORS {
+            true => MIN_REQUEST_INTERVAL,
+            false => LATE_REQUEST_INTERVAL,
+        };
+        let last = self.requests.get(group.as_str());
+        if last.is_some_and(|at| now < at.after(interval)) {
+            return false;
+        }
+        self.requests.insert(group.clone(), now);
+        true
+    }
+
     /// What to do when a primary is to be probed. However many instances ask, it is probed once in
     /// a while.
     pub fn begin_probe(
