--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -8,6 +8,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::answer_budget;
 use cardamomhold_lead::lease;
 use cardamomhold_lead::pages;
 use cardamomhold_lead::promotion_lock;
@@ -17,6 +18,7 @@
 use cardamomhold_pool::exchange;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use xxhash_rust::xxh3;
 
 use crate::clock;
 use crate::control_reader;
@@ -132,6 +134,7 @@
     requests: collections::VecDeque<RenewalRequest>,
     /// Number of the last renewal request.
     last_request: u64,
+    answer_budget: answer_budget::AnswerBudget,
     /// Renewal requests of other instances that wait for the next confirmation.
     held: collections::BTreeMap<name::InstanceName, HeldRequest>,
     /// Groups on whose primary this instance's statements fail, with the time of the last
@@ -196,6 +199,7 @@
             renewal: renewal::Renewal::default(),
             requests: collections::VecDeque::new(),
             last_request: clock::now().0,
+            answer_budget: answer_budget::AnswerBudget::default(),
             held: collections::BTreeMap::new(),
             failing: collections::BTreeMap::new(),
             seen: message::Seen::default(),
@@ -207,7 +211,8 @@
 
     /// Runs until the process ends.
     pub async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Event>) {
-        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        let start = tokio::time::Instant::now() + phase_of(&self.own);
+        let mut ticks = tokio::time::interval_at(start, TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
@@ -355,6 +360,13 @@
     }
 }
 
+/// Offset of an instance's ticks, so that the requests of instances that start at the same time
+/// don't reach their reader at the same time.
+fn phase_of(own: &name::InstanceName) -> time::Duration {
+    let hash = xxh3::xxh3_64(own.as_str().as_bytes());
+    time::Duration::from_micros(hash % TICK_INTERVAL.as_micros() as u64)
+}
+
 fn log_update(record: &record::Leadership, source: &str) {
     log::info!(
         "event=leadership group={} change={} primary={} term={} source={source}",
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -183,6 +183,9 @@
         name: &name::InstanceName,
         request: HeldRequest,
     ) {
+        if !self.answer_budget.admit(now) {
+            return;
+        }
         let age = self.lease.age(now);
         let is_fresh = age.is_some_and(|age| age <= renewal::MAX_FRESH_AGE);
         if is_fresh || !self.completes(&request.held) {
@@ -201,6 +204,10 @@
 
     /// Answers the renewal requests that have waited for long without a new confirmation.
     pub(super) fn answer_overdue(&mut self, now: Timestamp) {
+        let shed = self.answer_budget.take_shed();
+        if shed > 0 {
+            log::warn!("event=renewals_shed count={shed}");
+        }
         let is_overdue = |r: &HeldRequest| now >= r.since.after(renewal::MAX_HOLD);
         let (overdue, held) = std::mem::take(&mut self.held)
             .into_iter()
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod acks;
+pub mod answer_budget;
 pub mod candidate;
 pub mod failure_detector;
 pub mod lease;
