--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -237,6 +237,16 @@
             checkout.completion = pool::Completion::Unused;
             return Err(error);
         }
+        // To close the connection for a refusal and open another would take a slot more. Where a
+        // transaction may be open, the connection is closed.
+        let is_idle = begin.is_none() && session.transaction == session::Transaction::None;
+        if let link::LinkError::Refused(answer::Code::Busy) = error
+            && is_idle
+        {
+            connection.applied.mark_unknown();
+            checkout.completion = pool::Completion::NoSlot;
+            return Err(error);
+        }
         checkout.close(match &error {
             link::LinkError::Refused(_) => pool::Completion::Unused,
             link::LinkError::OwnerLost(_) => pool::Completion::OwnerLost,
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -159,6 +159,7 @@
         }
         let remaining = time::Duration::from_micros(request.left_us);
         let limit = tokio::time::Instant::now() + remaining + ANSWER_GRACE;
+        let is_first = self.work.is_none();
         let mut work = match self.work.take() {
             Some(mut work) => {
                 work.job.resume();
@@ -179,6 +180,13 @@
                 work.job.finish(is_answered, Some(work.connection));
                 Ok(outcome)
             }
+            Err(frame::Failure::Refused(answer::Code::Busy))
+                if is_first && is_reusable(&request.body) =>
+            {
+                work.connection.applied.mark_unknown();
+                work.job.finish(None, Some(work.connection));
+                Err(frame::Failure::Refused(answer::Code::Busy))
+            }
             Err(failure) => {
                 let has_failed = !matches!(failure, frame::Failure::Refused(_));
                 work.job.finish(has_failed.then_some(false), None);
@@ -280,6 +288,17 @@
     }
 }
 
+/// Whether a connection can be used again after the member has refused a command of the first body
+/// that it ran for a client: no transaction can be open.
+fn is_reusable(body: &frame::Body<'_>) -> bool {
+    match body {
+        frame::Body::Prepare(commands) => !commands
+            .iter()
+            .any(|c| matches!(c, link::Command::Begin { .. })),
+        frame::Body::Call(_) | frame::Body::Ping { .. } => false,
+    }
+}
+
 /// Rank of a route's priority in an owner's queue.
 pub fn to_rank(priority: u8) -> rank::Rank {
     let index = usize::from(priority).min(rank::Rank::ALL.len() - 1);
