--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -8,7 +8,9 @@
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::answer_budget;
 use cardamomhold_lead::lease;
+use cardamomhold_lead::pages;
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_lead::renewal;
@@ -16,9 +18,11 @@
 use cardamomhold_pool::exchange;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use xxhash_rust::xxh3;
 
 use crate::clock;
 use crate::control_reader;
+use crate::creations;
 use crate::currency;
 use crate::failovers;
 use crate::handover;
@@ -34,6 +38,7 @@
 use crate::store;
 use crate::view;
 
+mod announcement;
 mod electorate;
 mod event;
 mod failover;
@@ -49,9 +54,6 @@
 /// failovers.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// How long an announcement is repeated when no handover waits for its acknowledgements.
-const ANNOUNCEMENT_PERIOD: time::Duration = time::Duration::from_millis(1_000);
-
 /// Channels on which the coordinator publishes its state.
 #[derive(Debug)]
 pub struct Published {
@@ -69,14 +71,6 @@
     pub limits: limits::Handle,
 }
 
-/// A leadership that is announced repeatedly.
-struct Announcement {
-    record: record::Leadership,
-    acks: Option<mpsc::UnboundedSender<name::InstanceName>>,
-    unacknowledged: collections::BTreeSet<name::InstanceName>,
-    since: Timestamp,
-}
-
 /// A renewal request that was sent to a reader.
 #[derive(Debug, Clone, Copy)]
 struct RenewalRequest {
@@ -90,8 +84,10 @@
 struct HeldRequest {
     from: net::SocketAddr,
     number: u64,
-    /// Digest of the other instance's leaderships.
-    digest: u64,
+    /// The other instance's leaderships and voters.
+    held: message::Held,
+    /// Stamp of the last answer that the other instance has received.
+    reference: Option<exchange::Stamp>,
     since: Timestamp,
 }
 
@@ -103,6 +99,10 @@
     handle: Handle,
     published: Published,
     records: record::Leaderships,
+    /// Identifies this run in the marks of the other instances.
+    run_id: u32,
+    /// How much of the other instances' leaderships this one has received.
+    marks: pages::Marks,
     lease: lease::Lease,
     is_leased: bool,
     /// The promotion lock.
@@ -120,21 +120,22 @@
         collections::BTreeMap<name::GroupName, collections::BTreeSet<net::SocketAddr>>,
     /// Groups with a running handover or creation of their first leadership.
     running: collections::BTreeSet<name::GroupName>,
-    announcements: collections::BTreeMap<name::GroupName, Announcement>,
+    announcements: collections::BTreeMap<name::GroupName, announcement::Announcement>,
     /// When the store last answered a read.
     store_answered: Option<Timestamp>,
     /// Start of the current store outage, and its first problem.
     outage: Option<(Timestamp, String)>,
     /// End of this instance's last long store outage; others may not have had it.
     store_regained: Option<Timestamp>,
-    /// When a group without a leadership was first found.
-    missing_since: Option<Timestamp>,
+    /// Groups without a leadership.
+    creations: creations::Creations,
     control_reader: control_reader::Handle,
     renewal: renewal::Renewal,
     /// The last renewal requests to readers, the newest last.
     requests: collections::VecDeque<RenewalRequest>,
     /// Number of the last renewal request.
     last_request: u64,
+    answer_budget: answer_budget::AnswerBudget,
     /// Renewal requests of other instances that wait for the next confirmation.
     held: collections::BTreeMap<name::InstanceName, HeldRequest>,
     /// Groups on whose primary this instance's statements fail, with the time of the last
@@ -166,6 +167,7 @@
         phase: watch::Receiver<stop::Phase>,
     ) -> Self {
         let tenure = promotion_lock::Tenure::new(clock::now(), &own);
+        let run_id = clock::run_id();
         Self {
             own,
             adapters,
@@ -173,6 +175,8 @@
             handle,
             published,
             records: record::Leaderships::default(),
+            run_id: run_id as u32,
+            marks: pages::Marks::default(),
             lease: lease::Lease::new(clock::now()),
             is_leased: false,
             tenure,
@@ -190,15 +194,16 @@
             store_answered: None,
             outage: None,
             store_regained: None,
-            missing_since: None,
+            creations: creations::Creations::default(),
             control_reader,
             renewal: renewal::Renewal::default(),
             requests: collections::VecDeque::new(),
             last_request: clock::now().0,
+            answer_budget: answer_budget::AnswerBudget::default(),
             held: collections::BTreeMap::new(),
             failing: collections::BTreeMap::new(),
             seen: message::Seen::default(),
-            exchange: exchange::Exchange::new(clock::run_id()),
+            exchange: exchange::Exchange::new(run_id),
             lag: lag::Lag::default(),
             currency: currency::Currency::default(),
         }
@@ -206,7 +211,8 @@
 
     /// Runs until the process ends.
     pub async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Event>) {
-        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        let start = tokio::time::Instant::now() + phase_of(&self.own);
+        let mut ticks = tokio::time::interval_at(start, TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
@@ -300,6 +306,8 @@
         log::info!("event=instances count={}", instances.len());
         self.electorate.record_instances(clock::now());
         self.instances = instances;
+        let instances = &self.instances;
+        self.marks.retain(|name| instances.contains_key(name));
         let fleet = sync::Arc::new(self.instances.clone());
         self.published.views.send_modify(|v| v.fleet = fleet);
     }
@@ -315,55 +323,19 @@
 
     /// Stores and publishes a leadership if it is newer; `source` is for the log.
     fn update_record(&mut self, record: &record::Leadership, source: &str) {
-        if !self.records.update(record) {
-            return;
+        if self.records.update(record) {
+            log_update(record, source);
+            self.publish_records();
         }
-        log::info!(
-            "event=leadership group={} change={} primary={} term={} source={source}",
-            record.group,
-            record.change,
-            record.primary.as_ref().map_or("none", |p| p.as_str()),
-            record.term
-        );
+    }
+
+    fn publish_records(&mut self) {
         let records = self.records.clone();
         self.published
             .views
             .send_modify(|v| v.leaderships = records.into());
     }
 
-    fn announce(
-        &mut self,
-        now: Timestamp,
-        record: record::Leadership,
-        acks: Option<mpsc::UnboundedSender<name::InstanceName>>,
-    ) {
-        self.update_record(&record, "own");
-        if let Some(acks) = &acks {
-            // The receiver is gone when the handover has ended.
-            let _ = acks.send(self.own.clone());
-        }
-        let mut unacknowledged: collections::BTreeSet<_> = self.instances.keys().cloned().collect();
-        unacknowledged.remove(self.own.as_str());
-        let announcement = Announcement {
-            record,
-            acks,
-            unacknowledged,
-            since: now,
-        };
-        self.send_announcement(&announcement);
-        let group = announcement.record.group.clone();
-        self.announcements.insert(group, announcement);
-    }
-
-    fn send_announcement(&self, announcement: &Announcement) {
-        for name in &announcement.unacknowledged {
-            if let Some(entry) = self.instances.get(name.as_str()) {
-                let message = message::Message::Announce(announcement.record.clone());
-                self.peers.send(entry.address, message);
-            }
-        }
-    }
-
     fn broadcast(&self, message: &message::Message) {
         for (name, entry) in &self.instances {
             if *name != self.own {
@@ -386,14 +358,21 @@
         self.request_release(now);
         self.check_failovers(now);
     }
+}
 
-    fn repeat_announcements(&mut self, now: Timestamp) {
-        self.announcements.retain(|_, a| {
-            let is_awaited = a.acks.as_ref().is_some_and(|acks| !acks.is_closed());
-            is_awaited || now.since(a.since) < ANNOUNCEMENT_PERIOD
-        });
-        for announcement in self.announcements.values() {
-            self.send_announcement(announcement);
-        }
-    }
+/// Offset of an instance's ticks, so that the requests of instances that start at the same time
+/// don't reach their reader at the same time.
+fn phase_of(own: &name::InstanceName) -> time::Duration {
+    let hash = xxh3::xxh3_64(own.as_str().as_bytes());
+    time::Duration::from_micros(hash % TICK_INTERVAL.as_micros() as u64)
+}
+
+fn log_update(record: &record::Leadership, source: &str) {
+    log::info!(
+        "event=leadership group={} change={} primary={} term={} source={source}",
+        record.group,
+        record.change,
+        record.primary.as_ref().map_or("none", |p| p.as_str()),
+        record.term
+    );
 }
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -307,7 +307,9 @@
         self.routes.reset(&view.fleet);
         let mut infos = Vec::new();
         for member in view.members.values() {
-            if member.group != *group {
+            // Before the instances are known no owner is, and direct connections of all instances
+            // that start would exceed what the member accepts.
+            if member.group != *group || view.fleet.is_empty() {
                 continue;
             }
             infos.push(member::MemberInfo {
@@ -323,6 +325,7 @@
             self.change = change;
             self.failure_detector = failure_detector::Detector::default();
         }
+        self.pool.set_instances(view.fleet.len());
         self.pool.set_primary(view.primary(group.as_str()));
         self.pool.set_members(&infos);
         self.configure_owned(&view, spec);
--- a/crates/cardamomhold_entry/src/metrics.rs
+++ b/crates/cardamomhold_entry/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus::core::Collector;
 
 use crate::answer;
+use crate::traffic;
 use crate::view;
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -30,6 +31,7 @@
     limit_holder: prometheus::IntGauge,
     shed: prometheus::IntCounterVec,
     charged: prometheus::IntGauge,
+    traffic: traffic::Traffic,
 }
 
 fn counter(
@@ -116,6 +118,7 @@
                 "cardamomhold_charged_bytes",
                 "Bytes held for callers and other instances",
             )?,
+            traffic: traffic::Traffic::new()?,
         };
         let collectors: [Box<dyn Collector>; 12] = [
             Box::new(metrics.statements.clone()),
@@ -131,7 +134,8 @@
             Box::new(metrics.shed.clone()),
             Box::new(metrics.charged.clone()),
         ];
-        for collector in collectors {
+        let traffic = metrics.traffic.collectors();
+        for collector in collectors.into_iter().chain(traffic) {
             metrics.registry.register(collector)?;
         }
         Ok(metrics)
@@ -184,6 +188,11 @@
         self.calls.with_label_values(&[call, result]).inc();
     }
 
+    /// Counters of messages by kind.
+    pub fn traffic(&self) -> &traffic::Traffic {
+        &self.traffic
+    }
+
     /// Adds `change` to the number of open caller connections.
     pub fn add_callers(&self, change: i64) {
         self.callers.add(change);
--- a/crates/cardamomhold_entry/src/relay/client.rs
+++ b/crates/cardamomhold_entry/src/relay/client.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::link;
 use crate::relay::frame;
+use crate::traffic;
 
 /// A connection to an owner, for commands to one member.
 #[derive(Debug)]
@@ -23,16 +24,22 @@
     /// Whether the owner has a connection of the member for this client: inside a transaction.
     is_held: bool,
     report: Option<link::Report>,
+    traffic: traffic::Traffic,
 }
 
 impl Client {
     /// Creates a client on a stream to the owner of the target's connections.
-    pub fn new(stream: TcpStream, target: &link::Target) -> Self {
-        Self::charged(stream, target, accounts::Account::default())
+    pub fn new(stream: TcpStream, target: &link::Target, traffic: &traffic::Traffic) -> Self {
+        Self::charged(stream, target, accounts::Account::default(), traffic)
     }
 
     /// Creates a client whose frames are charged to `account`.
-    pub fn charged(stream: TcpStream, target: &link::Target, account: accounts::Account) -> Self {
+    pub fn charged(
+        stream: TcpStream,
+        target: &link::Target,
+        account: accounts::Account,
+        traffic: &traffic::Traffic,
+    ) -> Self {
         Self {
             frames: frame::Frames::charged(stream, account),
             group: target.group.clone(),
@@ -40,6 +47,7 @@
             priority: None,
             is_held: false,
             report: None,
+            traffic: traffic.clone(),
         }
     }
 
@@ -157,12 +165,18 @@
             left_us: remaining.as_micros() as u64,
             body,
         };
-        self.frames.send(&request).await.map_err(broken)?;
-        let reply = self.frames.next().await.map_err(broken)?;
-        let decoded = frame::decode(&reply);
-        drop(reply);
+        let len = self.frames.send(&request).await.map_err(broken)?;
+        let (channel, sent) = (traffic::Channel::Relay, traffic::Direction::Sent);
+        self.traffic.record(channel, request.body.kind(), sent, len);
+        let bytes = self.frames.next().await.map_err(broken)?;
+        let len = bytes.len();
+        let decoded = frame::decode(&bytes);
+        drop(bytes);
         self.frames.release();
         let reply: frame::Reply = decoded.map_err(broken)?;
+        let received = traffic::Direction::Received;
+        self.traffic
+            .record(channel, reply.result.kind(), received, len);
         self.report = Some(reply.report);
         Ok(reply.result)
     }
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -97,6 +97,15 @@
             Self::Ping { .. } => false,
         }
     }
+
+    /// Name of the kind in the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Prepare(_) => "prepare",
+            Self::Call(_) => "call",
+            Self::Ping { .. } => "ping",
+        }
+    }
 }
 
 /// Reply to a request, with the owner's report.
@@ -124,6 +133,23 @@
     },
 }
 
+impl Outcome {
+    /// Name of the kind in the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Prepared(_) => "prepared",
+            Self::Answered(_) => "answered",
+            Self::Failed(Failure::Unreachable) => "unreachable",
+            Self::Failed(Failure::Broken) => "broken",
+            Self::Failed(Failure::Garbled) => "garbled",
+            Self::Failed(Failure::Refused(_)) => "refused",
+            Self::Failed(Failure::Overloaded { .. }) => "overloaded",
+            Self::Failed(Failure::Limited { .. }) => "limited",
+            Self::Pong { .. } => "pong",
+        }
+    }
+}
+
 /// Why a request failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Failure {
@@ -244,11 +270,11 @@
         self.input.is_empty() && connect::is_idle(&self.stream)
     }
 
-    /// Encodes and sends a frame.
+    /// Encodes and sends a frame; returns its length in bytes.
     ///
     /// # Errors
     /// [`FrameError`].
-    pub async fn send<T: serde::Serialize>(&mut self, content: &T) -> Result<(), FrameError> {
+    pub async fn send<T: serde::Serialize>(&mut self, content: &T) -> Result<usize, FrameError> {
         let size = postcard::ser_flavors::Size::default();
         let len = postcard::serialize_with_flavor(content, size).map_err(FrameError::Codec)?;
         if len > MAX_FRAME_LEN {
@@ -268,7 +294,8 @@
         };
         drop(frame);
         self.sent.release_to(0);
-        sent.map_err(FrameError::Io)
+        sent.map_err(FrameError::Io)?;
+        Ok(len)
     }
 
     /// Receives the next frame, undecoded; it stays charged until [`Frames::release`] or the next
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -23,6 +23,7 @@
 use crate::relay::frame;
 use crate::session;
 use crate::stop;
+use crate::traffic;
 use crate::view;
 
 /// How long a member's answer is awaited beyond the deadline of the request.
@@ -52,6 +53,8 @@
     pub phase: watch::Receiver<stop::Phase>,
     /// Limits of workspaces.
     pub limits: limits::Handle,
+    /// Counters of the frames.
+    pub traffic: traffic::Traffic,
 }
 
 impl<L> Clone for Context<L> {
@@ -61,6 +64,7 @@
             groups: self.groups.clone(),
             phase: self.phase.clone(),
             limits: self.limits.clone(),
+            traffic: self.traffic.clone(),
         }
     }
 }
@@ -104,6 +108,7 @@
     if let Err(error) = frames.set_nodelay() {
         log::debug!("event=relay_slow from={from} error=\"{error}\"");
     }
+    let traffic = context.traffic.clone();
     let mut server = Server {
         context,
         work: None,
@@ -114,12 +119,21 @@
             Ok(request) => request,
             Err(error) => break error,
         };
-        let reply = match frame::decode(&request) {
-            Ok(request) => server.handle(&request).await,
+        let len = request.len();
+        let reply = match frame::decode::<frame::Request<'_>>(&request) {
+            Ok(request) => {
+                let received = traffic::Direction::Received;
+                traffic.record(traffic::Channel::Relay, request.body.kind(), received, len);
+                server.handle(&request).await
+            }
             Err(error) => break error,
         };
-        if let Err(error) = frames.send(&reply).await {
-            break error;
+        match frames.send(&reply).await {
+            Ok(len) => {
+                let sent = traffic::Direction::Sent;
+                traffic.record(traffic::Channel::Relay, reply.result.kind(), sent, len);
+            }
+            Err(error) => break error,
         }
     };
     log::debug!("event=relay_ended from={from} error=\"{error}\"");
@@ -195,6 +209,7 @@
         }
         let remaining = time::Duration::from_micros(request.left_us);
         let limit = tokio::time::Instant::now() + remaining + ANSWER_GRACE;
+        let is_first = self.work.is_none();
         let mut work = match self.work.take() {
             Some(mut work) => {
                 work.job.resume();
@@ -223,6 +238,13 @@
                 work.job.finish(is_answered, Some(work.connection));
                 Ok(outcome)
             }
+            Err(frame::Failure::Refused(answer::Code::Busy))
+                if is_first && is_reusable(&request.body) =>
+            {
+                work.connection.applied.mark_unknown();
+                work.job.finish(None, Some(work.connection));
+                Err(frame::Failure::Refused(answer::Code::Busy))
+            }
             Err(failure) => {
                 let has_failed = !matches!(failure, frame::Failure::Refused(_));
                 work.job.finish(has_failed.then_some(false), None);
@@ -371,6 +393,17 @@
     }
 }
 
+/// Whether a connection can be used again after the member has refused a command of the first body
+/// that it ran for a client: no transaction can be open.
+fn is_reusable(body: &frame::Body<'_>) -> bool {
+    match body {
+        frame::Body::Prepare(commands) => !commands
+            .iter()
+            .any(|c| matches!(c, link::Command::Begin { .. })),
+        frame::Body::Call(_) | frame::Body::Ping { .. } => false,
+    }
+}
+
 /// Rank of a route's priority in an owner's queue.
 pub fn to_rank(priority: u8) -> rank::Rank {
     let index = usize::from(priority).min(rank::Rank::ALL.len() - 1);
--- a/crates/cardamomhold_entry/tests/direct_workspaces.rs
+++ b/crates/cardamomhold_entry/tests/direct_workspaces.rs
@@ -27,7 +27,10 @@
     let closed = listener.local_addr().unwrap();
     drop(listener);
     let world = world::World::relayed(closed, 60);
-    let mut groups = groups::start(world.groups_context(relay::Connector(world.members.clone())));
+    let mut groups = groups::start(world.groups_context(relay::Connector::new(
+        world.members.clone(),
+        world.traffic(),
+    )));
     let name = world::group_name();
     let groups = groups.wait_for(|g| g.contains_key(name.as_str()));
     let group = groups.await.unwrap().get(name.as_str()).unwrap().clone();
--- a/crates/cardamomhold_entry/tests/held_connections.rs
+++ b/crates/cardamomhold_entry/tests/held_connections.rs
@@ -51,6 +51,7 @@
         groups: world.groups.clone(),
         phase: world.phases.subscribe(),
         limits: Default::default(),
+        traffic: world.traffic().clone(),
     };
     relay::owner::start(listener, context);
     let target = link::Target {
@@ -63,7 +64,7 @@
         }),
         workspace: None,
     };
-    let connector = relay::Connector(world.members.clone());
+    let connector = relay::Connector::new(world.members.clone(), world.traffic());
     let (mut link, _) = connector.open(&target).await.unwrap();
     let deadline = clock::now().after(timeout);
     link.set_priority(link::Priority {
--- a/crates/cardamomhold_entry/tests/limited_operations.rs
+++ b/crates/cardamomhold_entry/tests/limited_operations.rs
@@ -113,6 +113,7 @@
         groups: tokio::sync::watch::channel(groups).1,
         phase: world.phases.subscribe(),
         limits: limits.clone(),
+        traffic: world.traffic().clone(),
     };
     relay::owner::start(listener, context);
     (world, limits, address)
@@ -135,7 +136,7 @@
         via: Some(owner),
         workspace: None,
     };
-    let connector = relay::Connector(world.members.clone());
+    let connector = relay::Connector::new(world.members.clone(), world.traffic());
     let (mut link, _) = connector.open(&target).await.unwrap();
     let deadline = clock::now().after(time::Duration::from_secs(5));
     link.set_priority(link::Priority {
@@ -236,7 +237,7 @@
         let closed = listener.local_addr().unwrap();
         drop(listener);
         let world = world::World::relayed(closed, INSTANCES);
-        let connector = relay::Connector(world.members.clone());
+        let connector = relay::Connector::new(world.members.clone(), world.traffic());
         let (_, group) = limited(&world, connector).await;
         assert_limited(&group).await;
         assert!(world.members.script.borrow().opened() > 0);
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -95,6 +95,7 @@
                 groups: owner.groups.clone(),
                 phase: owner.phases.subscribe(),
                 limits: Default::default(),
+                traffic: owner.traffic().clone(),
             },
         );
         let good = request("READ x");
@@ -127,7 +128,7 @@
             }),
             workspace: None,
         };
-        let connector = relay::Connector(owner.members.clone());
+        let connector = relay::Connector::new(owner.members.clone(), owner.traffic());
         let (mut link, _) = connector.open(&target).await.unwrap();
         let deadline = clock::now().after(time::Duration::from_secs(5));
         link.set_priority(link::Priority {
--- a/crates/cardamomhold_entry/tests/relayed_grants.rs
+++ b/crates/cardamomhold_entry/tests/relayed_grants.rs
@@ -48,6 +48,7 @@
         groups: world.groups.clone(),
         phase: world.phases.subscribe(),
         limits: Default::default(),
+        traffic: world.traffic().clone(),
     };
     relay::owner::start(listener, context);
     (world, address)
@@ -81,7 +82,7 @@
         }),
         workspace: None,
     };
-    let connector = relay::Connector(world.members.clone());
+    let connector = relay::Connector::new(world.members.clone(), world.traffic());
     connector.open(&target).await.unwrap().0
 }
 
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -14,10 +14,12 @@
 //! ```
 
 pub mod acks;
+pub mod answer_budget;
 pub mod candidate;
 pub mod failure_detector;
 pub mod history;
 pub mod lease;
+pub mod pages;
 pub mod promotion_lock;
 pub mod record;
 pub mod renewal;
--- a/crates/cardamomhold_limit/src/message.rs
+++ b/crates/cardamomhold_limit/src/message.rs
@@ -17,3 +17,16 @@
     /// Answers a request for tokens.
     Granted(allocator::Answer),
 }
+
+impl Message {
+    /// Name of the kind in the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Confirm(_) => "limit_confirm",
+            Self::Confirmed(_) => "limit_confirmed",
+            Self::Withdraw(_) => "limit_withdraw",
+            Self::Tokens(_) => "limit_tokens",
+            Self::Granted(_) => "limit_granted",
+        }
+    }
+}
