--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -355,7 +355,10 @@
             permit,
         };
         if let Err(failure) = clear_state(&mut work.connection, limit).await {
-            work.job.finish(Some(false), None);
+            match failure {
+                frame::Failure::Refused(_) => work.job.finish(None, Some(work.connection)),
+                _ => work.job.finish(Some(false), None),
+            }
             return Err(failure);
         }
         Ok(work)
@@ -425,6 +428,9 @@
             connection.applied = session::Applied::default();
             Ok(())
         }
+        Ok(Err(link::LinkError::Refused(answer::Code::Busy))) => {
+            Err(frame::Failure::Refused(answer::Code::Busy))
+        }
         Ok(Err(_)) | Err(_) => Err(frame::Failure::Unreachable),
     }
 }
