--- a/crates/cardamomhold_entry/tests/granted_tokens.rs
+++ b/crates/cardamomhold_entry/tests/granted_tokens.rs
@@ -21,6 +21,7 @@
 use cardamomhold_entry::peers;
 use cardamomhold_entry::registry;
 use cardamomhold_entry::stop;
+use cardamomhold_entry::traffic;
 use cardamomhold_entry::view;
 use cardamomhold_lead::voters;
 use cardamomhold_limit::allocator;
@@ -92,7 +93,9 @@
     for (name, entry) in &fleet {
         let (views, view) = watch::channel(view_of(&fleet));
         let (phases, phase) = watch::channel(stop::Phase::Serving);
-        let peers = peers::Peers::open(name, entry.address).await.unwrap();
+        let peers = peers::Peers::open(name, entry.address, traffic::Traffic::new().unwrap())
+            .await
+            .unwrap();
         let (coordinator, mut events) = coordinator::mailbox();
         peers.listen(coordinator);
         let (limits, _) = limits::start(limits::task::Context {
--- a/crates/cardamomhold_entry/tests/limited_operations.rs
+++ b/crates/cardamomhold_entry/tests/limited_operations.rs
@@ -81,7 +81,9 @@
         },
         views: world.views.subscribe(),
         phase: world.phases.subscribe(),
-        peers: peers::Peers::open(&world.instance, any).await.unwrap(),
+        peers: peers::Peers::open(&world.instance, any, world.traffic().clone())
+            .await
+            .unwrap(),
         metrics: metrics::Metrics::new().unwrap(),
     });
     let voters = voters::Voters::first([world.instance.clone()].into());
