--- a/crates/cardamomhold_entry/src/group/permits.rs
+++ b/crates/cardamomhold_entry/src/group/permits.rs
@@ -69,9 +69,11 @@
             (_, Err(after)) => Some(Refusal::Overloaded(after)),
             (None, Ok(_)) => None,
         };
+        let link = grant.link.take();
+        let workspace = link.as_ref().and_then(|l| l.workspace.clone());
         let unused = pool::Completion::Unused;
         self.pool
-            .release(now, &grant.member, grant.link.take(), unused);
+            .release_bound(now, &grant.member, link, workspace, unused);
         if let Some(refusal) = refusal {
             self.refuse(grant.id, refusal);
         }
--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -155,11 +155,12 @@
 
     /// Removes and returns the idle connection for a workspace that was released last. A
     /// connection to an owner serves all workspaces, one to the member itself only its own: those
-    /// of others are closed, so that they don't add up.
+    /// of others are closed, so that they don't add up. One that was opened before an owner could
+    /// be reached may still be here when the member has one again.
     pub(crate) fn take_idle(&mut self, workspace: Option<&name::WorkspaceName>) -> Option<L> {
-        if self.share == share::Share::Contended {
-            self.idle.retain(|i| i.workspace.as_ref() == workspace);
-        }
+        let is_relayed = self.share != share::Share::Contended;
+        self.idle
+            .retain(|i| i.workspace.as_ref() == workspace || (is_relayed && i.workspace.is_none()));
         self.idle.pop().map(|idle| idle.link)
     }
 
--- a/crates/cardamomhold_pool/tests/direct_connections.rs
+++ b/crates/cardamomhold_pool/tests/direct_connections.rs
@@ -74,6 +74,23 @@
     assert_eq!(request(&mut pool, 7, "a"), None);
 }
 
+/// Guards against statements in the name of another workspace: a direct connection that was in use
+/// while an owner came into reach was kept as if it led to the owner.
+#[test]
+fn stay_bound_with_owner() {
+    let member = name::MemberName::parse("db-1").unwrap();
+    let mut pool = pool(&member, share::Share::Contended);
+    assert_eq!(request(&mut pool, 1, "a"), None);
+    pool.set_members(&[member::MemberInfo {
+        name: &member,
+        is_near: true,
+        is_ready: true,
+        share: share::Share::Relayed,
+    }]);
+    give_back(&mut pool, 2, &member, 1, "a");
+    assert_eq!(request(&mut pool, 3, "b"), None);
+}
+
 /// A connection to an owner carries statements of all workspaces.
 #[test]
 fn relayed_serve_all() {
