--- a/crates/cardamomhold_core/src/name.rs
+++ b/crates/cardamomhold_core/src/name.rs
@@ -133,7 +133,7 @@
     ZoneName
 );
 name!(
-    /// Name of a caller (tenant); fair shares are computed per caller.
+    /// Name of a caller, or of its workspace where it has one; fair shares are computed by it.
     CallerName
 );
 name!(
