Tenure of limits with a lease of 750 ms and one abstention for each set of voters

Cause: after the loss of the holder, some 3 s passed until the next one granted tokens. The lease was 1,500 ms, each dead voter before a candidate cost 100 ms, and each new generation of the voters began the abstention anew.

Change: - L = 750 ms, renewed each 250 ms. A confirmation counts for all requests that were sent before it. It learns the voters at once after a start, and votes once its leaderships have been confirmed. - Candidates ask those before them whether they are there, from 250 ms before the end of a lease that isn't renewed, and don't wait for the absent ones. - Voters say for how long no holder can exist; instances that get no tokens refuse at once until then. - limit_fuzz lets starting instances learn old voters first.

--- a/crates/cardamomhold_entry/src/coordinator/electorate.rs
+++ b/crates/cardamomhold_entry/src/coordinator/electorate.rs
@@ -44,6 +44,8 @@
     is_writing: bool,
     /// Generation of the voters that the limits' task has been told.
     told: u64,
+    /// Whether the limits' task has been told that this instance may vote.
+    may_vote: bool,
 }
 
 impl Electorate {
@@ -177,19 +179,22 @@
         self.tell_voters();
     }
 
-    /// Tells the limits' task the voters, once this instance's state has been confirmed since its
-    /// start: voters that another instance passed on before may be older than those that this one
-    /// had adopted when it stopped.
+    /// Tells the limits' task the voters, and that it may vote once this instance's state has been
+    /// confirmed since its start: voters that another instance passed on before may be older than
+    /// those that this one had adopted when it stopped. It learns them at once, as the time for
+    /// which it confirms nobody counts from then.
     pub(super) fn tell_voters(&mut self) {
-        let is_new = self.electorate.told < self.electorate.generation();
         if let Some(voters) = &self.electorate.voters
-            && is_new
-            && self.lease.may_confirm_others()
+            && self.electorate.told < voters.generation
         {
             self.electorate.told = voters.generation;
             let voters = limits::Command::Voters(voters.clone());
             self.published.limits.send(voters);
         }
+        if !self.electorate.may_vote && self.lease.may_confirm_others() {
+            self.electorate.may_vote = true;
+            self.published.limits.send(limits::Command::Votes);
+        }
     }
 
     pub(super) fn voter_pong(&self) -> message::Message {
--- a/crates/cardamomhold_entry/src/limits.rs
+++ b/crates/cardamomhold_entry/src/limits.rs
@@ -44,6 +44,9 @@
     Received(name::InstanceName, message::Message),
     /// The voters that this instance has adopted.
     Voters(voters::Voters),
+    /// This instance may vote: its leaderships were confirmed since its start, so its voters are at
+    /// least as new as those that it had adopted when it stopped.
+    Votes,
     /// Asks for the token of an operation.
     Take {
         /// The workspace.
--- a/crates/cardamomhold_entry/src/limits/task.rs
+++ b/crates/cardamomhold_entry/src/limits/task.rs
@@ -145,6 +145,7 @@
         match command {
             Command::Received(from, message) => self.limiter.handle(now, &from, message),
             Command::Voters(voters) => self.limiter.set_voters(now, &voters),
+            Command::Votes => self.limiter.allow_votes(),
             Command::Take {
                 workspace,
                 until,
--- a/crates/cardamomhold_limit/src/allocator.rs
+++ b/crates/cardamomhold_limit/src/allocator.rs
@@ -74,6 +74,8 @@
     pub number: u64,
     /// The holder of the tenure, as far as the sender knows.
     pub holder: Option<name::InstanceName>,
+    /// Time for which the sender expects that no instance holds the tenure, in milliseconds.
+    pub vacant_ms: u16,
     /// The tokens; none when the sender isn't the holder. A workspace for which it knows no limit
     /// is left out.
     pub grants: Option<Vec<Grant>>,
@@ -213,6 +215,7 @@
             incarnation: request.incarnation,
             number: request.number,
             holder: None,
+            vacant_ms: 0,
             grants: Some(grants),
         })
     }
--- a/crates/cardamomhold_limit/src/allowance.rs
+++ b/crates/cardamomhold_limit/src/allowance.rs
@@ -66,6 +66,8 @@
     stocks: collections::BTreeMap<name::WorkspaceName, stock::Stock>,
     reserve: reserve::Reserve,
     requests: requests::Requests,
+    /// Until when no instance holds the tenure, as far as is known.
+    vacant_until: Timestamp,
     /// Number of jitters drawn.
     draws: u64,
     cleaned: Timestamp,
@@ -87,6 +89,7 @@
             stocks: collections::BTreeMap::new(),
             reserve: reserve::Reserve::new(started, own, bounds),
             requests: requests::Requests::new(own, incarnation),
+            vacant_until: Timestamp(0),
             draws: 0,
             cleaned: started,
             decisions: Vec::new(),
@@ -156,13 +159,28 @@
         if is_failing && let Some(permit) = self.reserve.take(now, workspace) {
             return Taken::Permitted(permit);
         }
-        if now < stock.empty_until || until <= now {
+        if now < stock.empty_until.max(self.vacant_until) || until <= now {
             return Taken::Refused(self.return_time(now, workspace));
         }
         stock.waiting.push_back(stock::Waiter { id, until });
         Taken::Waiting
     }
 
+    /// Records that the voters aren't known, so no tokens can be asked for.
+    pub fn record_unknown_voters(&mut self, now: Timestamp) {
+        self.vacant_until = self.vacant_until.max(now.after(SILENCE_PAUSE));
+    }
+
+    /// Refuses all waiting operations until a time, as no instance can grant tokens before.
+    fn record_vacancy(&mut self, now: Timestamp, until: Timestamp) {
+        self.vacant_until = until;
+        let waiting = self.stocks.iter().filter(|(_, s)| !s.waiting.is_empty());
+        let workspaces: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
+        for workspace in workspaces {
+            self.refuse_waiting(now, &workspace, true, |_| true);
+        }
+    }
+
     /// Returns the permit of an operation that has not run.
     pub fn put_back(&mut self, now: Timestamp, workspace: &name::WorkspaceName, permit: Permit) {
         if let Some(stock) = self.stocks.get_mut(workspace) {
@@ -184,7 +202,8 @@
         stock.refused = stock.refused.saturating_add(1);
         let backlog = f64::from(stock.refused) / rate.max(1.0);
         let backlog = backlog.min(MAX_RETURN.as_secs_f64());
-        let empty = stock.empty_until.since(now).as_secs_f64().max(0.02);
+        let empty = stock.empty_until.max(self.vacant_until);
+        let empty = empty.since(now).as_secs_f64().max(0.02);
         let seconds = (empty + backlog) * (1.0 + fraction / 2.0);
         time::Duration::from_secs_f64(seconds).min(MAX_RETURN)
     }
@@ -323,8 +342,14 @@
             return;
         };
         let Some(grants) = &answer.grants else {
+            // One voter that has lost sight of the holder doesn't show that there is none.
+            if self.is_failing() && answer.vacant_ms > 0 {
+                let vacant = time::Duration::from_millis(answer.vacant_ms.into());
+                self.record_vacancy(now, now.after(vacant));
+            }
             return;
         };
+        self.vacant_until = Timestamp(0);
         let until = sent.at.after(self.bounds.term());
         for workspace in &sent.workspaces {
             let grant = grants.iter().find(|g| g.workspace == *workspace);
--- a/crates/cardamomhold_limit/src/bounds.rs
+++ b/crates/cardamomhold_limit/src/bounds.rs
@@ -46,8 +46,11 @@
     pub lease: time::Duration,
     /// How long a voter confirms nobody after its start: it doesn't know whom it confirmed before.
     pub start_abstention: time::Duration,
-    /// How long a voter confirms nobody but the present holder after it has adopted other voters.
+    /// How long a voter confirms nobody but the present holder after other voters have replaced
+    /// the ones before.
     pub adoption_abstention: time::Duration,
+    /// Whether such a replacement begins this time anew.
+    pub restarts_abstention: bool,
     /// Time for which a new holder's buckets have been filling when its tenure begins.
     pub head_start: time::Duration,
 }
@@ -59,10 +62,15 @@
             lease: LEASE,
             start_abstention: LEASE,
             adoption_abstention: LEASE,
+            restarts_abstention: true,
             head_start: time::Duration::ZERO,
         }
     }
 }
 
-/// Duration of the allocator's lease: three renewals may be lost before it ends.
-const LEASE: time::Duration = time::Duration::from_millis(1_500);
+/// Duration of the allocator's lease. Two renewals in a row may be lost, and a process with 0.084
+/// of a core may stand still for several scheduling periods of 100 ms.
+const LEASE: time::Duration = time::Duration::from_millis(750);
+
+/// Interval between two requests of the holder, a third of its lease.
+pub const RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(250);
--- a/crates/cardamomhold_limit/src/limiter.rs
+++ b/crates/cardamomhold_limit/src/limiter.rs
@@ -14,6 +14,9 @@
 use crate::tenure::candidate;
 use crate::tenure::voter;
 
+/// Longest time without a holder that an answer states, in milliseconds.
+const MAX_VACANT_MS: u128 = 1_000;
+
 /// What an instance is and keeps to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -86,6 +89,12 @@
         self.candidate.adopt(now, voters);
     }
 
+    /// Lets this instance vote, as the voters that it has adopted are at least as new as those that
+    /// it knew before its start.
+    pub fn allow_votes(&mut self) {
+        self.voter.allow();
+    }
+
     /// Sets the registered instances.
     pub fn set_fleet(&mut self, fleet: Vec<name::InstanceName>) {
         self.allowance.set_fleet(fleet);
@@ -128,6 +137,9 @@
         workspace: &name::WorkspaceName,
         until: Timestamp,
     ) -> allowance::Taken {
+        if self.candidate.voters().is_empty() {
+            self.allowance.record_unknown_voters(now);
+        }
         self.allowance.take(now, id, workspace, until)
     }
 
@@ -143,8 +155,12 @@
 
     /// Handles a message; [`Limiter::poll`] must follow.
     pub fn handle(&mut self, now: Timestamp, from: &name::InstanceName, message: message::Message) {
+        if self.candidate.voters().contains(from) {
+            self.candidate.record_presence(now, from);
+        }
         match message {
             message::Message::Confirm(request) => {
+                self.candidate.record_candidate(from, true);
                 let reply = self.voter.confirm(now, from, &request);
                 self.send(from, message::Message::Confirmed(reply));
             }
@@ -154,6 +170,13 @@
                 }
             }
             message::Message::Withdraw(withdrawal) => self.voter.withdraw(now, from, &withdrawal),
+            message::Message::Probe => {
+                let is_candidate = self.is_candidate();
+                self.send(from, message::Message::Present { is_candidate });
+            }
+            message::Message::Present { is_candidate } => {
+                self.candidate.record_candidate(from, is_candidate);
+            }
             message::Message::Tokens(request) => {
                 if let Some(answer) = self.answer(now, from, &request) {
                     self.send(from, message::Message::Granted(answer));
@@ -174,10 +197,13 @@
         if let Some(allocator) = self.allocator.as_mut().filter(|_| is_holder) {
             return allocator.answer(now, from, request);
         }
+        let vacant = self.voter.vacant_until(now).map(|until| until.since(now));
+        let holder = self.voter.holder(now).filter(|_| vacant.is_none());
         Some(allocator::Answer {
             incarnation: request.incarnation,
             number: request.number,
-            holder: self.voter.holder(now).cloned(),
+            holder: holder.cloned(),
+            vacant_ms: vacant.map_or(0, |v| v.as_millis().min(MAX_VACANT_MS) as u16),
             grants: None,
         })
     }
@@ -253,6 +279,11 @@
             Some(candidate::Step::Withdraw(withdrawal)) => {
                 self.broadcast(now, &message::Message::Withdraw(withdrawal));
             }
+            Some(candidate::Step::Probe(names)) => {
+                for name in names {
+                    self.send(&name, message::Message::Probe);
+                }
+            }
             None => {}
         }
     }
--- a/crates/cardamomhold_limit/src/message.rs
+++ b/crates/cardamomhold_limit/src/message.rs
@@ -12,6 +12,13 @@
     Confirmed(tenure::Reply),
     /// The sender holds no tenure and gives back the confirmations that it has.
     Withdraw(tenure::Withdrawal),
+    /// A candidate asks a voter that precedes it whether it is there.
+    Probe,
+    /// Answers a probe.
+    Present {
+        /// Whether the sender would hold the tenure.
+        is_candidate: bool,
+    },
     /// An instance asks the holder for tokens.
     Tokens(allocator::Request),
     /// Answers a request for tokens.
@@ -25,6 +32,8 @@
             Self::Confirm(_) => "limit_confirm",
             Self::Confirmed(_) => "limit_confirmed",
             Self::Withdraw(_) => "limit_withdraw",
+            Self::Probe => "limit_probe",
+            Self::Present { .. } => "limit_present",
             Self::Tokens(_) => "limit_tokens",
             Self::Granted(_) => "limit_granted",
         }
--- a/crates/cardamomhold_limit/src/tenure.rs
+++ b/crates/cardamomhold_limit/src/tenure.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::name;
 
 pub mod candidate;
+mod presence;
 pub mod voter;
 
 /// Asks a voter for its confirmation.
--- a/crates/cardamomhold_limit/src/tenure/candidate.rs
+++ b/crates/cardamomhold_limit/src/tenure/candidate.rs
@@ -9,19 +9,24 @@
 
 use crate::bounds;
 use crate::tenure;
+use crate::tenure::presence;
 
-/// Interval between two requests of the holder, and time after which a candidate without a
-/// majority gives up an attempt. A third of the lease.
-const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(500);
-
-/// Delay of a candidate for each voter before it in the order, so that few try at a time.
+/// Delay of a candidate for each voter before it in the order, so that few try at a time. Voters
+/// that are known to be absent aren't counted.
 const RANK_DELAY: time::Duration = time::Duration::from_millis(100);
 
+/// Time after which a candidate without a majority gives up an attempt.
+const ATTEMPT_TIME: time::Duration = time::Duration::from_millis(250);
+
+/// Interval between the requests of an attempt: the confirmations of the lost holder don't end at
+/// the same time everywhere.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
 /// Pause of a candidate after an attempt without a majority.
 const ATTEMPT_PAUSE: time::Duration = time::Duration::from_millis(100);
 
-/// Requests whose answers still count.
-const MAX_ROUNDS: usize = 4;
+/// Requests whose answers still count: those of an attempt, with the first renewal.
+const MAX_ROUNDS: usize = 6;
 
 #[derive(Debug)]
 struct Round {
@@ -37,13 +42,15 @@
     generation: u64,
 }
 
-/// What a candidate sends to all voters.
+/// What a candidate sends, to all voters where nothing else is said.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
     /// A request for their confirmations.
     Ask(tenure::Request),
     /// Its withdrawal.
     Withdraw(tenure::Withdrawal),
+    /// Asks those that precede it whether they are there.
+    Probe(voters::Set),
 }
 
 /// State of a candidate.
@@ -59,6 +66,9 @@
     lease: Option<Lease>,
     /// When the next step is due, at the earliest.
     next: Timestamp,
+    /// When the present attempt is given up.
+    attempt_until: Timestamp,
+    presence: presence::Presence,
 }
 
 impl Candidate {
@@ -73,6 +83,8 @@
             rounds: collections::VecDeque::new(),
             lease: None,
             next: Timestamp(0),
+            attempt_until: Timestamp(0),
+            presence: presence::Presence::default(),
         }
     }
 
@@ -81,6 +93,7 @@
         let known = self.voters.as_ref().map_or(0, |v| v.generation);
         if voters.generation > known {
             self.voters = Some(voters.clone());
+            self.presence.retain(&voters.names());
             self.next = self.next.min(now);
             // A majority is counted within one generation.
             for round in &mut self.rounds {
@@ -94,16 +107,10 @@
         self.lease.is_some_and(|l| now < l.until)
     }
 
-    /// Place among the voters; none if this instance isn't one.
-    fn rank(&self) -> Option<u32> {
-        let names = self.voters.as_ref()?.names();
-        let rank = names.iter().position(|n| *n == self.own);
-        rank.map(|r| r as u32)
-    }
-
     /// Whether this instance is one of the voters.
     pub fn is_eligible(&self) -> bool {
-        self.rank().is_some()
+        let voters = self.voters.as_ref();
+        voters.is_some_and(|v| v.names().contains(&self.own))
     }
 
     /// The instances to ask, this one among them.
@@ -112,13 +119,51 @@
         names.unwrap_or_default()
     }
 
+    /// Records a sign of life of another voter.
+    pub fn record_presence(&mut self, now: Timestamp, name: &name::InstanceName) {
+        self.presence.record(now, name);
+    }
+
+    /// Records whether another voter is a candidate.
+    pub fn record_candidate(&mut self, name: &name::InstanceName, is_candidate: bool) {
+        self.presence.record_candidate(name, is_candidate);
+    }
+
+    /// The voters that come before this one in the order.
+    fn preceding(&self) -> voters::Set {
+        let mut names = self.voters();
+        names.split_off(&self.own);
+        names
+    }
+
+    /// Delay of its attempts, by the voters that precede it and aren't known to be absent.
+    fn rank_delay(&self, now: Timestamp) -> time::Duration {
+        let preceding = self.preceding();
+        let present = preceding
+            .iter()
+            .filter(|n| !self.presence.is_absent(now, n));
+        RANK_DELAY * present.count() as u32
+    }
+
+    /// When an attempt begins, if no other instance is confirmed before.
+    fn attempt_at(&self, now: Timestamp, free_at: Timestamp) -> Timestamp {
+        self.next.max(free_at.after(self.rank_delay(now)))
+    }
+
     /// When a step is due; `free_at` is the time from which this instance's voter may confirm it.
     pub fn next_step(&self, now: Timestamp, free_at: Timestamp) -> Option<Timestamp> {
-        let rank = self.rank()?;
-        match self.is_holder(now) || !self.rounds.is_empty() {
-            true => Some(self.next),
-            false => Some(self.next.max(free_at.after(RANK_DELAY * rank))),
+        if !self.is_eligible() {
+            return None;
         }
+        if self.is_holder(now) || !self.rounds.is_empty() {
+            return Some(self.next);
+        }
+        let times = [
+            Some(self.attempt_at(now, free_at)),
+            Some(self.presence.due(free_at)),
+            self.presence.judged_at(now),
+        ];
+        times.into_iter().flatten().min()
     }
 
     /// The next step, if one is due.
@@ -127,14 +172,32 @@
         if due > now {
             return None;
         }
-        if !self.is_holder(now) && !self.rounds.is_empty() {
-            let rank = self.rank().unwrap_or_default();
-            self.next = now.after(ATTEMPT_PAUSE + RANK_DELAY * rank);
+        if self.is_holder(now) {
+            return Some(self.ask(now, bounds::RENEWAL_INTERVAL));
+        }
+        if !self.rounds.is_empty() {
+            if now < self.attempt_until {
+                return Some(self.ask(now, RETRY_INTERVAL));
+            }
+            self.next = now.after(ATTEMPT_PAUSE + self.rank_delay(now));
             return self.withdraw().map(Step::Withdraw);
         }
+        if self.attempt_at(now, free_at) <= now {
+            self.attempt_until = now.after(ATTEMPT_TIME);
+            return Some(self.ask(now, RETRY_INTERVAL));
+        }
+        if self.presence.due(free_at) > now {
+            return None;
+        }
+        self.presence.record_request(now);
+        Some(Step::Probe(self.preceding()))
+    }
+
+    /// Begins a round; the next step follows after `pause`.
+    fn ask(&mut self, now: Timestamp, pause: time::Duration) -> Step {
         let held = self.lease.filter(|l| now < l.until).map(|l| l.generation);
         self.number += 1;
-        self.next = now.after(REQUEST_INTERVAL);
+        self.next = now.after(pause);
         if self.rounds.len() >= MAX_ROUNDS {
             self.rounds.pop_front();
         }
@@ -143,11 +206,11 @@
             sent: now,
             confirmed: voters::Set::new(),
         });
-        Some(Step::Ask(tenure::Request {
+        Step::Ask(tenure::Request {
             incarnation: self.incarnation,
             number: self.number,
             held,
-        }))
+        })
     }
 
     /// Gives up the tenure or an attempt; none when there is nothing to give up.
@@ -178,20 +241,28 @@
         {
             return false;
         }
-        let round = self.rounds.iter_mut().find(|r| r.number == reply.number);
-        let Some(round) = round else {
+        // A confirmation holds for as long from its time on, so it counts for earlier requests too.
+        for round in &mut self.rounds {
+            if round.number <= reply.number {
+                round.confirmed.insert(from.clone());
+            }
+        }
+        let mut rounds = self.rounds.iter().rev();
+        let round = rounds.find(|r| voters.is_majority(|name| r.confirmed.contains(name)));
+        let Some(Round { number, sent, .. }) = round else {
             return false;
         };
-        round.confirmed.insert(from.clone());
-        let until = round.sent.after(self.timing.lease);
-        if !voters.is_majority(|name| round.confirmed.contains(name)) || until <= now {
+        let (number, until) = (*number, sent.after(self.timing.lease));
+        if until <= now {
             return false;
         }
         let generation = voters.generation;
         let begins = !self.is_holder(now);
         let known = self.lease.filter(|l| l.until > until);
         self.lease = Some(known.unwrap_or(Lease { until, generation }));
-        let number = reply.number;
+        if begins {
+            self.next = self.next.max(now.after(bounds::RENEWAL_INTERVAL));
+        }
         self.rounds.retain(|r| r.number > number);
         begins
     }
--- a/crates/cardamomhold_limit/src/tenure/voter.rs
+++ b/crates/cardamomhold_limit/src/tenure/voter.rs
@@ -2,9 +2,11 @@
 //!
 //! Voters change in two steps, and the sets of two generations that don't follow each other may
 //! have no instance in common. A holder by an old set may have been confirmed a moment before a
-//! majority of that set adopted the next generation. So a voter that adopts a generation confirms
-//! nobody until such a lease has ended, except an instance that states a valid lease by the
-//! generation before or a newer one: its majority meets the old one, so there is no other holder.
+//! majority of that set adopted the proposal of another one. So a voter confirms nobody for the
+//! duration of a lease from the time when it learns that a set is in effect, except an instance
+//! that states a valid lease by the generation before or a newer one: its majority meets the old
+//! one, so there is no other holder. A proposal and its withdrawal leave the set in effect, so they
+//! begin no new abstention.
 
 use std::collections;
 
@@ -29,7 +31,12 @@
     timing: bounds::Timing,
     started: Timestamp,
     voters: Option<voters::Voters>,
+    /// When it learnt that the present set is in effect, and by which generation.
     adopted: Timestamp,
+    first: u64,
+    /// Whether the voters that it knows are at least as new as those that the process before it
+    /// had adopted.
+    is_current: bool,
     confirmation: Option<Confirmation>,
     /// When the last holder gave its confirmation back.
     freed: Timestamp,
@@ -46,6 +53,8 @@
             started,
             voters: None,
             adopted: started,
+            first: 0,
+            is_current: false,
             confirmation: None,
             freed: Timestamp(0),
             withdrawn: collections::BTreeMap::new(),
@@ -59,8 +68,40 @@
         }
         let names = voters.names();
         self.withdrawn.retain(|name, _| names.contains(name));
+        let is_in_effect = self.voters.as_ref().is_some_and(|known| {
+            let is_same = known.current == voters.current || !self.timing.restarts_abstention;
+            known.generation + 1 == voters.generation && is_same
+        });
         self.voters = Some(voters.clone());
-        self.adopted = now;
+        if !is_in_effect {
+            self.adopted = now;
+            self.first = voters.generation;
+        }
+    }
+
+    /// Lets it confirm, as its voters are known to be at least as new as those that the process
+    /// before it had adopted.
+    pub fn allow(&mut self) {
+        self.is_current = true;
+    }
+
+    /// End of its abstentions.
+    fn abstains_until(&self) -> Timestamp {
+        let started = self.started.after(self.timing.start_abstention);
+        started.max(self.adopted.after(self.timing.adoption_abstention))
+    }
+
+    /// Time until which it confirms no holder, as far as it knows; none while a holder renews its
+    /// lease, or could get one.
+    pub fn vacant_until(&self, now: Timestamp) -> Option<Timestamp> {
+        match self.confirmation.as_ref().filter(|c| now < c.until) {
+            Some(confirmation) => {
+                let renewed = self.timing.confirmation - bounds::RENEWAL_INTERVAL * 3 / 2;
+                let is_renewed = confirmation.until.since(now) > renewed;
+                (!is_renewed).then_some(confirmation.until)
+            }
+            None => Some(self.abstains_until()).filter(|until| *until > now),
+        }
     }
 
     /// Generation of the voters that it has adopted, 0 without any.
@@ -78,8 +119,7 @@
     pub fn free_at(&self, own: &name::InstanceName) -> Timestamp {
         let other = self.confirmation.as_ref().filter(|c| c.holder != *own);
         let times = [
-            self.started.after(self.timing.start_abstention),
-            self.adopted.after(self.timing.adoption_abstention),
+            self.abstains_until(),
             other.map_or(Timestamp(0), |c| c.until),
             self.freed,
         ];
@@ -122,12 +162,12 @@
         let Some(voters) = &self.voters else {
             return false;
         };
-        if now < self.started.after(self.timing.start_abstention) || !voters.names().contains(from)
-        {
+        let is_started = now >= self.started.after(self.timing.start_abstention);
+        if !is_started || !self.is_current || !voters.names().contains(from) {
             return false;
         }
         let is_fresh = now < self.adopted.after(self.timing.adoption_abstention);
-        let is_present = request.held.is_some_and(|g| g + 1 >= voters.generation);
+        let is_present = request.held.is_some_and(|g| g + 1 >= self.first);
         if is_fresh && !is_present {
             return false;
         }
--- a/crates/cardamomhold_limit/tests/limit_fuzz.rs
+++ b/crates/cardamomhold_limit/tests/limit_fuzz.rs
@@ -77,6 +77,11 @@
     assert_detected(Disabled::AdoptionAbstention);
 }
 
+#[test]
+fn detects_replacement() {
+    assert_detected(Disabled::RestartedAbstention);
+}
+
 #[test]
 fn detects_proposal() {
     assert_detected(Disabled::Proposal);
--- a/crates/cardamomhold_limit/tests/world/changes.rs
+++ b/crates/cardamomhold_limit/tests/world/changes.rs
@@ -46,11 +46,23 @@
         self.oracle.set_version(self.now, index, version);
         self.with(index, |limiter, now| {
             limiter.set_voters(now, &stored);
+            limiter.allow_votes();
             limiter.set_limits(now, limits);
         });
         self.accept_proposal();
     }
 
+    /// An instance that has just started may learn old voters from another one.
+    pub(super) fn learn_old_voters(&mut self, index: usize) {
+        if self.rng.random_bool(0.5) {
+            return;
+        }
+        let oldest = self.records.len().saturating_sub(4);
+        let record = self.rng.random_range(oldest..self.records.len());
+        let voters = self.records[record].clone();
+        self.with(index, |limiter, now| limiter.set_voters(now, &voters));
+    }
+
     /// Proposes another set of voters.
     pub(super) fn change_voters(&mut self) {
         let count = self.instances.len().min(3);
@@ -63,6 +75,7 @@
             (false, Disabled::Proposal) => proposing.accepted(),
             (false, _) => proposing,
         };
+        self.records.push(self.stored.clone());
         self.spread();
         let pause = self.rng.random_range(1_000..6_000);
         self.at(self.now / 1_000 + pause, Event::ChangeVoters);
@@ -77,6 +90,7 @@
         };
         if self.stored.next.is_some() && self.stored.is_majority(has_adopted) {
             self.stored = self.stored.accepted();
+            self.records.push(self.stored.clone());
             self.spread();
         }
     }
--- a/crates/cardamomhold_limit/tests/world/mod.rs
+++ b/crates/cardamomhold_limit/tests/world/mod.rs
@@ -21,6 +21,7 @@
 
 mod changes;
 mod load;
+mod losses;
 mod oracle;
 mod plan;
 
@@ -48,6 +49,8 @@
     StartAbstention,
     /// A voter confirms at once after it has adopted other voters.
     AdoptionAbstention,
+    /// A voter doesn't abstain anew when a proposed set has replaced the voters.
+    RestartedAbstention,
     /// Voters are replaced in one step.
     Proposal,
     /// Tokens stay valid for long.
@@ -106,6 +109,8 @@
     events: collections::BTreeMap<(u64, u64), Event>,
     sequence: u64,
     stored: voters::Voters,
+    /// All voters that were stored.
+    records: Vec<voters::Voters>,
     limits: Vec<directory::Limit>,
     partitioned: Option<usize>,
     partitioned_until: u64,
@@ -147,7 +152,8 @@
             instances: Vec::new(),
             events: collections::BTreeMap::new(),
             sequence: 0,
-            stored: voters::Voters::first(current),
+            stored: voters::Voters::first(current.clone()),
+            records: vec![voters::Voters::first(current)],
             limits: vec![plan.first],
             partitioned: None,
             partitioned_until: 0,
@@ -279,6 +285,7 @@
                 timing.start_abstention = time::Duration::ZERO;
                 timing.adoption_abstention = time::Duration::ZERO;
             }
+            Disabled::RestartedAbstention => timing.restarts_abstention = false,
             Disabled::AdoptionAbstention => timing.adoption_abstention = time::Duration::ZERO,
             Disabled::EmptyStart => timing.head_start = time::Duration::from_secs(600),
             Disabled::LeaseEnd => timing.lease *= 3,
@@ -309,6 +316,7 @@
         limiter.set_fleet(fleet);
         instance.limiter = Some(limiter);
         self.after(1_500, Event::Read(index));
+        self.learn_old_voters(index);
     }
 
     /// Runs a step of an instance and carries out what it decides.
