Planned stop of the limits' holder hands over the tenure

Cause: a holder that stopped gave up its lease without a successor, so the next candidate began after the others' ranks, and the time without a holder included their failed attempts.

Change: the leaving holder gives up its lease and names a voter that answers and would hold the tenure. The successor names the former holder in its own requests, so each voter frees its confirmation in the same step; it states the generation of the lease that was handed over, so an abstention after a change of voters doesn't hold it up. Other candidates wait 100 ms for it.

A voter frees the confirmation of a holder that is no voter any more; it ignored that holder's withdrawal before.

--- a/crates/cardamomhold_limit/src/bounds.rs
+++ b/crates/cardamomhold_limit/src/bounds.rs
@@ -51,6 +51,8 @@
     pub adoption_abstention: time::Duration,
     /// Whether such a replacement begins this time anew.
     pub restarts_abstention: bool,
+    /// Whether a holder that hands over the tenure gives up its lease.
+    pub ends_at_handover: bool,
     /// Time for which a new holder's buckets have been filling when its tenure begins.
     pub head_start: time::Duration,
 }
@@ -63,6 +65,7 @@
             start_abstention: LEASE,
             adoption_abstention: LEASE,
             restarts_abstention: true,
+            ends_at_handover: true,
             head_start: time::Duration::ZERO,
         }
     }
--- a/crates/cardamomhold_limit/src/limiter.rs
+++ b/crates/cardamomhold_limit/src/limiter.rs
@@ -11,6 +11,7 @@
 use crate::allowance;
 use crate::bounds;
 use crate::message;
+use crate::tenure;
 use crate::tenure::candidate;
 use crate::tenure::voter;
 
@@ -109,7 +110,7 @@
         self.limits = limits;
     }
 
-    /// Gives up the tenure, as the process is about to stop.
+    /// Hands the tenure over, as the process is about to stop.
     pub fn leave(&mut self) {
         self.is_leaving = true;
     }
@@ -161,15 +162,17 @@
         match message {
             message::Message::Confirm(request) => {
                 self.candidate.record_candidate(from, true);
-                let reply = self.voter.confirm(now, from, &request);
+                let mut reply = self.voter.confirm(now, from, &request);
+                reply.is_candidate = self.is_candidate();
                 self.send(from, message::Message::Confirmed(reply));
             }
             message::Message::Confirmed(reply) => {
+                self.candidate.record_candidate(from, reply.is_candidate);
                 if self.candidate.record(now, from, &reply) {
                     self.begin(now);
                 }
             }
-            message::Message::Withdraw(withdrawal) => self.voter.withdraw(now, from, &withdrawal),
+            message::Message::Withdraw(withdrawal) => self.end_tenure(now, from, &withdrawal),
             message::Message::Probe => {
                 let is_candidate = self.is_candidate();
                 self.send(from, message::Message::Present { is_candidate });
@@ -186,6 +189,28 @@
         }
     }
 
+    /// Handles the withdrawal of another instance, which may hand the tenure over to this one.
+    fn end_tenure(
+        &mut self,
+        now: Timestamp,
+        from: &name::InstanceName,
+        withdrawal: &tenure::Withdrawal,
+    ) {
+        self.voter.withdraw(now, from, withdrawal);
+        let successor = withdrawal.successor.as_ref();
+        let is_own = |s: &&tenure::Successor| s.name == self.settings.own;
+        if let Some(successor) = successor.filter(is_own)
+            && self.is_candidate()
+        {
+            let former = tenure::Former {
+                holder: from.clone(),
+                incarnation: withdrawal.incarnation,
+                number: withdrawal.number,
+            };
+            self.candidate.take_over(now, former, successor.generation);
+        }
+    }
+
     /// Answers a request for tokens, with some if this instance holds the tenure at this moment.
     fn answer(
         &mut self,
@@ -199,6 +224,7 @@
         }
         let vacant = self.voter.vacant_until(now).map(|until| until.since(now));
         let holder = self.voter.holder(now).filter(|_| vacant.is_none());
+        let holder = holder.or(self.voter.successor(now));
         Some(allocator::Answer {
             incarnation: request.incarnation,
             number: request.number,
@@ -266,7 +292,7 @@
     /// Does the candidate's next step, if one is due.
     fn campaign(&mut self, now: Timestamp) {
         if !self.is_candidate() {
-            if let Some(withdrawal) = self.candidate.withdraw() {
+            if let Some(withdrawal) = self.candidate.withdraw(now) {
                 self.broadcast(now, &message::Message::Withdraw(withdrawal));
             }
             return;
--- a/crates/cardamomhold_limit/src/tenure/candidate.rs
+++ b/crates/cardamomhold_limit/src/tenure/candidate.rs
@@ -42,6 +42,14 @@
     generation: u64,
 }
 
+/// A tenure that another instance hands over to this one.
+#[derive(Debug)]
+struct Handover {
+    former: tenure::Former,
+    /// Generation of the voters that confirmed its lease.
+    generation: u64,
+}
+
 /// What a candidate sends, to all voters where nothing else is said.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
@@ -69,6 +77,7 @@
     /// When the present attempt is given up.
     attempt_until: Timestamp,
     presence: presence::Presence,
+    handover: Option<Handover>,
 }
 
 impl Candidate {
@@ -85,6 +94,7 @@
             next: Timestamp(0),
             attempt_until: Timestamp(0),
             presence: presence::Presence::default(),
+            handover: None,
         }
     }
 
@@ -147,7 +157,18 @@
 
     /// When an attempt begins, if no other instance is confirmed before.
     fn attempt_at(&self, now: Timestamp, free_at: Timestamp) -> Timestamp {
-        self.next.max(free_at.after(self.rank_delay(now)))
+        match self.handover {
+            Some(_) => self.next,
+            None => self.next.max(free_at.after(self.rank_delay(now))),
+        }
+    }
+
+    /// Takes the tenure over from another instance, which has given it up.
+    pub fn take_over(&mut self, now: Timestamp, former: tenure::Former, generation: u64) {
+        if !self.is_holder(now) && self.is_eligible() {
+            self.handover = Some(Handover { former, generation });
+            self.next = now;
+        }
     }
 
     /// When a step is due; `free_at` is the time from which this instance's voter may confirm it.
@@ -180,7 +201,7 @@
                 return Some(self.ask(now, RETRY_INTERVAL));
             }
             self.next = now.after(ATTEMPT_PAUSE + self.rank_delay(now));
-            return self.withdraw().map(Step::Withdraw);
+            return self.withdraw(now).map(Step::Withdraw);
         }
         if self.attempt_at(now, free_at) <= now {
             self.attempt_until = now.after(ATTEMPT_TIME);
@@ -196,6 +217,7 @@
     /// Begins a round; the next step follows after `pause`.
     fn ask(&mut self, now: Timestamp, pause: time::Duration) -> Step {
         let held = self.lease.filter(|l| now < l.until).map(|l| l.generation);
+        let handed = self.handover.as_ref().map(|h| h.generation);
         self.number += 1;
         self.next = now.after(pause);
         if self.rounds.len() >= MAX_ROUNDS {
@@ -209,19 +231,36 @@
         Step::Ask(tenure::Request {
             incarnation: self.incarnation,
             number: self.number,
-            held,
+            held: held.or(handed),
+            former: self.handover.as_ref().map(|h| h.former.clone()),
         })
     }
 
-    /// Gives up the tenure or an attempt; none when there is nothing to give up.
-    pub fn withdraw(&mut self) -> Option<tenure::Withdrawal> {
-        if self.lease.take().is_none() && self.rounds.is_empty() {
+    /// The voter that the tenure is handed over to, one that answers and would hold it.
+    fn successor(&self, now: Timestamp) -> Option<tenure::Successor> {
+        let generation = self.lease.filter(|l| now < l.until)?.generation;
+        let names = self.voters().into_iter();
+        let mut others = names.filter(|name| *name != self.own);
+        let name = others.find(|name| self.presence.is_recent(now, name))?;
+        Some(tenure::Successor { name, generation })
+    }
+
+    /// Gives up the tenure, which it hands over, or an attempt; none when there is nothing to give
+    /// up.
+    pub fn withdraw(&mut self, now: Timestamp) -> Option<tenure::Withdrawal> {
+        let successor = self.successor(now);
+        if self.lease.is_none() && self.rounds.is_empty() {
             return None;
         }
+        if self.timing.ends_at_handover || !self.is_holder(now) {
+            self.lease = None;
+        }
         self.rounds.clear();
+        self.handover = None;
         Some(tenure::Withdrawal {
             incarnation: self.incarnation,
             number: self.number,
+            successor,
         })
     }
 
@@ -261,6 +300,7 @@
         let known = self.lease.filter(|l| l.until > until);
         self.lease = Some(known.unwrap_or(Lease { until, generation }));
         if begins {
+            self.handover = None;
             self.next = self.next.max(now.after(bounds::RENEWAL_INTERVAL));
         }
         self.rounds.retain(|r| r.number > number);
--- a/crates/cardamomhold_limit/src/tenure/presence.rs
+++ b/crates/cardamomhold_limit/src/tenure/presence.rs
@@ -19,6 +19,10 @@
 /// stands still for up to 92 ms in each scheduling period of 100 ms.
 const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
 
+/// Age of the last sign of life of a voter that the tenure may be handed over to: it has answered
+/// one of the last two renewals.
+const RECENT: time::Duration = time::Duration::from_millis(500);
+
 /// What a candidate knows of the other voters. It decides only who tries first: a voter that is
 /// taken for absent by mistake costs a failed attempt, but no safety.
 #[derive(Debug, Default)]
@@ -75,4 +79,10 @@
         let is_silent = judged.is_some_and(|at| heard.is_none_or(|heard| heard < at));
         is_silent || self.passive.contains(name)
     }
+
+    /// Whether a voter has given a sign of life a moment ago, and is a candidate.
+    pub(super) fn is_recent(&self, now: Timestamp, name: &name::InstanceName) -> bool {
+        let heard = self.heard.get(name.as_str());
+        heard.is_some_and(|at| now.since(*at) < RECENT) && !self.passive.contains(name)
+    }
 }
--- a/crates/cardamomhold_limit/src/tenure/voter.rs
+++ b/crates/cardamomhold_limit/src/tenure/voter.rs
@@ -9,6 +9,7 @@
 //! begin no new abstention.
 
 use std::collections;
+use std::time;
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
@@ -17,6 +18,9 @@
 use crate::bounds;
 use crate::tenure;
 
+/// Time for which other candidates wait for the successor that a holder has named.
+const HANDOVER_TIME: time::Duration = time::Duration::from_millis(100);
+
 #[derive(Debug, Clone)]
 struct Confirmation {
     holder: name::InstanceName,
@@ -40,6 +44,8 @@
     confirmation: Option<Confirmation>,
     /// When the last holder gave its confirmation back.
     freed: Timestamp,
+    /// The successor that it named.
+    successor: Option<name::InstanceName>,
     /// Process and last number of each candidate's withdrawal; a request that arrives after it
     /// counts for nothing.
     withdrawn: collections::BTreeMap<name::InstanceName, (u64, u64)>,
@@ -57,6 +63,7 @@
             is_current: false,
             confirmation: None,
             freed: Timestamp(0),
+            successor: None,
             withdrawn: collections::BTreeMap::new(),
         }
     }
@@ -115,13 +122,23 @@
         confirmation.map(|c| &c.holder)
     }
 
+    /// The successor that the last holder named, while it is waited for.
+    pub fn successor(&self, now: Timestamp) -> Option<&name::InstanceName> {
+        let is_awaited = now < self.freed.after(HANDOVER_TIME);
+        self.successor.as_ref().filter(|_| is_awaited)
+    }
+
     /// Time from which it may confirm `own`, if no other instance is confirmed before.
     pub fn free_at(&self, own: &name::InstanceName) -> Timestamp {
         let other = self.confirmation.as_ref().filter(|c| c.holder != *own);
+        let freed = match &self.successor {
+            Some(successor) if successor != own => self.freed.after(HANDOVER_TIME),
+            Some(_) | None => self.freed,
+        };
         let times = [
             self.abstains_until(),
             other.map_or(Timestamp(0), |c| c.until),
-            self.freed,
+            freed,
         ];
         times.into_iter().max().unwrap_or_default()
     }
@@ -133,6 +150,9 @@
         from: &name::InstanceName,
         request: &tenure::Request,
     ) -> tenure::Reply {
+        if let Some(former) = &request.former {
+            self.end_confirmation(now, former, Some(from));
+        }
         let is_confirmed = self.may_confirm(now, from, request);
         if is_confirmed {
             let until = now.after(self.timing.confirmation);
@@ -150,6 +170,7 @@
             generation: self.generation(),
             is_confirmed,
             holder: self.holder(now).cloned(),
+            is_candidate: false,
         }
     }
 
@@ -188,23 +209,39 @@
         from: &name::InstanceName,
         withdrawal: &tenure::Withdrawal,
     ) {
-        let voters = self.voters.as_ref();
-        if !voters.is_some_and(|v| v.names().contains(from)) {
-            return;
-        }
-        let last = (withdrawal.incarnation, withdrawal.number);
-        let known = self.withdrawn.entry(from.clone()).or_insert(last);
-        if known.0 != last.0 || known.1 < last.1 {
-            *known = last;
+        let former = tenure::Former {
+            holder: from.clone(),
+            incarnation: withdrawal.incarnation,
+            number: withdrawal.number,
+        };
+        let successor = withdrawal.successor.as_ref().map(|s| &s.name);
+        self.end_confirmation(now, &former, successor);
+    }
+
+    fn end_confirmation(
+        &mut self,
+        now: Timestamp,
+        former: &tenure::Former,
+        successor: Option<&name::InstanceName>,
+    ) {
+        // The former holder may be no voter any more; its later requests count for nothing then.
+        let names = self.voters.as_ref().map(voters::Voters::names);
+        if names.is_some_and(|n| n.contains(&former.holder)) {
+            let last = (former.incarnation, former.number);
+            let known = self.withdrawn.entry(former.holder.clone()).or_insert(last);
+            if known.0 != last.0 || known.1 < last.1 {
+                *known = last;
+            }
         }
         let is_theirs = self.confirmation.as_ref().is_some_and(|c| {
-            c.holder == *from
-                && c.incarnation == withdrawal.incarnation
-                && c.number <= withdrawal.number
+            c.holder == former.holder
+                && c.incarnation == former.incarnation
+                && c.number <= former.number
         });
         if is_theirs {
             self.confirmation = None;
             self.freed = now;
+            self.successor = successor.cloned();
         }
     }
 }
--- a/crates/cardamomhold_limit/tests/holder_gap.rs
+++ b/crates/cardamomhold_limit/tests/holder_gap.rs
@@ -16,6 +16,9 @@
 /// Time beyond a lease within which there is another holder.
 const ELECTION_MS: u64 = 300;
 
+/// Time after a planned stop of the holder within which there is another one.
+const HANDOVER_MS: u64 = 50;
+
 const SEEDS: u64 = 200;
 
 /// A fleet of 7 instances, 5 of which are voters, at a random time of its holder's renewals.
@@ -85,3 +88,51 @@
     println!("longest time without a holder: {longest} ms");
     assert!(longest <= LEASE_MS + ELECTION_MS, "{longest} ms");
 }
+
+/// Guards against a planned stop after which the confirmations have to end by themselves.
+#[test]
+fn holder_stopped() {
+    let gaps = (0..SEEDS).map(|seed| {
+        let mut world = calm(seed);
+        let holder = world.holder().expect("a holder");
+        world.stop(holder);
+        world.time_to_holder()
+    });
+    let longest = gaps.max().unwrap_or_default();
+    println!("longest time without a holder: {longest} ms");
+    assert!(longest <= HANDOVER_MS, "{longest} ms");
+}
+
+/// Guards against a successor that is gone when the tenure is handed over to it: it costs no more
+/// than the loss of a holder.
+#[test]
+fn successor_killed() {
+    let gaps = (0..SEEDS).map(|seed| {
+        let mut world = calm(seed);
+        let holder = world.holder().expect("a holder");
+        let successor = if holder == 0 { 1 } else { 0 };
+        world.kill(&[successor]);
+        world.stop(holder);
+        world.time_to_holder()
+    });
+    let longest = gaps.max().unwrap_or_default();
+    println!("longest time without a holder: {longest} ms");
+    assert!(longest <= LEASE_MS + ELECTION_MS, "{longest} ms");
+}
+
+/// Guards against an abstention that the voters begin anew while the holder stops.
+#[test]
+fn voters_changed() {
+    let gaps = (0..SEEDS).map(|seed| {
+        let mut world = calm(seed);
+        let holder = world.holder().expect("a holder");
+        world.replace_voters();
+        let delay = world.rng.random_range(0..100);
+        assert_eq!(world.run(world.now / 1_000 + delay), None);
+        world.stop(holder);
+        world.time_to_holder()
+    });
+    let longest = gaps.max().unwrap_or_default();
+    println!("longest time without a holder: {longest} ms");
+    assert!(longest <= LEASE_MS + ELECTION_MS, "{longest} ms");
+}
--- a/crates/cardamomhold_limit/tests/limit_fuzz.rs
+++ b/crates/cardamomhold_limit/tests/limit_fuzz.rs
@@ -82,6 +82,11 @@
     assert_detected(Disabled::RestartedAbstention);
 }
 
+#[test]
+fn detects_handover() {
+    assert_detected(Disabled::HandoverEnd);
+}
+
 #[test]
 fn detects_proposal() {
     assert_detected(Disabled::Proposal);
--- a/crates/cardamomhold_limit/tests/world/changes.rs
+++ b/crates/cardamomhold_limit/tests/world/changes.rs
@@ -113,7 +113,7 @@
 
     pub(super) fn fault(&mut self) {
         let index = self.rng.random_range(0..self.instances.len());
-        match self.rng.random_range(0..3) {
+        match self.rng.random_range(0..4) {
             0 => {
                 let ms = self.rng.random_range(50..3_000);
                 self.instances[index].frozen_until = self.now + ms * 1_000;
@@ -124,6 +124,11 @@
                 self.oracle.stop(self.now, index);
                 self.after(2_000, Event::Start(index));
             }
+            2 => {
+                self.stop(index);
+                let pause = self.rng.random_range(200..3_000);
+                self.at(self.now / 1_000 + pause, Event::Start(index));
+            }
             _ => {
                 self.partitioned = Some(self.rng.random_range(0..self.plan.zones));
                 self.partitioned_until = self.now + self.rng.random_range(200..5_000) * 1_000;
--- a/crates/cardamomhold_limit/tests/world/losses.rs
+++ b/crates/cardamomhold_limit/tests/world/losses.rs
@@ -27,6 +27,11 @@
         (self.now - began) / 1_000
     }
 
+    /// Begins the planned stop of an instance, whose process serves on for a while.
+    pub fn stop(&mut self, index: usize) {
+        self.with(index, |limiter, _| limiter.leave());
+    }
+
     /// Ends the processes of instances, which don't start again.
     pub fn kill(&mut self, indices: &[usize]) {
         for index in indices {
@@ -44,4 +49,20 @@
             self.read(index);
         }
     }
+
+    /// Proposes other voters, without the first ones; all read it at once, and its acceptance
+    /// within 50 ms.
+    pub fn replace_voters(&mut self) {
+        let names = self.instances.iter().map(|i| i.name.clone());
+        let next = names.skip(2).collect();
+        self.stored = self.stored.proposing(next);
+        for index in 0..self.instances.len() {
+            self.read(index);
+        }
+        self.events
+            .retain(|_, event| !matches!(event, Event::Read(_)));
+        for index in 0..self.instances.len() {
+            self.after(50, Event::Read(index));
+        }
+    }
 }
--- a/crates/cardamomhold_limit/tests/world/mod.rs
+++ b/crates/cardamomhold_limit/tests/world/mod.rs
@@ -51,6 +51,8 @@
     AdoptionAbstention,
     /// A voter doesn't abstain anew when a proposed set has replaced the voters.
     RestartedAbstention,
+    /// A holder that hands over the tenure keeps its lease.
+    HandoverEnd,
     /// Voters are replaced in one step.
     Proposal,
     /// Tokens stay valid for long.
@@ -285,6 +287,7 @@
                 timing.start_abstention = time::Duration::ZERO;
                 timing.adoption_abstention = time::Duration::ZERO;
             }
+            Disabled::HandoverEnd => timing.ends_at_handover = false,
             Disabled::RestartedAbstention => timing.restarts_abstention = false,
             Disabled::AdoptionAbstention => timing.adoption_abstention = time::Duration::ZERO,
             Disabled::EmptyStart => timing.head_start = time::Duration::from_secs(600),
