Sessions of a stopping instance end with a response

Cause: the beginning of a refusal was sent to every idle session, and the connection was closed 500 ms later. A caller that sends every few seconds read it as the beginning of its next response, which never ended. All sessions of an instance ended at the same moment. Change: a session ends with a response from its own time on, spread over the leaving time; the end of the response goes out with the end of the connection. Idle sessions end late, one after the other, and get nothing. Requests that have arrived are refused in full; input that comes later is read, so that the kernel resets nothing. Statements without an answer are given up before the exit. The check of crossed_requests that an idle session gets the beginning of a refusal demanded the fault. In its place, a frozen process finds a request on each session and has to refuse all of them in full, and idle sessions must get nothing.

--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -24,6 +24,7 @@
 use crate::view;
 
 mod authorize;
+pub mod ending;
 
 /// Part of a statement's timeout that is reserved for returning the answer.
 const ANSWER_RESERVE: time::Duration = time::Duration::from_millis(10);
@@ -63,15 +64,6 @@
     has_written: bool,
 }
 
-/// Events that the task waits for.
-enum Event<'a> {
-    Incoming(front::Incoming<'a>),
-    Broken,
-    IdleTransaction,
-    Isolated,
-    Stopping,
-}
-
 /// Serves one caller until it disconnects, loses its key or the instance stops.
 pub async fn serve<L: link::Link, R: front::Reader, W: front::Writer>(
     context: &attempt::Context<L>,
@@ -79,6 +71,7 @@
     identity: identity::Identity,
     mut reader: R,
     writer: W,
+    mut ending: ending::Ending,
 ) -> CloseReason {
     let mut task = Task {
         context,
@@ -92,18 +85,20 @@
         is_denied: false,
         has_written: false,
     };
-    let mut phase = context.phase.clone();
     let reason = loop {
-        let event = task.next(&mut reader, &mut phase).await;
+        let event = task.next(&mut reader, &mut ending).await;
         let served = match event {
-            Event::Incoming(front::Incoming::Request(request)) => task.check(&request).await,
-            Event::Incoming(front::Incoming::Malformed) => task.answer_malformed().await,
-            Event::Incoming(front::Incoming::Close) => break CloseReason::Left,
-            Event::Broken => break CloseReason::Broken,
-            Event::Stopping => break CloseReason::Stopping,
-            Event::Isolated => break CloseReason::Isolated,
-            Event::IdleTransaction => {
-                task.fail_transaction("idle_transaction").await;
+            ending::Event::Incoming(front::Incoming::Request(request)) => {
+                task.writer.hold(ending.is_due());
+                task.check(&request).await
+            }
+            ending::Event::Incoming(front::Incoming::Malformed) => task.answer_malformed().await,
+            ending::Event::Incoming(front::Incoming::Close) => break CloseReason::Left,
+            ending::Event::Broken => break CloseReason::Broken,
+            ending::Event::Stopping => break CloseReason::Stopping,
+            ending::Event::Isolated => break CloseReason::Isolated,
+            ending::Event::FailTransaction(cause) => {
+                task.fail_transaction(cause).await;
                 Ok(())
             }
         };
@@ -113,52 +108,34 @@
         if task.is_denied {
             break CloseReason::Unauthorized;
         }
+        let is_idle = task.session.transaction == session::Transaction::None;
+        if is_idle && ending.is_due() && !reader.has_input() {
+            break CloseReason::Stopping;
+        }
+        task.writer.hold(false);
     };
     task.roll_back_open().await;
-    let text = match reason {
-        CloseReason::Left | CloseReason::Broken | CloseReason::Unauthorized => return reason,
-        CloseReason::Stopping => "stopping, connect again",
-        CloseReason::Isolated => "no lease here, connect again",
+    let (code, text) = match reason {
+        CloseReason::Left | CloseReason::Broken => return reason,
+        CloseReason::Unauthorized => (answer::Code::Unauthorized, "no workspace has this key"),
+        CloseReason::Stopping => (answer::Code::Busy, "stopping, connect again"),
+        CloseReason::Isolated => (answer::Code::Busy, "no lease here, connect again"),
     };
-    let crossed = closing::close(&mut reader, &mut task.writer, text).await;
-    if crossed > 0 {
+    let refusal = answer::Answer::refused(code, text, answer::State::Idle);
+    let late = closing::close(&mut reader, &mut task.writer, &refusal).await;
+    if late != closing::Late::default() {
         log::info!(
-            "event=requests_crossed caller={} database={database} why={reason:?} refused={crossed}",
-            task.identity.label()
+            "event=requests_crossed caller={} database={database} why={reason:?} refused={} \
+             unanswered={}",
+            task.identity.label(),
+            late.refused,
+            late.unanswered
         );
     }
     reason
 }
 
 impl<L: link::Link, W: front::Writer> Task<'_, L, W> {
-    async fn next<'r, R: front::Reader>(
-        &self,
-        reader: &'r mut R,
-        phase: &mut tokio::sync::watch::Receiver<stop::Phase>,
-    ) -> Event<'r> {
-        let idle_timeout = self.context.views.borrow().catalog.idle_limit();
-        let is_idle = self.session.transaction == session::Transaction::None;
-        let stop_phase = if is_idle {
-            stop::Phase::Draining
-        } else {
-            stop::Phase::Ending
-        };
-        let has_connection = self.checkout.is_some();
-        let mut lease = self.context.lease.clone();
-        tokio::select! {
-            biased;
-            incoming = reader.next() => match incoming {
-                Ok(incoming) => Event::Incoming(incoming),
-                Err(_) => Event::Broken,
-            },
-            _ = phase.wait_for(|p| *p >= stop_phase) => Event::Stopping,
-            _ = lease.wait_for(|l| l.isolation == view::Isolation::Closing), if is_idle => {
-                Event::Isolated
-            }
-            () = tokio::time::sleep(idle_timeout), if has_connection => Event::IdleTransaction,
-        }
-    }
-
     fn state(&self) -> answer::State {
         match self.session.transaction {
             session::Transaction::None => answer::State::Idle,
@@ -325,7 +302,12 @@
             target: now.after(target),
             deadline: now.after(timeout),
         };
-        let result = self.run_at_member(&route, &call).await;
+        let phase = self.context.phase.clone();
+        let result = tokio::select! {
+            biased;
+            result = self.run_at_member(&route, &call) => result,
+            () = ending::reached(phase, stop::Phase::Closing) => Err(ending::given_up(&call)),
+        };
         let took = clock::now().since(now);
         let report = report::Report {
             id: request.id,
--- a/crates/cardamomhold_entry/src/front.rs
+++ b/crates/cardamomhold_entry/src/front.rs
@@ -23,6 +23,10 @@
     /// # Errors
     /// The connection broke, or its data can't be decoded any further.
     fn next(&mut self) -> impl Future<Output = io::Result<Incoming<'_>>>;
+
+    /// Whether something has arrived that [`Reader::next`] hasn't returned: a message, a part of
+    /// one, or the end of the connection.
+    fn has_input(&self) -> bool;
 }
 
 /// Writes answers to a caller.
@@ -33,21 +37,15 @@
     /// The connection broke.
     fn answer(&mut self, answer: &answer::Answer) -> impl Future<Output = io::Result<()>>;
 
-    /// Tells a caller between two requests that the session ends: sends the beginning of
-    /// `refusal`, which a request that is on its way takes as the beginning of its answer.
-    ///
-    /// # Errors
-    /// The connection broke.
-    fn announce_end(&mut self, refusal: &answer::Answer) -> impl Future<Output = io::Result<()>>;
+    /// Holds back the last part of an answer until the connection is ended or this is undone, so
+    /// that the caller receives both together and sends nothing in between.
+    fn hold(&mut self, is_held: bool);
 
-    /// Sends the rest of the refusal for a request that crossed its beginning.
+    /// Ends the connection in the direction of the caller.
     ///
     /// # Errors
     /// The connection broke.
-    fn complete_refusal(
-        &mut self,
-        refusal: &answer::Answer,
-    ) -> impl Future<Output = io::Result<()>>;
+    fn end(&mut self) -> impl Future<Output = io::Result<()>>;
 
     /// Charges what the session keeps, in bytes altogether; the default charges nothing.
     ///
