A stopping process exits as soon as nothing uses it

Cause: a process went on until nine tenths of its grace time, also without sessions and during its start, and dropped all its tasks before its exit. That leaves 600 ms to a process that runs late. Change: it exits when it has ended listening and neither a session nor work for another instance uses it. An instance that has never been able to serve closes at once.

--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -55,6 +55,8 @@
     pub limits: limits::Handle,
     /// Counters of the frames.
     pub traffic: traffic::Traffic,
+    /// Counts the work for other instances.
+    pub users: stop::Users,
 }
 
 impl<L> Clone for Context<L> {
@@ -65,6 +67,7 @@
             phase: self.phase.clone(),
             limits: self.limits.clone(),
             traffic: self.traffic.clone(),
+            users: self.users.clone(),
         }
     }
 }
@@ -147,6 +150,7 @@
     group: group::Handle<L>,
     header: frame::Header,
     permit: limits::Permit,
+    _user: stop::User,
 }
 
 /// State of one connection from another instance.
@@ -304,6 +308,7 @@
         remaining: time::Duration,
         limit: tokio::time::Instant,
     ) -> Result<Work<L>, frame::Failure> {
+        let user = self.context.users.enter();
         let header = request.header.clone().ok_or(frame::Failure::Unreachable)?;
         self.check_grant(&header)?;
         let group = self
@@ -353,6 +358,7 @@
             group,
             header,
             permit,
+            _user: user,
         };
         if let Err(failure) = clear_state(&mut work.connection, limit).await {
             match failure {
--- a/crates/cardamomhold_entry/src/stop.rs
+++ b/crates/cardamomhold_entry/src/stop.rs
@@ -7,6 +7,12 @@
 
 use std::time;
 
+pub mod shutdown;
+mod users;
+
+pub use users::User;
+pub use users::Users;
+
 /// Time that a load balancer needs to stop using an instance that isn't ready.
 pub const LEAVING_TIME: time::Duration = time::Duration::from_millis(2_400);
 
--- a/crates/cardamomhold_entry/tests/cut_owners.rs
+++ b/crates/cardamomhold_entry/tests/cut_owners.rs
@@ -95,6 +95,7 @@
                 phase: owner.phases.subscribe(),
                 limits: Default::default(),
                 traffic: owner.traffic().clone(),
+                users: Default::default(),
             },
         );
         for _ in 0..100 {
@@ -163,6 +164,7 @@
                 phase: owner.phases.subscribe(),
                 limits: Default::default(),
                 traffic: owner.traffic().clone(),
+                users: Default::default(),
             },
         );
         tokio::time::sleep(time::Duration::from_millis(5_000)).await;
--- a/crates/cardamomhold_entry/tests/held_connections.rs
+++ b/crates/cardamomhold_entry/tests/held_connections.rs
@@ -52,6 +52,7 @@
         phase: world.phases.subscribe(),
         limits: Default::default(),
         traffic: world.traffic().clone(),
+        users: Default::default(),
     };
     relay::owner::start(listener, context);
     let target = link::Target {
--- a/crates/cardamomhold_entry/tests/limited_operations.rs
+++ b/crates/cardamomhold_entry/tests/limited_operations.rs
@@ -116,6 +116,7 @@
         phase: world.phases.subscribe(),
         limits: limits.clone(),
         traffic: world.traffic().clone(),
+        users: Default::default(),
     };
     relay::owner::start(listener, context);
     (world, limits, address)
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -96,6 +96,7 @@
                 phase: owner.phases.subscribe(),
                 limits: Default::default(),
                 traffic: owner.traffic().clone(),
+                users: Default::default(),
             },
         );
         let good = request("READ x");
--- a/crates/cardamomhold_entry/tests/relayed_grants.rs
+++ b/crates/cardamomhold_entry/tests/relayed_grants.rs
@@ -49,6 +49,7 @@
         phase: world.phases.subscribe(),
         limits: Default::default(),
         traffic: world.traffic().clone(),
+        users: Default::default(),
     };
     relay::owner::start(listener, context);
     (world, address)
--- a/crates/cardamomhold_entry/tests/relayed_statements.rs
+++ b/crates/cardamomhold_entry/tests/relayed_statements.rs
@@ -48,6 +48,7 @@
         phase: world.phases.subscribe(),
         limits: Default::default(),
         traffic: world.traffic().clone(),
+        users: Default::default(),
     };
     relay::owner::start(listener, context);
     (world, address)
--- a/crates/cardamomhold_entry/tests/session_ends.rs
+++ b/crates/cardamomhold_entry/tests/session_ends.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use cardamomhold_entry::stop;
+use cardamomhold_entry::stop::shutdown;
 
 const GRACE: time::Duration = time::Duration::from_secs(6);
 
@@ -43,3 +44,34 @@
         assert!(schedule.exit <= grace * 9 / 10);
     }
 }
+
+/// The phases that a process begins, with the times at which they are due, until it exits.
+fn steps(mut shutdown: shutdown::Shutdown) -> Vec<(stop::Phase, time::Duration)> {
+    let mut steps = Vec::new();
+    loop {
+        let (step, due) = shutdown.next();
+        let shutdown::Step::Enter(phase) = step else {
+            return steps;
+        };
+        shutdown.enter(phase);
+        steps.push((phase, due));
+    }
+}
+
+/// Guards against a process that serves callers for the whole grace time although it has none, and
+/// one that leaves callers out although it has some.
+#[test]
+fn phases_depend_on_service() {
+    let schedule = stop::schedule(GRACE);
+    let steps_served = steps(shutdown::Shutdown::new(schedule, true));
+    let expected = [
+        (stop::Phase::Leaving, time::Duration::ZERO),
+        (stop::Phase::Draining, schedule.draining),
+        (stop::Phase::Ending, schedule.ending),
+        (stop::Phase::Closing, schedule.closing),
+    ];
+    assert_eq!(steps_served, expected);
+    let steps_unserved = steps(shutdown::Shutdown::new(schedule, false));
+    let zero = time::Duration::ZERO;
+    assert_eq!(steps_unserved, expected.map(|(phase, _)| (phase, zero)));
+}
