An owner that leaves is replaced before it stops serving

Cause: an owner refused all statements from its stop signal on and told nobody; every group of every instance found it out by refused statements and pings, each of which counted and was logged. Instances in their start answered pings. Idle connections to a former owner stayed in use. They rank the owners without those that leave; successors serve whether or not they have heard it. The failures of one loss count once.

--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -45,6 +45,7 @@
 mod lease_renewal;
 mod lock;
 mod messages;
+mod presence;
 
 pub use event::Event;
 pub use event::Handle;
@@ -110,6 +111,7 @@
     electorate: electorate::Electorate,
     phase: watch::Receiver<stop::Phase>,
     instances: registry::Instances,
+    presence: presence::Presence,
     roster: roster::Roster,
     round: Option<round::Round>,
     /// Number of the last majority round.
@@ -183,6 +185,7 @@
             electorate: electorate::Electorate::default(),
             phase,
             instances: registry::Instances::new(),
+            presence: presence::Presence::default(),
             roster: roster::Roster::default(),
             round: None,
             // Starts at the current time, as answers to an earlier process must not match.
@@ -346,6 +349,7 @@
 
     fn tick(&mut self) {
         let now = clock::now();
+        self.update_presence(now);
         self.log_lease_change(now);
         self.publish_isolation(now);
         self.publish_informed(now);
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -156,6 +156,7 @@
                 let received = limits::Command::Received(name, message);
                 self.published.limits.send(received);
             }
+            message::Message::Leaving => self.record_leaving(now, name),
         }
     }
 
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -32,6 +32,7 @@
 pub mod owned;
 mod permits;
 mod routes;
+pub mod standing;
 
 /// Minimum interval between two reports that the primary can't be reached.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -304,7 +305,7 @@
             own: &self.context.instance,
             fleet: &view.fleet,
         };
-        self.routes.reset(&view.fleet);
+        self.routes.reset(now, &view);
         let mut infos = Vec::new();
         for member in view.members.values() {
             // Before the instances are known no owner is, and direct connections of all instances
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -105,8 +105,10 @@
             return;
         }
         let workspace = self.workspace(grant.id);
+        let owner = self.routes.owner(&grant.member).map(|o| o.name.clone());
         while let Some(mut connection) = grant.link.take() {
-            if connection.link.is_open() {
+            // One to a former owner, which may leave, is closed.
+            if connection.owner == owner && connection.link.is_open() {
                 self.check_out(connection, None, grant, self.change);
                 return;
             }
--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -70,15 +70,16 @@
         self.owned.get(member.as_str()).map(|o| &o.handle)
     }
 
-    /// Passes work to a member's queue, if this instance is one of the member's owners.
+    /// Passes work to a member's queue, if this instance is one of the member's owners or their
+    /// successors.
     pub(super) fn admit(
         &mut self,
         member: &name::MemberName,
         request: admission::Request,
         reply: oneshot::Sender<Result<admission::Admitted<C::Link>, admission::Refusal>>,
     ) {
-        let is_owner = self.routes.is_owner(&self.context.instance, member);
-        let handle = is_owner.then(|| self.owned(member)).flatten();
+        let is_served = self.routes.is_served(member);
+        let handle = is_served.then(|| self.owned(member)).flatten();
         match handle {
             Some(handle) => handle.send(admission::Message::Admit { request, reply }),
             None => {
@@ -152,7 +153,7 @@
     /// Stops using this instance's own queue for a member that it can't reach; other owners may.
     fn avoid_own(&mut self, now: Timestamp, member: &name::MemberName) {
         let own = self.context.instance.clone();
-        self.routes.record_unserved(now, &own, member);
+        self.routes.standings().record_unserved(now, &own, member);
         self.context.views.mark_changed();
     }
 
@@ -169,7 +170,9 @@
             }
             pool::Completion::Unserved => {
                 if let Some(owner) = self.routes.owner(member).cloned() {
-                    self.routes.record_unserved(now, &owner.name, member);
+                    self.routes
+                        .standings()
+                        .record_unserved(now, &owner.name, member);
                     self.context.views.mark_changed();
                 }
             }
@@ -207,7 +210,7 @@
         owner: &name::InstanceName,
         member: &name::MemberName,
     ) {
-        let is_first = self.routes.record_silent(now, owner);
+        let is_first = self.routes.standings().record_silent(now, owner);
         self.publish_silent();
         if !is_first {
             return;
@@ -216,7 +219,7 @@
         let Some(target) = self.target(member) else {
             return;
         };
-        for other in self.routes.others(member, &self.context.instance) {
+        for other in self.routes.others(member, now, &self.context.instance) {
             self.ping(other, target.clone(), Ping::Check);
         }
     }
@@ -287,7 +290,7 @@
         match is_answering {
             None => self.avoid_owner(now, owner, member),
             Some(is_answering) => {
-                if self.routes.record_answer(owner) {
+                if self.routes.standings().record_answer(owner) {
                     self.publish_silent();
                 }
                 if ping == Ping::Suspicion && !is_answering {
--- a/crates/cardamomhold_entry/src/group/routes.rs
+++ b/crates/cardamomhold_entry/src/group/routes.rs
@@ -2,24 +2,16 @@
 
 use std::collections;
 use std::sync;
-use std::time;
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_pool::share;
 
+use crate::group::standing;
 use crate::link;
 use crate::owners;
 use crate::registry;
-
-/// How long an owner is avoided after its first failure; doubled with each further one.
-const AVOIDANCE_PERIOD: time::Duration = time::Duration::from_millis(250);
-
-/// Longest time for which an owner is avoided before it is pinged again.
-const MAX_AVOIDANCE_PERIOD: time::Duration = time::Duration::from_millis(4_000);
-
-/// Doublings of the avoidance period, which reach the maximum.
-const MAX_DOUBLINGS: u32 = 4;
+use crate::view;
 
 /// Inputs of the routes' computation.
 #[derive(Debug, Clone, Copy)]
@@ -28,26 +20,14 @@
     pub(super) fleet: &'a sync::Arc<registry::Instances>,
 }
 
-/// Consecutive failures of an owner, or of an owner for one member.
-#[derive(Debug, Clone, Copy)]
-struct Failures {
-    count: u32,
-    last: Timestamp,
-}
-
-impl Failures {
-    fn avoided_until(self) -> Timestamp {
-        let doublings = self.count.saturating_sub(1).min(MAX_DOUBLINGS);
-        let period = AVOIDANCE_PERIOD * 2u32.pow(doublings);
-        self.last.after(period.min(MAX_AVOIDANCE_PERIOD))
-    }
-}
-
 /// A member's zone and its owners, as long as the registered instances stay the same.
 #[derive(Debug)]
 struct Owners {
     zone: String,
     names: Vec<name::InstanceName>,
+    /// Whether this instance serves the member for others: as one of the owners, or as a successor
+    /// of theirs.
+    is_served: bool,
 }
 
 /// The routes to the members of a group.
@@ -57,26 +37,27 @@
     /// The instances from which `owners` was computed.
     fleet: sync::Arc<registry::Instances>,
     owners: collections::BTreeMap<name::MemberName, Owners>,
-    /// Owners that didn't answer; avoided until they answer a ping.
-    silent: collections::BTreeMap<name::InstanceName, Failures>,
-    /// Owners that answered that they can't serve a member; avoided for it for some time.
-    unserved: collections::BTreeMap<(name::InstanceName, name::MemberName), Failures>,
-    /// Silent owners that are being pinged.
-    pinged: collections::BTreeSet<name::InstanceName>,
+    /// Instances that leave, which own nothing.
+    leaving: sync::Arc<collections::BTreeSet<name::InstanceName>>,
+    standings: standing::Standings,
 }
 
 impl Routes {
     /// Clears the routes before they are recomputed.
-    pub(super) fn reset(&mut self, fleet: &sync::Arc<registry::Instances>) {
+    pub(super) fn reset(&mut self, now: Timestamp, view: &view::View) {
         self.by_member.clear();
-        if sync::Arc::ptr_eq(&self.fleet, fleet) {
+        if self.leaving != view.leaving {
+            self.leaving = view.leaving.clone();
+            self.owners.clear();
+            self.standings.set_leaving(now, &self.leaving);
+        }
+        if sync::Arc::ptr_eq(&self.fleet, &view.fleet) {
             return;
         }
-        self.fleet = fleet.clone();
+        self.fleet = view.fleet.clone();
         self.owners.clear();
-        self.silent.retain(|name, _| fleet.contains_key(name));
-        self.unserved
-            .retain(|(name, _), _| fleet.contains_key(name));
+        let fleet = &self.fleet;
+        self.standings.retain(|name| fleet.contains_key(name));
     }
 
     /// Returns how this instance reaches a member of `zone`, and stores the member's route if it
@@ -88,7 +69,7 @@
         zone: &str,
         inputs: &Inputs<'_>,
     ) -> share::Share {
-        self.update_owners(member, zone);
+        self.update_owners(inputs.own, member, zone);
         let Some(owner) = self.choose(now, member) else {
             return share::Share::Contended;
         };
@@ -107,7 +88,7 @@
         share::Share::Relayed
     }
 
-    fn update_owners(&mut self, member: &name::MemberName, zone: &str) {
+    fn update_owners(&mut self, own: &name::InstanceName, member: &name::MemberName, zone: &str) {
         if self
             .owners
             .get(member.as_str())
@@ -115,18 +96,20 @@
         {
             return;
         }
-        let owners = owners::of_member(&self.fleet, zone, member);
+        let owners = owners::that_serve(&self.fleet, &self.leaving, zone, member);
         let owners = Owners {
             zone: zone.to_owned(),
             names: owners.into_iter().cloned().collect(),
+            is_served: owners::may_serve(&self.fleet, own, zone, member),
         };
         self.owners.insert(member.clone(), owners);
     }
 
-    /// Whether an instance is one of a member's owners.
-    pub(super) fn is_owner(&self, own: &name::InstanceName, member: &name::MemberName) -> bool {
+    /// Whether this instance serves a member for others. Those may not know yet which owners leave,
+    /// or know it before this instance.
+    pub(super) fn is_served(&self, member: &name::MemberName) -> bool {
         let owners = self.owners.get(member.as_str());
-        owners.is_some_and(|o| o.names.contains(own))
+        owners.is_some_and(|o| o.is_served)
     }
 
     /// The first owner that isn't avoided. If all that answer can't serve the member, the one that
@@ -136,15 +119,14 @@
         let owners = self.owners.get(member.as_str())?;
         let mut best: Option<(Timestamp, &name::InstanceName)> = None;
         for owner in &owners.names {
-            if self.silent.contains_key(owner.as_str()) {
-                continue;
-            }
-            let failures = self.unserved.get(&(owner.clone(), member.clone()));
-            let Some(until) = failures.map(|f| f.avoided_until()).filter(|u| now < *u) else {
-                return Some(owner.clone());
-            };
-            if best.is_none_or(|(earliest, _)| until < earliest) {
-                best = Some((until, owner));
+            match self.standings.of(now, owner, member) {
+                standing::Standing::Usable => return Some(owner.clone()),
+                standing::Standing::Unusable => {}
+                standing::Standing::Unserving(until) => {
+                    if best.is_none_or(|(earliest, _)| until < earliest) {
+                        best = Some((until, owner));
+                    }
+                }
             }
         }
         best.map(|(_, owner)| owner.clone())
@@ -157,13 +139,14 @@
 
     /// Owners that are silent.
     pub(super) fn silent(&self) -> collections::BTreeSet<name::InstanceName> {
-        self.silent.keys().cloned().collect()
+        self.standings.silent()
     }
 
     /// The other owners of a member that aren't known to be silent, with their addresses.
     pub(super) fn others(
         &self,
         member: &name::MemberName,
+        now: Timestamp,
         own: &name::InstanceName,
     ) -> Vec<link::Owner> {
         let mut others = Vec::new();
@@ -171,7 +154,8 @@
             return others;
         };
         for owner in &owners.names {
-            if owner == own || self.silent.contains_key(owner.as_str()) {
+            let standing = self.standings.of(now, owner, member);
+            if owner == own || standing == standing::Standing::Unusable {
                 continue;
             }
             if let Some(entry) = self.fleet.get(owner.as_str()) {
@@ -184,26 +168,9 @@
         others
     }
 
-    /// Records that an owner doesn't answer; returns whether it answered before.
-    pub(super) fn record_silent(&mut self, now: Timestamp, owner: &name::InstanceName) -> bool {
-        let failures = self.silent.entry(owner.clone()).or_insert(Failures {
-            count: 0,
-            last: now,
-        });
-        failures.count += 1;
-        failures.last = now;
-        self.pinged.remove(owner.as_str());
-        log::info!(
-            "event=owner_silent owner={owner} failures={}",
-            failures.count
-        );
-        failures.count == 1
-    }
-
-    /// Records that an owner answers; returns whether it was silent before.
-    pub(super) fn record_answer(&mut self, owner: &name::InstanceName) -> bool {
-        self.pinged.remove(owner.as_str());
-        self.silent.remove(owner.as_str()).is_some()
+    /// The owners' standings, for what is learnt about them.
+    pub(super) fn standings(&mut self) -> &mut standing::Standings {
+        &mut self.standings
     }
 
     /// A member of the group, if any is known.
@@ -211,64 +178,20 @@
         self.owners.keys().next().cloned()
     }
 
-    /// Records that `owner` can't serve a member.
-    pub(super) fn record_unserved(
-        &mut self,
-        now: Timestamp,
-        owner: &name::InstanceName,
-        member: &name::MemberName,
-    ) {
-        self.unserved
-            .retain(|_, f| now < f.last.after(MAX_AVOIDANCE_PERIOD));
-        let key = (owner.clone(), member.clone());
-        let failures = self.unserved.entry(key).or_insert(Failures {
-            count: 0,
-            last: now,
-        });
-        failures.count += 1;
-        failures.last = now;
-        log::info!(
-            "event=owner_unserving owner={owner} member={member} failures={}",
-            failures.count
-        );
-    }
-
     /// Silent owners to ping now, with their addresses; the result of each ping must be recorded.
     pub(super) fn start_pings(&mut self, now: Timestamp) -> Vec<link::Owner> {
         let mut due = Vec::new();
-        for (owner, failures) in &self.silent {
-            if now < failures.avoided_until() || self.pinged.contains(owner.as_str()) {
-                continue;
-            }
-            if let Some(entry) = self.fleet.get(owner.as_str()) {
-                due.push(link::Owner {
-                    name: owner.clone(),
-                    address: entry.address,
-                });
+        for name in self.standings.start_pings(now) {
+            if let Some(entry) = self.fleet.get(name.as_str()) {
+                let address = entry.address;
+                due.push(link::Owner { name, address });
             }
         }
-        for owner in &due {
-            self.pinged.insert(owner.name.clone());
-        }
         due
     }
 
     /// When a ping is due or the routes must be recomputed.
     pub(super) fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
-        let mut next: Option<Timestamp> = None;
-        for (owner, failures) in &self.silent {
-            if self.pinged.contains(owner.as_str()) {
-                continue;
-            }
-            let at = failures.avoided_until();
-            next = Some(next.map_or(at, |n| n.min(at)));
-        }
-        for failures in self.unserved.values() {
-            let at = failures.avoided_until();
-            if at > now {
-                next = Some(next.map_or(at, |n| n.min(at)));
-            }
-        }
-        next
+        self.standings.next_wakeup(now)
     }
 }
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -174,6 +174,8 @@
     },
     /// A message about the limits of workspaces.
     Limits(cardamomhold_limit::message::Message),
+    /// Tells that the sender is about to stop: its successors own its members from now on.
+    Leaving,
 }
 
 impl Message {
@@ -203,6 +205,7 @@
             Self::VoterPing => "voter_ping",
             Self::VoterPong { .. } => "voter_pong",
             Self::Limits(message) => message.kind(),
+            Self::Leaving => "leaving",
         }
     }
 }
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -72,8 +72,8 @@
     }
 }
 
-/// Serves other instances until the process ends. While this instance shuts down, it only
-/// finishes open transactions.
+/// Serves other instances until the process ends. While this instance leaves, it still serves those
+/// that haven't learnt it; from [`stop::Phase::Ending`] on it only finishes open transactions.
 pub fn start<L: link::Link>(listener: TcpListener, context: Context<L>) {
     start_charged(listener, context, accounts::Handle::unlimited());
 }
@@ -203,11 +203,16 @@
         &mut self,
         request: &frame::Request<'_>,
     ) -> Result<frame::Outcome, frame::Failure> {
-        let is_leaving = *self.context.phase.borrow() != stop::Phase::Serving;
-        if is_leaving && self.work.is_none() {
+        let phase = *self.context.phase.borrow();
+        if phase >= stop::Phase::Ending && self.work.is_none() {
             return Err(frame::Failure::Unreachable);
         }
         if let frame::Body::Ping { group, member } = &request.body {
+            // Who asks would use this owner again.
+            let is_starting = !self.context.views.borrow().is_complete();
+            if phase != stop::Phase::Serving || is_starting {
+                return Err(frame::Failure::Unreachable);
+            }
             let is_answering = self.is_answering(group.as_str(), member).await;
             return Ok(frame::Outcome::Pong { is_answering });
         }
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -154,6 +154,8 @@
     pub leaderships: sync::Arc<record::Leaderships>,
     /// Registered instances, this one among them.
     pub fleet: sync::Arc<registry::Instances>,
+    /// Instances that have told that they are about to stop, this one included.
+    pub leaving: sync::Arc<collections::BTreeSet<name::InstanceName>>,
 }
 
 impl View {
--- a/crates/cardamomhold_entry/tests/owner_choice.rs
+++ b/crates/cardamomhold_entry/tests/owner_choice.rs
@@ -34,6 +34,29 @@
     assert!(load.values().all(|n| *n < 60), "{load:?}");
 }
 
+/// Guards against a member without an owner while several instances stop: the next ones by rank own
+/// it, and serve it for others whether or not they know that those before them leave.
+#[test]
+fn successors_replace_leaving() {
+    let fleet = world::fleet(20);
+    let member = world::member("db-1");
+    let none = collections::BTreeSet::new();
+    let before = owners::of_member(&fleet, "zone-a", &member);
+    assert_eq!(owners::that_serve(&fleet, &none, "zone-a", &member), before);
+    let leaving: collections::BTreeSet<_> = before.iter().map(|n| (*n).clone()).collect();
+    let after = owners::that_serve(&fleet, &leaving, "zone-a", &member);
+    assert_eq!(after.len(), before.len());
+    for owner in &after {
+        assert!(!leaving.contains(*owner), "{owner} leaves");
+        assert!(owners::may_serve(&fleet, owner, "zone-a", &member));
+    }
+    let served = fleet.keys();
+    let served = served.filter(|n| owners::may_serve(&fleet, n, "zone-a", &member));
+    assert_eq!(served.count(), 6);
+    let all = fleet.keys().cloned().collect();
+    assert_eq!(owners::that_serve(&fleet, &all, "zone-a", &member), before);
+}
+
 /// An owner leaves connections of a member to a successor that takes over, and to those who have to
 /// command the member.
 #[test]
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -460,6 +460,7 @@
         members: sync::Arc::new(members),
         leaderships: sync::Arc::new(leaderships),
         fleet: sync::Arc::new(fleet(instances)),
+        leaving: Default::default(),
     }
 }
 
