A transaction that a stop ends is over with the next answer

Cause: the next statement of a transaction ended by a stop was refused as malformed and left the transaction failed; the session ended before the rollback that the caller had to send. Transactions could begin after the end of open ones. Change: from Ending on such a statement, or one that is given up, is answered as aborted with an idle session, which ends then. BEGIN is refused.

--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -150,6 +150,9 @@
         }
         let is_open = self.session.transaction != session::Transaction::None;
         match request.statement {
+            statement::Statement::Begin { .. } if !is_open && self.is_ending() => {
+                self.answer_ended().await
+            }
             statement::Statement::Begin { read_only } if !is_open => {
                 self.session.transaction = session::Transaction::Open { read_only };
                 self.has_written = false;
@@ -252,6 +255,7 @@
                 let answer = answer::Answer::refused(answer::Code::Aborted, text, state);
                 self.writer.answer(&answer).await
             }
+            _ if self.is_ending() => self.answer_ended().await,
             _ => self.answer_malformed().await,
         }
     }
--- a/crates/cardamomhold_entry/src/caller/ending.rs
+++ b/crates/cardamomhold_entry/src/caller/ending.rs
@@ -1,5 +1,6 @@
 //! Waits for a caller's next request or for the end of its session.
 
+use std::io;
 use std::time;
 
 use tokio::sync::watch;
@@ -74,6 +75,26 @@
 }
 
 impl<L: link::Link, W: front::Writer> Task<'_, L, W> {
+    /// Whether open transactions have been ended, so that none may begin.
+    pub(super) fn is_ending(&self) -> bool {
+        *self.context.phase.borrow() >= stop::Phase::Ending
+    }
+
+    /// Refuses a request after the end of open transactions; none is open for the caller any more.
+    pub(super) async fn answer_ended(&mut self) -> io::Result<()> {
+        let was_open = self.session.transaction != session::Transaction::None;
+        self.session.transaction = session::Transaction::None;
+        let (code, text) = match was_open {
+            true => (
+                answer::Code::Aborted,
+                "stopping, the transaction was rolled back",
+            ),
+            false => (answer::Code::Busy, "stopping, connect again"),
+        };
+        let answer = answer::Answer::refused(code, text, self.state());
+        self.writer.answer(&answer).await
+    }
+
     /// Waits for the next event. Once all sessions end, requests that have arrived are left to the
     /// end of the session, which refuses them.
     pub(super) async fn next<'r, R: front::Reader>(
--- a/crates/cardamomhold_entry/src/caller/run.rs
+++ b/crates/cardamomhold_entry/src/caller/run.rs
@@ -85,7 +85,9 @@
                     .await
             }
             Err(failure) => {
-                if is_commit {
+                // The session ends with this answer once all sessions end.
+                let is_last = *self.context.phase.borrow() >= stop::Phase::Closing;
+                if is_commit || is_last {
                     self.session.transaction = session::Transaction::None;
                 } else if is_open {
                     self.session.transaction = session::Transaction::Failed;
