--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -55,6 +55,8 @@
     pub limits: limits::Handle,
     /// Counters of the frames.
     pub traffic: traffic::Traffic,
+    /// Counts the work for other instances.
+    pub users: stop::Users,
 }
 
 impl<L> Clone for Context<L> {
@@ -65,12 +67,13 @@
             phase: self.phase.clone(),
             limits: self.limits.clone(),
             traffic: self.traffic.clone(),
+            users: self.users.clone(),
         }
     }
 }
 
-/// Serves other instances until the process ends. While this instance shuts down, it only
-/// finishes open transactions.
+/// Serves other instances until the process ends. While this instance leaves, it still serves those
+/// that haven't learnt it; from [`stop::Phase::Ending`] on it only finishes open transactions.
 pub fn start<L: link::Link>(listener: TcpListener, context: Context<L>) {
     start_charged(listener, context, accounts::Handle::unlimited());
 }
@@ -147,6 +150,7 @@
     group: group::Handle<L>,
     header: frame::Header,
     permit: limits::Permit,
+    _user: stop::User,
 }
 
 /// State of one connection from another instance.
@@ -199,11 +203,16 @@
         &mut self,
         request: &frame::Request<'_>,
     ) -> Result<frame::Outcome, frame::Failure> {
-        let is_leaving = *self.context.phase.borrow() != stop::Phase::Serving;
-        if is_leaving && self.work.is_none() {
+        let phase = *self.context.phase.borrow();
+        if phase >= stop::Phase::Ending && self.work.is_none() {
             return Err(frame::Failure::Unreachable);
         }
         if let frame::Body::Ping { group, member } = &request.body {
+            // Who asks would use this owner again.
+            let is_starting = !self.context.views.borrow().is_complete();
+            if phase != stop::Phase::Serving || is_starting {
+                return Err(frame::Failure::Unreachable);
+            }
             let is_answering = self.is_answering(group.as_str(), member).await;
             return Ok(frame::Outcome::Pong { is_answering });
         }
@@ -304,6 +313,7 @@
         remaining: time::Duration,
         limit: tokio::time::Instant,
     ) -> Result<Work<L>, frame::Failure> {
+        let user = self.context.users.enter();
         let header = request.header.clone().ok_or(frame::Failure::Unreachable)?;
         self.check_grant(&header)?;
         let group = self
@@ -353,6 +363,7 @@
             group,
             header,
             permit,
+            _user: user,
         };
         if let Err(failure) = clear_state(&mut work.connection, limit).await {
             match failure {
