First leaderships are created without listing the control objects

Cause: after each first leadership that it wrote, the creating instance listed all control objects to see whether there is a promotion lock. The groups are created within one second, so that it received the square of their number.

Change: the coordinator, which knows the lock from its own reads, acquires the first one once a leadership has been written, one attempt at a time and on the condition that there is none.

--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -107,6 +107,8 @@
     is_leased: bool,
     /// The promotion lock.
     tenure: promotion_lock::Tenure,
+    /// Whether an attempt to acquire the first promotion lock is running.
+    is_acquiring: bool,
     electorate: electorate::Electorate,
     phase: watch::Receiver<stop::Phase>,
     instances: registry::Instances,
@@ -180,6 +182,7 @@
             lease: lease::Lease::new(clock::now()),
             is_leased: false,
             tenure,
+            is_acquiring: false,
             electorate: electorate::Electorate::default(),
             phase,
             instances: registry::Instances::new(),
@@ -263,6 +266,11 @@
                 observation,
             } => self.handle_probed(now, &group, change, observation),
             Event::Announce { record, acks } => self.announce(now, record, acks),
+            Event::LeadershipCreated => self.acquire_first_lock(),
+            Event::FirstLockEnded(lock) => {
+                self.is_acquiring = false;
+                self.update_lock(now, lock.as_ref());
+            }
             Event::HandoverEnded(group) => {
                 self.running.remove(group.as_str());
             }
--- a/crates/cardamomhold_entry/src/coordinator/event.rs
+++ b/crates/cardamomhold_entry/src/coordinator/event.rs
@@ -75,6 +75,10 @@
         /// Receives the names of the instances that acknowledged it.
         acks: Option<mpsc::UnboundedSender<name::InstanceName>>,
     },
+    /// This instance has written a first leadership.
+    LeadershipCreated,
+    /// An attempt to acquire the first promotion lock has ended; the lock if it succeeded.
+    FirstLockEnded(Option<promotion_lock::PromotionLock>),
     /// A handover of the group ended.
     HandoverEnded(name::GroupName),
     /// A handover has acquired the promotion lock, or found that this instance holds it.
--- a/crates/cardamomhold_entry/src/coordinator/failover.rs
+++ b/crates/cardamomhold_entry/src/coordinator/failover.rs
@@ -69,11 +69,12 @@
             let adapters = self.adapters.clone();
             let handle = self.handle.clone();
             tokio::task::spawn_local(async move {
-                if let Err(error) = handover::create_leadership(&adapters, &job).await {
-                    log::info!(
+                match handover::create_leadership(&adapters, &job).await {
+                    Ok(()) => handle.send(Event::LeadershipCreated),
+                    Err(error) => log::info!(
                         "event=leadership_missing group={} error=\"{error}\"",
                         job.group
-                    );
+                    ),
                 }
                 handle.send(Event::HandoverEnded(job.group));
             });
--- a/crates/cardamomhold_entry/src/coordinator/lock.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lock.rs
@@ -6,6 +6,8 @@
 use tokio::sync::oneshot;
 
 use crate::coordinator::Coordinator;
+use crate::coordinator::Event;
+use crate::handover;
 use crate::handover::permit;
 use crate::link;
 use crate::message;
@@ -32,6 +34,23 @@
         }
     }
 
+    /// Acquires the promotion lock if there is none, as this instance has created a leadership. Those
+    /// of many groups are created together, so that only one attempt is made at a time.
+    pub(super) fn acquire_first_lock(&mut self) {
+        if self.tenure.lock().is_some() || std::mem::replace(&mut self.is_acquiring, true) {
+            return;
+        }
+        let (store, own) = (self.adapters.store.clone(), self.own.clone());
+        let handle = self.handle.clone();
+        tokio::task::spawn_local(async move {
+            let acquired = handover::acquire_first_lock(&store, &own).await;
+            if let Err(error) = &acquired {
+                log::info!("event=duty_missing error=\"{error}\"");
+            }
+            handle.send(Event::FirstLockEnded(acquired.ok()));
+        });
+    }
+
     /// Stores the lock that a handover has acquired, and tells all instances.
     pub(super) fn handle_acquired(
         &mut self,
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -31,6 +31,7 @@
 pub mod permit;
 mod promote;
 
+pub use create::acquire_first_lock;
 pub use create::create_leadership;
 pub use error::HandoverError;
 
@@ -155,7 +156,7 @@
         }
         let voters = control.voters.as_ref().map(|(v, _)| v.clone());
         let voters = voters.ok_or(HandoverError::NoVoters)?;
-        let lock = lock::acquire(adapters, job, &control).await?;
+        let lock = lock::acquire(&adapters.store, &job.own, control.lock.as_ref()).await?;
         let order = control.orders.get(job.group.as_str()).cloned();
         let former = control.lock.map(|(l, _)| l.holder);
         coordinator.send(coordinator::Event::LockAcquired {
--- a/crates/cardamomhold_entry/src/handover/create.rs
+++ b/crates/cardamomhold_entry/src/handover/create.rs
@@ -2,6 +2,7 @@
 
 use cardamomhold_core::name;
 use cardamomhold_lead::candidate;
+use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_lead::succession;
 
@@ -11,7 +12,6 @@
 use crate::handover::Job;
 use crate::handover::admin;
 use crate::handover::lock;
-use crate::handover::read_control;
 use crate::handover::with_timeout;
 use crate::link;
 use crate::store;
@@ -51,9 +51,16 @@
         store::Condition::New,
     ))
     .await?;
-    let control = read_control(&adapters.store).await?;
-    if control.lock.is_none() {
-        lock::acquire(adapters, job, &control).await?;
-    }
     Ok(())
 }
+
+/// Acquires the promotion lock when the store has none yet.
+///
+/// # Errors
+/// [`HandoverError`]; without a lock, the first handover acquires it.
+pub async fn acquire_first_lock<S: store::Store>(
+    store: &S,
+    own: &name::InstanceName,
+) -> Result<promotion_lock::PromotionLock, HandoverError> {
+    lock::acquire(store, own, None).await
+}
