An answer has the samples of the groups that an instance reads from

Cause: each answer of a reader had the new samples of all groups, for up to 64 instances four times a second, although only reads take samples and the clients of one instance read from few groups.

Change: a request names the groups from which clients of its sender have read in the last 30 s, by two bytes of a hash each; those that it names for the first time get their last samples too. An instance that passes samples on to its zone asks for all. A reader still keeps nothing about who asks.

The first read from a group after 30 s without one finds no sample and goes to the primary. exchange_fuzz is unchanged and passes.

--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -16,6 +16,7 @@
 use cardamomhold_lead::renewal;
 use cardamomhold_lead::round;
 use cardamomhold_pool::exchange;
+use cardamomhold_pool::interest;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use xxhash_rust::xxh3;
@@ -80,7 +81,7 @@
 }
 
 /// A renewal request of another instance that waits for the next confirmation.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct HeldRequest {
     from: net::SocketAddr,
     number: u64,
@@ -88,6 +89,8 @@
     held: message::Held,
     /// Stamp of the last answer that the other instance has received.
     reference: Option<exchange::Stamp>,
+    /// The groups whose samples the other instance wants.
+    wanted: interest::Wanted,
     since: Timestamp,
 }
 
@@ -146,6 +149,8 @@
     /// Newest versions received from the store.
     seen: message::Seen,
     exchange: exchange::Exchange,
+    /// The groups whose samples this instance uses.
+    interest: interest::Interest,
     /// Whether other instances have newer versions from the store.
     lag: lag::Lag,
     /// How recently the configuration has been compared with the store.
@@ -207,6 +212,7 @@
             failing: collections::BTreeMap::new(),
             seen: message::Seen::default(),
             exchange: exchange::Exchange::new(run_id),
+            interest: interest::Interest::default(),
             lag: lag::Lag::default(),
             currency: currency::Currency::default(),
         }
@@ -260,6 +266,7 @@
             Event::Sampled { group, sample } => {
                 self.exchange.insert(&group, sample);
             }
+            Event::SamplesUsed(group) => self.interest.record_use(now, &group),
             Event::Probed {
                 group,
                 change,
--- a/crates/cardamomhold_entry/src/coordinator/event.rs
+++ b/crates/cardamomhold_entry/src/coordinator/event.rs
@@ -59,6 +59,8 @@
         /// The position, with the time at which the request was sent.
         sample: sample::Sample,
     },
+    /// Clients of this instance read from a group, which may take samples of its primary.
+    SamplesUsed(name::GroupName),
     /// A probe of a primary finished.
     Probed {
         /// The group.
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -166,11 +166,14 @@
         while self.requests.len() > MAX_OPEN_REQUESTS {
             self.requests.pop_front();
         }
+        // Who asks the reader of the fleet passes samples on to its zone.
+        let is_relaying = level == renewal::Level::Fleet;
         let request = message::Message::RenewalRequest {
             number,
             held: self.held(reader),
             seen: self.seen,
             report: self.exchange.report(),
+            wanted: self.interest.wanted(now, is_relaying),
         };
         self.peers.send(address, request);
     }
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -67,6 +67,7 @@
                 held,
                 seen,
                 report,
+                wanted,
             } => {
                 self.check_lag(now, seen);
                 self.renewal.record_request(now);
@@ -78,6 +79,7 @@
                     number,
                     held,
                     reference: report.reference,
+                    wanted,
                     since: now,
                 };
                 self.hold_renewal(now, &name, request);
@@ -97,6 +99,7 @@
                 self.check_lag(now, seen);
                 if let Some(request) = request {
                     self.renewal.record_answer(request.level);
+                    self.interest.record_answer(request.sent);
                     self.currency.record_report(now, seen);
                     // The request arrived after it was sent, and was kept for some time before the
                     // answer was sent.
@@ -298,7 +301,9 @@
             state: self.state_beyond(&request.held),
             lock: self.tenure.lock().cloned(),
             seen: self.currency.report(now, self.lag.known(self.seen)),
-            samples: self.exchange.answer_to(now, request.reference),
+            samples: self
+                .exchange
+                .answer_wanted(now, request.reference, &request.wanted),
         };
         self.peers.send(request.from, reply);
     }
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -39,6 +39,9 @@
 /// Minimum interval between two samples of the primary's position sent to the coordinator.
 const SAMPLE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// Minimum interval between two notices that samples are used.
+const USE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// A new connection with the member's log position, or why it could not be opened.
 pub type Opened<L> = Result<(L, Option<position::Position>), link::LinkError>;
 
@@ -203,6 +206,8 @@
     handle: Handle<C::Link>,
     last_report: Timestamp,
     last_sample: Timestamp,
+    /// When the coordinator was last told that samples are used.
+    last_use: Option<Timestamp>,
     last_observation: suspicion::Observation,
     /// Change number of the leadership that the pool uses.
     change: u64,
@@ -225,6 +230,7 @@
         handle: handle.clone(),
         last_report: Timestamp(0),
         last_sample: Timestamp(0),
+        last_use: None,
         last_observation: suspicion::Observation::Reached,
         change: 0,
         routes: routes::Routes::default(),
@@ -340,6 +346,7 @@
         let now = clock::now();
         match message {
             Message::Request { mut request, reply } => {
+                self.record_use(now, &request.requirement);
                 self.next_id += 1;
                 request.id = self.next_id;
                 self.pool.request(request.clone());
@@ -465,6 +472,17 @@
         });
     }
 
+    /// Tells the coordinator that a read may need samples of the primary's position.
+    fn record_use(&mut self, now: Timestamp, requirement: &wait_queue::Requirement) {
+        let is_read = matches!(requirement, wait_queue::Requirement::Read { .. });
+        let is_due = self.last_use.is_none_or(|at| now.since(at) >= USE_INTERVAL);
+        if is_read && is_due {
+            self.last_use = Some(now);
+            let used = coordinator::Event::SamplesUsed(self.context.group.clone());
+            self.context.coordinator.send(used);
+        }
+    }
+
     /// Applies the newest published sample of the primary's position.
     fn apply_sample(&mut self) {
         let samples = self.context.samples.borrow_and_update();
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -7,6 +7,7 @@
 use cardamomhold_lead::suspicion;
 use cardamomhold_lead::voters;
 use cardamomhold_pool::exchange;
+use cardamomhold_pool::interest;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -98,6 +99,8 @@
         seen: Seen,
         /// The sender's samples of the primaries' log positions.
         report: exchange::Report,
+        /// The groups whose samples the sender wants.
+        wanted: interest::Wanted,
     },
     /// Answers [`Message::RenewalRequest`].
     RenewalReply {
--- a/crates/cardamomhold_entry/tests/message_sizes.rs
+++ b/crates/cardamomhold_entry/tests/message_sizes.rs
@@ -14,6 +14,7 @@
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::record;
 use cardamomhold_pool::exchange;
+use cardamomhold_pool::interest;
 use cardamomhold_pool::sample;
 
 /// Largest datagram with a page of leaderships and without samples.
@@ -54,6 +55,15 @@
     samples
 }
 
+/// What an instance that uses eight groups wants.
+fn wanted() -> interest::Wanted {
+    let mut interest = interest::Interest::default();
+    for index in 0..8 {
+        interest.record_use(Timestamp(1), &group(index));
+    }
+    interest.wanted(Timestamp(2), false)
+}
+
 fn request(samples: &exchange::Exchange) -> usize {
     encoded(message::Message::RenewalRequest {
         number: 4_000_000_000,
@@ -70,6 +80,7 @@
             members: 90_000,
         },
         report: samples.report(),
+        wanted: wanted(),
     })
 }
 
--- a/crates/cardamomhold_pool/src/exchange.rs
+++ b/crates/cardamomhold_pool/src/exchange.rs
@@ -29,6 +29,7 @@
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
 
+use crate::interest;
 use crate::sample;
 
 /// Samples older than this are left out of answers.
@@ -157,21 +158,31 @@
 
     /// Samples to send with an answer at `now` to an instance of which nothing is known.
     pub fn answer(&self, now: Timestamp) -> Answer {
-        self.answer_after(now, 0)
+        self.answer_wanted(now, None, &interest::Wanted::default())
     }
 
     /// Samples to send at `now` with the answer to a request whose report has this `reference`: those
     /// stored since the last answer that the requesting instance has received.
     pub fn answer_to(&self, now: Timestamp, reference: Option<Stamp>) -> Answer {
-        let known = reference.filter(|s| s.run_id == self.run_id);
-        self.answer_after(now, known.map_or(0, |s| s.version))
+        self.answer_wanted(now, reference, &interest::Wanted::default())
     }
 
-    fn answer_after(&self, now: Timestamp, version: u64) -> Answer {
+    /// As [`Exchange::answer_to`], with the samples of the `wanted` groups only.
+    pub fn answer_wanted(
+        &self,
+        now: Timestamp,
+        reference: Option<Stamp>,
+        wanted: &interest::Wanted,
+    ) -> Answer {
+        let received = reference.filter(|s| s.run_id == self.run_id);
+        let received = received.map_or(0, |s| s.version);
         let mut samples = Vec::new();
         for (group, sample) in &self.newest {
+            let Some(known) = wanted.known_version(group.as_str(), received) else {
+                continue;
+            };
             let age = now.since(sample.sent);
-            let is_known = self.versions.get(group).is_some_and(|v| *v <= version);
+            let is_known = self.versions.get(group).is_some_and(|v| *v <= known);
             if is_known || age > MAX_FORWARD_AGE {
                 continue;
             }
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -30,6 +30,7 @@
 
 pub mod connections;
 pub mod exchange;
+pub mod interest;
 pub mod load;
 pub mod member;
 pub mod pool;
