Handovers share their listings of the control objects

Cause: each handover lists all control objects two or three times, so that the holder of the promotion lock receives the square of the groups when many primaries are lost at once.

Change: listings of handovers are shared by those that wait, and start at least 100 ms apart; the first after a pause isn't delayed. A listing answers only requests from before its start, so that it is as fresh as before.

The number of listings a second no longer follows the groups (shared_listings); a handover among many waits up to 100 ms more for each.

--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod report;
 pub mod roster;
 pub mod session;
+pub mod shared_listings;
 pub mod statement;
 pub mod stop;
 pub mod store;
