--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -16,6 +16,7 @@
 use cardamomhold_lead::renewal;
 use cardamomhold_lead::round;
 use cardamomhold_pool::exchange;
+use cardamomhold_pool::interest;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use xxhash_rust::xxh3;
@@ -81,7 +82,7 @@
 }
 
 /// A renewal request of another instance that waits for the next confirmation.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct HeldRequest {
     from: net::SocketAddr,
     number: u64,
@@ -89,6 +90,8 @@
     held: message::Held,
     /// Stamp of the last answer that the other instance has received.
     reference: Option<exchange::Stamp>,
+    /// The groups whose samples the other instance wants.
+    wanted: interest::Wanted,
     since: Timestamp,
 }
 
@@ -108,6 +111,8 @@
     is_leased: bool,
     /// The promotion lock.
     tenure: promotion_lock::Tenure,
+    /// Whether an attempt to acquire the first promotion lock is running.
+    is_acquiring: bool,
     electorate: electorate::Electorate,
     phase: watch::Receiver<stop::Phase>,
     instances: registry::Instances,
@@ -146,6 +151,8 @@
     /// Newest versions received from the store.
     seen: message::Seen,
     exchange: exchange::Exchange,
+    /// The groups whose samples this instance uses.
+    interest: interest::Interest,
     /// Whether other instances have newer versions from the store.
     lag: lag::Lag,
     /// How recently the configuration has been compared with the store.
@@ -182,6 +189,7 @@
             lease: lease::Lease::new(clock::now()),
             is_leased: false,
             tenure,
+            is_acquiring: false,
             electorate: electorate::Electorate::default(),
             phase,
             instances: registry::Instances::new(),
@@ -207,6 +215,7 @@
             failing: collections::BTreeMap::new(),
             seen: message::Seen::default(),
             exchange: exchange::Exchange::new(run_id),
+            interest: interest::Interest::default(),
             lag: lag::Lag::default(),
             currency: currency::Currency::default(),
         }
@@ -260,12 +269,18 @@
             Event::Sampled { group, sample } => {
                 self.exchange.insert(&group, sample);
             }
+            Event::SamplesUsed(group) => self.interest.record_use(now, &group),
             Event::Probed {
                 group,
                 change,
                 observation,
             } => self.handle_probed(now, &group, change, observation),
             Event::Announce { record, acks } => self.announce(now, record, acks),
+            Event::LeadershipCreated => self.acquire_first_lock(),
+            Event::FirstLockEnded(lock) => {
+                self.is_acquiring = false;
+                self.update_lock(now, lock.as_ref());
+            }
             Event::HandoverEnded(group) => {
                 self.running.remove(group.as_str());
             }
--- a/crates/cardamomhold_entry/src/coordinator/event.rs
+++ b/crates/cardamomhold_entry/src/coordinator/event.rs
@@ -59,6 +59,8 @@
         /// The position, with the time at which the request was sent.
         sample: sample::Sample,
     },
+    /// Clients of this instance read from a group, which may take samples of its primary.
+    SamplesUsed(name::GroupName),
     /// A probe of a primary finished.
     Probed {
         /// The group.
@@ -75,6 +77,10 @@
         /// Receives the names of the instances that acknowledged it.
         acks: Option<mpsc::UnboundedSender<name::InstanceName>>,
     },
+    /// This instance has written a first leadership.
+    LeadershipCreated,
+    /// An attempt to acquire the first promotion lock has ended; the lock if it succeeded.
+    FirstLockEnded(Option<promotion_lock::PromotionLock>),
     /// A handover of the group ended.
     HandoverEnded(name::GroupName),
     /// A handover has acquired the promotion lock, or found that this instance holds it.
