Reads name the longest wait before another member is faster

Load pattern: with 134 instances each one sends a member less than a statement a second, so the reported waits (400 ms) have expired by the next read, and reads of a zone queue at its replica while another is idle.

cardamomhold_pool::placement chooses by expected finish and gives each read the wait beyond which another member is expected to be faster. An owner can refuse the read at once, with its load; each member turns a read away once. The choice of members moves from pool.rs to pool/choice.rs; without refusals it is the former one.

benches/src/uneven.rs replays one group in virtual time with the real pool and queue: bursts to three times the load, moved clients, a replica five times slower, one 300 ms behind.

--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod reads;
 pub mod report;
 pub mod size;
+pub mod uneven;
--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -8,6 +8,7 @@
 use cardamomhold_bench::reads;
 use cardamomhold_bench::report;
 use cardamomhold_bench::size;
+use cardamomhold_bench::uneven;
 
 mod flags {
     xflags::xflags! {
@@ -17,6 +18,8 @@
             optional --json
             /// Compares the trip rules of the circuit breaker instead of printing the figures.
             optional --breaker
+            /// Replays uneven load with the former and the present decisions.
+            optional --uneven
             /// Seed of the request arrivals.
             optional --seed seed: u64
         }
@@ -32,6 +35,10 @@
         }
         return process::ExitCode::SUCCESS;
     }
+    if flags.uneven {
+        print_uneven(seed);
+        return process::ExitCode::SUCCESS;
+    }
     let mut figures = Vec::new();
     for size in &size::ALL {
         figures.extend(reads::measure(size, seed));
@@ -63,3 +70,23 @@
         bound: report::Bound::Most(gap.bound_ms as f64),
     }
 }
+
+/// Prints the results of uneven load: without the decisions that answer it, with each of them, and
+/// with all.
+fn print_uneven(seed: u64) {
+    let former = uneven::Decisions::default();
+    let reported = uneven::Decisions {
+        reports_refusals: true,
+        ..former
+    };
+    let present = uneven::Decisions {
+        moves_reads: true,
+        ..reported
+    };
+    for deployment in &uneven::DEPLOYMENTS {
+        for decisions in [former, reported, present] {
+            println!("{}, {decisions:?}", deployment.name);
+            println!("{}", uneven::run(deployment, decisions, seed));
+        }
+    }
+}
--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -106,6 +106,7 @@
         caller: call.caller.clone(),
         grant: call.grant.cloned(),
         avoid: Vec::new(),
+        asked: Vec::new(),
         target: call.target,
         deadline: call.deadline,
     };
--- a/crates/cardamomhold_entry/tests/stale_grant.rs
+++ b/crates/cardamomhold_entry/tests/stale_grant.rs
@@ -21,6 +21,7 @@
         caller: world::caller(),
         grant: None,
         avoid: Vec::new(),
+        asked: Vec::new(),
         target: deadline,
         deadline,
     }
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -56,6 +56,7 @@
         caller: caller(),
         grant: None,
         avoid: Vec::new(),
+        asked: Vec::new(),
         target: now.after(timeout / 4),
         deadline: now.after(timeout),
     }
--- a/crates/cardamomhold_pool/src/lib.rs
+++ b/crates/cardamomhold_pool/src/lib.rs
@@ -21,6 +21,7 @@
 //!     caller: CallerName::parse("kalkbok").unwrap(),
 //!     grant: None,
 //!     avoid: vec![],
+//!     asked: vec![],
 //!     target: Timestamp(5),
 //!     deadline: Timestamp(9),
 //! });
@@ -32,6 +33,7 @@
 pub mod exchange;
 pub mod load;
 pub mod member;
+pub mod placement;
 pub mod pool;
 pub mod sample;
 pub mod share;
--- a/crates/cardamomhold_pool/src/pool.rs
+++ b/crates/cardamomhold_pool/src/pool.rs
@@ -9,16 +9,12 @@
 
 use crate::load;
 use crate::member;
+use crate::placement;
 use crate::sample;
 use crate::share;
 use crate::wait_queue;
 
-/// Usual replication delay; a read that depends on a younger commit of its session goes to
-/// the primary unless a replica has reported the commit's position.
-const REPLICATION_DELAY: time::Duration = time::Duration::from_millis(150);
-
-/// Added cost of a read at the primary, in microseconds: only the primary can run writes.
-const PRIMARY_READ_COST_US: f64 = 40_000.0;
+mod choice;
 
 /// A connection granted to a request.
 #[derive(Debug)]
@@ -31,6 +27,8 @@
     pub is_primary: bool,
     /// Position that the member must have reached for a read.
     pub after: Option<position::Position>,
+    /// Wait beyond which another member is expected to finish the request earlier.
+    pub max_wait: Option<time::Duration>,
     /// An idle connection; `None` if one must be opened.
     pub link: Option<L>,
 }
@@ -176,8 +174,8 @@
                 done.push((request.rank, request.id));
                 continue;
             }
-            if let Some((index, after)) = self.choose_member(now, request, is_leased) {
-                decisions.push(Decision::Grant(self.check_out(index, request, after)));
+            if let Some((choice, after)) = self.choose_member(now, request, is_leased) {
+                decisions.push(Decision::Grant(self.check_out(choice, request, after)));
                 done.push((request.rank, request.id));
                 continue;
             }
@@ -198,18 +196,19 @@
 
     fn check_out(
         &mut self,
-        index: usize,
+        choice: placement::Choice,
         request: &wait_queue::Request,
         after: Option<position::Position>,
     ) -> Grant<L> {
-        let is_primary = self.is_primary(index);
-        let member = &mut self.members[index];
+        let is_primary = self.is_primary(choice.index);
+        let member = &mut self.members[choice.index];
         member.in_use += 1;
         Grant {
             id: request.id,
             member: member.name.clone(),
             is_primary,
             after,
+            max_wait: choice.max_wait,
             link: member.take_idle(request.workspace()),
         }
     }
@@ -218,96 +217,6 @@
         self.primary.as_ref() == Some(&self.members[index].name)
     }
 
-    /// Index of the member for a request, and the position that the member must have reached.
-    fn choose_member(
-        &self,
-        now: Timestamp,
-        request: &wait_queue::Request,
-        is_leased: bool,
-    ) -> Option<(usize, Option<position::Position>)> {
-        match &request.requirement {
-            wait_queue::Requirement::Primary => {
-                let index = self.available_primary(now, is_leased)?;
-                Some((index, None))
-            }
-            wait_queue::Requirement::Read {
-                staleness,
-                own_commit,
-            } => {
-                let primary = self.available_primary(now, is_leased);
-                let replica = self.choose_replica(now, request, *staleness, *own_commit);
-                let Some((index, needed, cost)) = replica else {
-                    return primary.map(|index| (index, None));
-                };
-                match primary {
-                    Some(primary) if self.is_relieved_by(now, request, primary, cost) => {
-                        Some((primary, None))
-                    }
-                    _ => Some((index, Some(needed))),
-                }
-            }
-        }
-    }
-
-    /// Whether a read should go to the primary although a replica is recent enough: all such
-    /// replicas have so much to do that the primary is much faster.
-    fn is_relieved_by(
-        &self,
-        now: Timestamp,
-        request: &wait_queue::Request,
-        primary: usize,
-        replica_cost: f64,
-    ) -> bool {
-        let member = &self.members[primary];
-        let is_avoided = request.avoid.contains(&member.name);
-        !is_avoided && member.cost_us(now, request.rank) + PRIMARY_READ_COST_US < replica_cost
-    }
-
-    fn available_primary(&self, now: Timestamp, is_leased: bool) -> Option<usize> {
-        if !is_leased {
-            return None;
-        }
-        let index = (0..self.members.len()).find(|index| self.is_primary(*index))?;
-        let member = &self.members[index];
-        // `is_ready` isn't checked: there is no other primary.
-        member.has_capacity(now).then_some(index)
-    }
-
-    fn choose_replica(
-        &self,
-        now: Timestamp,
-        request: &wait_queue::Request,
-        staleness: time::Duration,
-        own_commit: Option<(position::Position, Timestamp)>,
-    ) -> Option<(usize, position::Position, f64)> {
-        let mut needed = self.samples.required_position(now, staleness)?;
-        let mut is_recent = false;
-        if let Some((position, committed)) = own_commit {
-            needed = needed.max(position);
-            is_recent = needed == position && now.since(committed) < REPLICATION_DELAY;
-        }
-        let mut best: Option<(usize, f64)> = None;
-        for (index, member) in self.members.iter().enumerate() {
-            if !member.is_ready || self.is_primary(index) {
-                continue;
-            }
-            if !member.has_capacity(now) || request.avoid.contains(&member.name) {
-                continue;
-            }
-            if !member.may_have_reached(now, needed) {
-                continue;
-            }
-            if is_recent && !member.has_reached(needed) {
-                continue;
-            }
-            let cost = member.cost_us(now, request.rank);
-            if best.is_none_or(|(_, lowest)| cost < lowest) {
-                best = Some((index, cost));
-            }
-        }
-        best.map(|(index, cost)| (index, needed, cost))
-    }
-
     fn refusal_reason(&self, request: &wait_queue::Request, is_leased: bool) -> Reason {
         if request.requirement == wait_queue::Requirement::Primary
             && (self.primary.is_none() || !is_leased)
--- a/crates/cardamomhold_pool/src/wait_queue.rs
+++ b/crates/cardamomhold_pool/src/wait_queue.rs
@@ -37,6 +37,8 @@
     pub grant: Option<access::Grant>,
     /// Replicas on which the request has just failed.
     pub avoid: Vec<name::MemberName>,
+    /// Members whose owners have turned the request away because it would wait for too long.
+    pub asked: Vec<name::MemberName>,
     /// Time until which an answer brings its full benefit.
     pub target: Timestamp,
     /// Time from which a connection is no longer useful.
--- a/crates/cardamomhold_pool/tests/direct_connections.rs
+++ b/crates/cardamomhold_pool/tests/direct_connections.rs
@@ -36,6 +36,7 @@
             version: 1,
         }),
         avoid: Vec::new(),
+        asked: Vec::new(),
         target: Timestamp::from_millis(ms + 100),
         deadline: Timestamp::from_millis(ms + 200),
     });
--- a/crates/cardamomhold_pool/tests/relayed_requests.rs
+++ b/crates/cardamomhold_pool/tests/relayed_requests.rs
@@ -44,6 +44,7 @@
         caller: name::CallerName::parse("kalkbok").unwrap(),
         grant: None,
         avoid: Vec::new(),
+        asked: Vec::new(),
         target: Timestamp::from_millis(250),
         deadline: Timestamp::from_millis(10_000),
     }
--- a/crates/cardamomhold_pool/tests/scarce_connections.rs
+++ b/crates/cardamomhold_pool/tests/scarce_connections.rs
@@ -33,6 +33,7 @@
         caller: name::CallerName::parse("kalkbok").unwrap(),
         grant: None,
         avoid: Vec::new(),
+        asked: Vec::new(),
         target: deadline,
         deadline,
     }
