Owners refuse a read at once when another member is expected to be faster

The longest wait of a read goes to the owner in the header of its frame, and to the instance's own queue. An owner whose queue would keep the read for longer answers LongWait; nothing ran. The entry then chooses again with the reported load. A deployment without workspaces sends and does what it did before: the bound is named only for reads with a grant, as a former release can't read it. In a deployment with workspaces an owner of a former release closes the connection on such a frame, and the read is tried again elsewhere.

A refused request now reports the load of its own member. Before, the report was that of the last answer on the connection, or an idle member's on a new one, and it counted as new.

--- a/benches/src/uneven.rs
+++ b/benches/src/uneven.rs
@@ -9,6 +9,7 @@
 
 use cardamomhold_core::rank;
 
+mod attempt;
 pub mod owner;
 pub mod simulation;
 pub mod traffic;
--- a/benches/src/uneven/simulation.rs
+++ b/benches/src/uneven/simulation.rs
@@ -15,11 +15,14 @@
 use cardamomhold_pool::wait_queue;
 use cardamomhold_queue::job;
 use cardamomhold_queue::queue;
+use cardamomhold_workspace::access;
 
 use crate::uneven::Decisions;
 use crate::uneven::Deployment;
 use crate::uneven::KINDS;
 use crate::uneven::Results;
+use crate::uneven::attempt::Attempt;
+use crate::uneven::attempt::Ending;
 use crate::uneven::owner;
 use crate::uneven::traffic;
 
@@ -51,28 +54,6 @@
     Sample,
 }
 
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy)]
-enum Ending {
-    Answered(time::Duration),
-    Behind(position::Position),
-    Refused,
-    TurnedAway,
-}
-
-/// State of one operation.
-#[derive(Debug)]
-struct Attempt {
-    member: usize,
-    after: Option<position::Position>,
-    max_wait: Option<time::Duration>,
-    ending: Ending,
-    load: load::Load,
-    avoid: Vec<name::MemberName>,
-    asked: Vec<name::MemberName>,
-    count: u32,
-}
-
 /// A replay; member 0 is the primary.
 #[derive(Debug)]
 pub struct Simulation {
@@ -86,6 +67,7 @@
     owners: Vec<owner::Owner>,
     members: Vec<name::MemberName>,
     caller: name::CallerName,
+    grant: access::Grant,
     /// Times of the commits, whose positions are their indexes plus one.
     commits: Vec<Timestamp>,
     events: collections::BinaryHeap<cmp::Reverse<(Timestamp, u64, Event)>>,
@@ -117,16 +99,7 @@
             pool.set_instances(deployment.instances);
             pools.push(pool);
         }
-        let attempts = operations.iter().map(|_| Attempt {
-            member: 0,
-            after: None,
-            max_wait: None,
-            ending: Ending::Refused,
-            load: load::Load::default(),
-            avoid: Vec::new(),
-            asked: Vec::new(),
-            count: 0,
-        });
+        let attempts = operations.iter().map(|_| Attempt::default());
         Self {
             deployment: *deployment,
             decisions,
@@ -137,6 +110,10 @@
             owners: (0..3).map(|_| owner::Owner::new(deployment)).collect(),
             members,
             caller: name::CallerName::sanitized("client"),
+            grant: access::Grant {
+                workspace: name::WorkspaceName::sanitized("client"),
+                version: 1,
+            },
             commits: Vec::new(),
             events: collections::BinaryHeap::new(),
             next_event: 0,
@@ -220,7 +197,7 @@
             rank: kind.rank.index() as u8,
             requirement,
             caller: self.caller.clone(),
-            grant: None,
+            grant: Some(self.grant.clone()),
             avoid: attempt.avoid.clone(),
             asked: attempt.asked.clone(),
             target: operation.at.after(kind.target),
--- a/crates/cardamomhold_entry/src/admission.rs
+++ b/crates/cardamomhold_entry/src/admission.rs
@@ -87,6 +87,8 @@
     pub caller: name::CallerName,
     /// The workspace in whose name it runs; none in a deployment without workspaces.
     pub workspace: Option<name::WorkspaceName>,
+    /// Wait beyond which another member is expected to be faster.
+    pub max_wait: Option<time::Duration>,
     /// Time until which an answer brings its full benefit.
     pub target: Timestamp,
     /// Time from which an answer is no longer useful.
@@ -98,6 +100,8 @@
 pub enum Refusal {
     /// It would wait for too long; there is room after this time.
     Overloaded(time::Duration),
+    /// It would wait for longer than [`Request::max_wait`].
+    LongWait,
     /// The member can't be reached from here.
     Unreachable,
 }
--- a/crates/cardamomhold_entry/src/admission/task.rs
+++ b/crates/cardamomhold_entry/src/admission/task.rs
@@ -178,6 +178,12 @@
         request: Request,
         reply: oneshot::Sender<Result<Admitted<C::Link>, Refusal>>,
     ) {
+        let wait = self.queue.expected_wait(now, request.rank);
+        if request.max_wait.is_some_and(|max| wait > max) {
+            // The requester may have gone.
+            let _ = reply.send(Err(Refusal::LongWait));
+            return;
+        }
         self.next_id += 1;
         let id = job::JobId(self.next_id);
         let deadline = request.deadline;
--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -141,6 +141,11 @@
             },
             Err(failed) => {
                 retry::log_attempt(&call, attempt, &member, failed);
+                if failed.is_long_wait {
+                    last_failure = failed;
+                    request.asked.push(member);
+                    continue;
+                }
                 let is_overloaded = failed.code == answer::Code::Busy;
                 if failed.is_limited || is_overloaded && checkout.is_primary() {
                     return Err(failed);
@@ -378,6 +383,10 @@
             checkout.completion = pool::Completion::Unused;
             Err(failure::overloaded(after))
         }
+        Ok(Err(link::LinkError::LongWait)) => {
+            checkout.completion = pool::Completion::Unused;
+            Err(failure::long_wait())
+        }
         Ok(Err(link::LinkError::Refused(answer::Code::Unauthorized))) => {
             checkout.completion = pool::Completion::Unused;
             context.metrics.record_unauthorized("owner");
--- a/crates/cardamomhold_entry/src/attempt/failure.rs
+++ b/crates/cardamomhold_entry/src/attempt/failure.rs
@@ -25,6 +25,8 @@
     pub retry_after: Option<time::Duration>,
     /// Whether no other member can help: the workspace is over its limit.
     pub is_limited: bool,
+    /// Whether another member is expected to be faster.
+    pub is_long_wait: bool,
 }
 
 impl fmt::Display for Failure {
@@ -43,6 +45,7 @@
         cause,
         retry_after: None,
         is_limited: false,
+        is_long_wait: false,
     }
 }
 
@@ -52,6 +55,15 @@
         cause,
         retry_after: Some(retry_after),
         is_limited: false,
+        is_long_wait: false,
+    }
+}
+
+/// The member's owner expects a longer wait than at another member.
+pub(super) fn long_wait() -> Failure {
+    Failure {
+        is_long_wait: true,
+        ..busy("another member is expected to be faster", RETRY_DELAY)
     }
 }
 
--- a/crates/cardamomhold_entry/src/attempt/retry.rs
+++ b/crates/cardamomhold_entry/src/attempt/retry.rs
@@ -49,6 +49,10 @@
         checkout.completion = pool::Completion::NoSlot;
         return failure::busy("no slot in time", failure::RETRY_DELAY);
     }
+    if let link::LinkError::LongWait = error {
+        request.asked.push(checkout.member.clone());
+        return failure::long_wait();
+    }
     request.avoid.push(checkout.member.clone());
     match error {
         link::LinkError::Overloaded(after) => failure::overloaded(*after),
@@ -60,6 +64,7 @@
             }
             failure::failed(answer::Code::Behind, "no replica is fresh enough")
         }
+        link::LinkError::LongWait => failure::long_wait(),
         link::LinkError::Refused(_)
         | link::LinkError::Unreachable(_)
         | link::LinkError::Broken(_)
@@ -84,6 +89,7 @@
 pub(super) fn is_final<L>(checkout: &checkout::Checkout<L>, error: &link::LinkError) -> bool {
     match error {
         link::LinkError::Limited(_) => true,
+        link::LinkError::LongWait => false,
         _ => checkout.is_primary() && error.is_owner_refusal(),
     }
 }
--- a/crates/cardamomhold_entry/src/caller.rs
+++ b/crates/cardamomhold_entry/src/caller.rs
@@ -385,6 +385,7 @@
                 cause: "the connection broke inside the transaction",
                 retry_after: None,
                 is_limited: false,
+                is_long_wait: false,
             })?;
             return attempt::run_next(self.context, &route.group, checkout, call).await;
         }
--- a/crates/cardamomhold_entry/src/group/open.rs
+++ b/crates/cardamomhold_entry/src/group/open.rs
@@ -240,6 +240,7 @@
             rank: request.rank,
             caller: request.caller,
             grant: request.grant,
+            max_wait: grant.max_wait,
             target: request.target,
             deadline: request.deadline,
         });
--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -100,6 +100,7 @@
             rank: relay::owner::to_rank(waiting.request.rank),
             caller: waiting.request.caller.clone(),
             workspace: waiting.request.workspace().cloned(),
+            max_wait: grant.max_wait,
             target: waiting.request.target,
             deadline: waiting.request.deadline,
         };
@@ -139,6 +140,7 @@
                 self.pool.release(now, &grant.member, None, unused);
                 self.refuse(grant.id, Refusal::Overloaded(after));
             }
+            Err(admission::Refusal::LongWait) => self.move_on(now, &grant),
             Err(admission::Refusal::Unreachable) => {
                 let failed = pool::Completion::Failed;
                 self.report(now, &grant.member, suspicion::Observation::Failed);
@@ -149,6 +151,20 @@
         }
     }
 
+    /// Chooses again for a request that would wait for too long in this instance's own queue.
+    fn move_on(&mut self, now: Timestamp, grant: &pool::Grant<checkout::Connection<C::Link>>) {
+        if let Some(owned) = self.owned.get(grant.member.as_str()) {
+            let load = owned.handle.status().load;
+            self.pool.record_load(now, &grant.member, load);
+        }
+        let unused = pool::Completion::Unused;
+        self.pool.release(now, &grant.member, None, unused);
+        if let Some(waiting) = self.waiting.get_mut(&grant.id) {
+            waiting.request.asked.push(grant.member.clone());
+        }
+        self.requeue(grant.id);
+    }
+
     /// Stops using this instance's own queue for a member that it can't reach; other owners may.
     fn avoid_own(&mut self, now: Timestamp, member: &name::MemberName) {
         let own = self.context.instance.clone();
--- a/crates/cardamomhold_entry/src/link.rs
+++ b/crates/cardamomhold_entry/src/link.rs
@@ -120,6 +120,9 @@
     /// The owner refused the command, since its workspace is over its limit; it did not run. There
     /// may be a token after this time.
     Limited(time::Duration),
+    /// The owner refused the command, since it would wait for longer than [`Priority::max_wait`]; it
+    /// did not run.
+    LongWait,
 }
 
 impl LinkError {
@@ -133,7 +136,8 @@
             | Self::OwnerLost(_)
             | Self::Garbled
             | Self::Overloaded(_)
-            | Self::Limited(_) => false,
+            | Self::Limited(_)
+            | Self::LongWait => false,
         }
     }
 
@@ -142,7 +146,10 @@
     pub fn is_owner_refusal(&self) -> bool {
         matches!(
             self,
-            Self::Overloaded(_) | Self::Limited(_) | Self::Refused(answer::Code::Unauthorized)
+            Self::Overloaded(_)
+                | Self::Limited(_)
+                | Self::LongWait
+                | Self::Refused(answer::Code::Unauthorized)
         )
     }
 }
@@ -152,7 +159,7 @@
     match result {
         Ok(_) => true,
         Err(LinkError::Refused(code)) => !code.allows_retry(),
-        Err(LinkError::Overloaded(_) | LinkError::Limited(_)) => false,
+        Err(LinkError::Overloaded(_) | LinkError::Limited(_) | LinkError::LongWait) => false,
         Err(
             LinkError::Unreachable(_)
             | LinkError::Broken(_)
@@ -172,6 +179,7 @@
             Self::Refused(code) => write!(f, "refused: {}", code.as_str()),
             Self::Overloaded(after) => write!(f, "overloaded for {} ms", after.as_millis()),
             Self::Limited(after) => write!(f, "over the limit for {} ms", after.as_millis()),
+            Self::LongWait => f.write_str("another member is expected to be faster"),
         }
     }
 }
@@ -187,6 +195,8 @@
     pub caller: name::CallerName,
     /// The right to run them in the name of a workspace; none in a deployment without workspaces.
     pub grant: Option<access::Grant>,
+    /// Wait for a slot beyond which another member is expected to be faster.
+    pub max_wait: Option<time::Duration>,
     /// Time until which an answer brings its full benefit.
     pub target: Timestamp,
     /// Time from which an answer is no longer useful.
--- a/crates/cardamomhold_entry/src/relay/client.rs
+++ b/crates/cardamomhold_entry/src/relay/client.rs
@@ -151,6 +151,7 @@
             member: self.member.clone(),
             caller: priority.caller.clone(),
             grant: priority.grant.clone(),
+            max_wait: priority.max_wait,
             rank: priority.rank,
             target_us: priority.target.since(now).as_micros() as u64,
         })
--- a/crates/cardamomhold_entry/src/relay/frame.rs
+++ b/crates/cardamomhold_entry/src/relay/frame.rs
@@ -49,6 +49,10 @@
     /// workspaces. Encoded beside the header.
     #[serde(skip)]
     pub grant: Option<access::Grant>,
+    /// Wait for a slot beyond which another member is expected to be faster. Encoded beside the
+    /// header.
+    #[serde(skip)]
+    pub max_wait: Option<time::Duration>,
     /// Rank, 0 the most urgent.
     pub rank: u8,
     /// Time left until its target, in microseconds.
@@ -145,6 +149,7 @@
             Self::Failed(Failure::Refused(_)) => "refused",
             Self::Failed(Failure::Overloaded { .. }) => "overloaded",
             Self::Failed(Failure::Limited { .. }) => "limited",
+            Self::Failed(Failure::LongWait) => "long_wait",
             Self::Pong { .. } => "pong",
         }
     }
@@ -171,6 +176,8 @@
         /// Time after which there may be a token, in milliseconds.
         after_ms: u32,
     },
+    /// The request would wait for longer than its header allows; nothing ran.
+    LongWait,
 }
 
 impl From<Failure> for link::LinkError {
@@ -186,6 +193,7 @@
             Failure::Limited { after_ms } => {
                 Self::Limited(time::Duration::from_millis(after_ms.into()))
             }
+            Failure::LongWait => Self::LongWait,
         }
     }
 }
@@ -203,6 +211,7 @@
             link::LinkError::Limited(after) => Self::Limited {
                 after_ms: after.as_millis() as u32,
             },
+            link::LinkError::LongWait => Self::LongWait,
         }
     }
 }
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -259,20 +259,21 @@
         group: &str,
         member: &cardamomhold_core::name::MemberName,
     ) -> bool {
-        let handle = self.context.groups.borrow().get(group).cloned();
-        let Some(handle) = handle else {
-            return true;
-        };
+        let status = self.status(group, member).await;
+        status.is_none_or(|s| s.is_answering(clock::now()))
+    }
+
+    /// State of the member's queue; none for a group that isn't set up.
+    async fn status(
+        &self,
+        group: &str,
+        member: &cardamomhold_core::name::MemberName,
+    ) -> Option<admission::Status> {
+        let handle = self.context.groups.borrow().get(group).cloned()?;
         let (reply, status) = oneshot::channel();
         let member = member.clone();
-        if handle
-            .send(group::Message::Status { member, reply })
-            .is_err()
-        {
-            return true;
-        }
-        let status = status.await.unwrap_or_default();
-        status.is_answering(clock::now())
+        handle.send(group::Message::Status { member, reply }).ok()?;
+        Some(status.await.unwrap_or_default())
     }
 
     /// Checks the workspace against this instance's own configuration, which may be newer than the
@@ -324,6 +325,7 @@
             rank: to_rank(header.rank),
             caller: header.caller.clone(),
             workspace: workspace.cloned(),
+            max_wait: header.max_wait,
             target,
             deadline,
         };
@@ -339,11 +341,17 @@
         let admitted = tokio::time::timeout_at(limit, admitted).await;
         let admitted = admitted.ok().and_then(Result::ok);
         let admitted = admitted.unwrap_or(Err(admission::Refusal::Unreachable));
+        if admitted.is_err() {
+            // The report of the last answer may be of another time or member.
+            let status = self.status(header.group.as_str(), &header.member).await;
+            self.last_report.load = status.unwrap_or_default().load;
+        }
         let admission::Admitted { connection, job } =
             admitted.map_err(|refusal| match refusal {
                 admission::Refusal::Overloaded(after) => frame::Failure::Overloaded {
                     after_ms: after.as_millis() as u32,
                 },
+                admission::Refusal::LongWait => frame::Failure::LongWait,
                 admission::Refusal::Unreachable => frame::Failure::Unreachable,
             })?;
         self.last_report.waited_us = job.waited.as_micros() as u32;
--- a/crates/cardamomhold_entry/tests/held_connections.rs
+++ b/crates/cardamomhold_entry/tests/held_connections.rs
@@ -68,6 +68,7 @@
     let (mut link, _) = connector.open(&target).await.unwrap();
     let deadline = clock::now().after(timeout);
     link.set_priority(link::Priority {
+        max_wait: None,
         rank: 0,
         caller: world::caller(),
         grant: None,
@@ -113,6 +114,7 @@
         tokio::time::sleep(first + first / 2).await;
         world.members.script.borrow_mut().answer_delay = time::Duration::from_millis(200);
         let grant = pool::Grant {
+            max_wait: None,
             id: 1,
             member: world::member("a"),
             is_primary: false,
--- a/crates/cardamomhold_entry/tests/limited_operations.rs
+++ b/crates/cardamomhold_entry/tests/limited_operations.rs
@@ -142,6 +142,7 @@
     let (mut link, _) = connector.open(&target).await.unwrap();
     let deadline = clock::now().after(time::Duration::from_secs(5));
     link.set_priority(link::Priority {
+        max_wait: None,
         rank: 0,
         caller: world::caller(),
         grant: Some(grant(workspace)),
--- a/crates/cardamomhold_entry/tests/odd_frames.rs
+++ b/crates/cardamomhold_entry/tests/odd_frames.rs
@@ -25,6 +25,7 @@
 
 fn header() -> frame::Header {
     frame::Header {
+        max_wait: None,
         group: world::group_name(),
         member: world::member("a"),
         caller: world::caller(),
@@ -132,6 +133,7 @@
         let (mut link, _) = connector.open(&target).await.unwrap();
         let deadline = clock::now().after(time::Duration::from_secs(5));
         link.set_priority(link::Priority {
+            max_wait: None,
             rank: 200,
             caller: world::caller(),
             grant: None,
--- a/crates/cardamomhold_entry/tests/owner_queue.rs
+++ b/crates/cardamomhold_entry/tests/owner_queue.rs
@@ -49,9 +49,20 @@
 }
 
 fn ask(owner: &Handle, rank: rank::Rank, index: u64, timeout_ms: u64) -> Reply {
+    ask_within(owner, rank, index, timeout_ms, None)
+}
+
+fn ask_within(
+    owner: &Handle,
+    rank: rank::Rank,
+    index: u64,
+    timeout_ms: u64,
+    max_wait: Option<time::Duration>,
+) -> Reply {
     let now = clock::now();
     let caller = format!("caller-{index}");
     let request = admission::Request {
+        max_wait,
         rank,
         caller: name::CallerName::parse(&caller).unwrap(),
         workspace: None,
@@ -182,6 +193,28 @@
     });
 }
 
+/// A read that may wait no longer than at another member is refused at once while the queue is
+/// longer, and served when it is empty; guards against reads that queue beside an idle member.
+#[test]
+fn long_wait_is_refused() {
+    world::run_in_real_time(async {
+        let owner = owner(&world::Members::default());
+        let max_wait = Some(time::Duration::ZERO);
+        let first = ask_within(&owner, rank::Rank::Normal, 0, 60_000, max_wait);
+        work(first.await.unwrap().unwrap()).await;
+        let mut waiting = Vec::new();
+        for index in 1..20 {
+            waiting.push(ask(&owner, rank::Rank::Normal, index, 60_000));
+        }
+        settle().await;
+        let refused = ask_within(&owner, rank::Rank::Normal, 20, 60_000, max_wait);
+        let refused = refused.await.unwrap().unwrap_err();
+        assert_eq!(refused, admission::Refusal::LongWait);
+        let wait_ms = owner.status().load.waits_ms[rank::Rank::Normal.index()];
+        assert!(wait_ms > 0, "an idle member is reported");
+    });
+}
+
 /// Connections are opened two at a time, however many statements wait.
 #[test]
 fn openings_are_paced() {
--- a/crates/cardamomhold_entry/tests/relayed_grants.rs
+++ b/crates/cardamomhold_entry/tests/relayed_grants.rs
@@ -95,6 +95,7 @@
     let deadline = clock::now().after(time::Duration::from_secs(20));
     let name = grant.map_or("caller", |(workspace, _)| workspace);
     link.set_priority(link::Priority {
+        max_wait: None,
         rank: 0,
         caller: name::CallerName::parse(name).unwrap(),
         grant: grant.map(|(text, version)| access::Grant {
@@ -205,6 +206,7 @@
         };
         let mut link = connect(&world, via).await;
         link.set_priority(link::Priority {
+            max_wait: None,
             rank: 0,
             caller: caller.clone(),
             grant: Some(grant.clone()),
@@ -217,6 +219,7 @@
             silent: tokio::sync::watch::channel(Default::default()).1,
         };
         let granted = pool::Grant {
+            max_wait: None,
             id: 1,
             member: world::member("a"),
             is_primary: false,
@@ -262,6 +265,7 @@
 fn request(grant: Option<access::Grant>) -> frame::Request<'static> {
     frame::Request {
         header: Some(frame::Header {
+            max_wait: None,
             group: world::group_name(),
             member: world::member("a"),
             caller: world::caller(),
@@ -274,6 +278,25 @@
     }
 }
 
+/// The longest wait arrives with the grant; guards against an owner that reads one without the
+/// other.
+#[test]
+fn wait_comes_along() {
+    let grant = Some(access::Grant {
+        workspace: workspace("large"),
+        version: 3,
+    });
+    let max_wait = Some(time::Duration::from_millis(20));
+    for (grant, max_wait) in [(grant.clone(), max_wait), (grant, None), (None, max_wait)] {
+        let mut sent = request(grant.clone());
+        sent.header.as_mut().unwrap().max_wait = max_wait;
+        let bytes = postcard::to_stdvec(&sent).unwrap();
+        let received: frame::Request<'_> = frame::decode(&bytes).unwrap();
+        let header = received.header.unwrap();
+        assert_eq!((header.grant, header.max_wait), (grant, max_wait));
+    }
+}
+
 /// Without workspaces, frames are the same bytes as before; guards against instances that can't
 /// understand each other while a deployment is upgraded.
 #[test]
--- a/crates/cardamomhold_entry/tests/relayed_statements.rs
+++ b/crates/cardamomhold_entry/tests/relayed_statements.rs
@@ -72,6 +72,7 @@
     let (mut link, _) = connector.open(&target).await.unwrap();
     let deadline = clock::now().after(time::Duration::from_secs(20));
     link.set_priority(link::Priority {
+        max_wait: None,
         rank: 0,
         caller: world::caller(),
         grant: None,
@@ -284,6 +285,7 @@
         world.group().await;
         let link = connect(&world, "a", via).await;
         let grant = pool::Grant {
+            max_wait: None,
             id: 1,
             member: world::member("a"),
             is_primary: false,
--- a/crates/cardamomhold_entry/tests/workspace_queue.rs
+++ b/crates/cardamomhold_entry/tests/workspace_queue.rs
@@ -43,6 +43,7 @@
 fn ask(owner: &Handle, text: &str, timeout_ms: u64) -> Reply {
     let now = clock::now();
     let request = admission::Request {
+        max_wait: None,
         rank: rank::Rank::Normal,
         caller: name::CallerName::parse(text).unwrap(),
         workspace: Some(name::WorkspaceName::parse(text).unwrap()),
--- a/crates/cardamomhold_pool/src/pool/choice.rs
+++ b/crates/cardamomhold_pool/src/pool/choice.rs
@@ -51,7 +51,11 @@
         }
         let relief = primary.map(|index| self.candidate(now, request, index));
         candidates.extend(relief.filter(|c| !self.is_avoided(request, c.index)));
-        let choice = placement::choose(&candidates)?;
+        let mut choice = placement::choose(&candidates)?;
+        if request.grant.is_none() {
+            // Without workspaces, owners are sent what former releases can read.
+            choice.max_wait = None;
+        }
         let after = needed.filter(|_| !self.is_primary(choice.index));
         Some((choice, after.map(|n| n.position)))
     }
