--- a/crates/cardamomhold_entry/src/caller/ending.rs
+++ b/crates/cardamomhold_entry/src/caller/ending.rs
@@ -61,6 +61,7 @@
         cause: "the instance stops, and the member has not answered",
         retry_after: None,
         is_limited: false,
+        is_long_wait: false,
     }
 }
 
