Readers that answer in time are not skipped

Cause: the time without an answer began on the first tick after the last answer, not with the next request. A request is due up to 250 ms later and kept for up to 250 ms, so that by an unlucky phase of the ticks a reader that answers each request passed READER_TIMEOUT (400 ms). The instance then read the store itself for 5 s. Change: the time begins when a request is sent (Renewal::record_sent). The tests skips_unresponsive_reader and load_is_flat state when requests are sent; their bounds are as before. answering_reader_is_kept is new.

--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -163,6 +163,7 @@
             level,
         };
         self.requests.push_back(sent);
+        self.renewal.record_sent(now, level);
         while self.requests.len() > MAX_OPEN_REQUESTS {
             self.requests.pop_front();
         }
--- a/crates/cardamomhold_entry/tests/renewal_load.rs
+++ b/crates/cardamomhold_entry/tests/renewal_load.rs
@@ -67,6 +67,7 @@
             if reader == *name || !renewal.next(now, remaining, false, false).reader {
                 continue;
             }
+            renewal.record_sent(now, renewal::Level::Zone);
             let is_up = !is_silent || !firsts.contains(&reader);
             let is_answered = budgets.entry(reader.clone()).or_default().admit(now) && is_up;
             if is_answered {
--- a/crates/cardamomhold_lead/src/renewal.rs
+++ b/crates/cardamomhold_lead/src/renewal.rs
@@ -92,7 +92,9 @@
 struct Skipped {
     /// Number of consecutive readers that did not answer.
     count: usize,
-    /// When the current reader was first asked since its last answer.
+    /// When the current reader was first asked since its last answer. The time before counts for
+    /// nothing: a request is due only each [`RENEWAL_INTERVAL`], and a reader may keep it for
+    /// [`MAX_HOLD`], which together are longer than [`READER_TIMEOUT`].
     unanswered: Option<Timestamp>,
     /// When the first reader was skipped.
     since: Option<Timestamp>,
@@ -100,10 +102,10 @@
 
 impl Skipped {
     fn update(&mut self, now: Timestamp) -> usize {
-        let unanswered = *self.unanswered.get_or_insert(now);
-        if now >= unanswered.after(READER_TIMEOUT) {
+        let unanswered = self.unanswered;
+        if unanswered.is_some_and(|at| now >= at.after(READER_TIMEOUT)) {
             self.count += 1;
-            self.unanswered = Some(now);
+            self.unanswered = None;
             self.since.get_or_insert(now);
         }
         if self
@@ -129,6 +131,11 @@
             .is_some_and(|at| now < at.after(READER_ROLE_DURATION))
     }
 
+    /// Records that a request is sent to a reader.
+    pub fn record_sent(&mut self, now: Timestamp, level: Level) {
+        self.skipped(level).unanswered.get_or_insert(now);
+    }
+
     /// Records an answer of a reader.
     pub fn record_answer(&mut self, level: Level) {
         self.skipped(level).unanswered = None;
--- a/crates/cardamomhold_lead/tests/lease_renewal.rs
+++ b/crates/cardamomhold_lead/tests/lease_renewal.rs
@@ -72,7 +72,9 @@
     let at = Timestamp::from_millis;
     assert_eq!(renewal.skipped_readers(at(1_000), renewal::Level::Zone), 0);
     renewal.record_answer(renewal::Level::Zone);
+    renewal.record_sent(at(1_300), renewal::Level::Zone);
     assert_eq!(renewal.skipped_readers(at(1_300), renewal::Level::Zone), 0);
+    renewal.record_sent(at(1_550), renewal::Level::Zone);
     assert_eq!(renewal.skipped_readers(at(1_600), renewal::Level::Zone), 0);
     assert_eq!(renewal.skipped_readers(at(1_700), renewal::Level::Zone), 1);
     assert_ne!(renewal::reader(9, 50, 0), renewal::reader(9, 50, 1));
@@ -91,6 +93,29 @@
     );
 }
 
+/// A reader that answers each request in time isn't skipped, however long after its last answer the
+/// next request is due. Guards against instances of a zone that read the store beside their reader
+/// for five seconds at a time.
+#[test]
+fn answering_reader_is_kept() {
+    let mut renewal = renewal::Renewal::default();
+    let mut sent = None;
+    for tick in 0..400 {
+        let now = Timestamp::from_millis(1_000 + tick * 50);
+        // The reader keeps each request for the longest time, which ends on its own next tick.
+        if sent.is_some_and(|at: Timestamp| now.since(at).as_millis() >= 350) {
+            renewal.record_answer(renewal::Level::Fleet);
+            sent = None;
+        }
+        assert_eq!(renewal.skipped_readers(now, renewal::Level::Fleet), 0);
+        // Requests are sent on the instance's own ticks.
+        if sent.is_none() && tick % 6 == 0 {
+            renewal.record_sent(now, renewal::Level::Fleet);
+            sent = Some(now);
+        }
+    }
+}
+
 /// While the store is unavailable, an instance that is not a reader rarely asks it.
 #[test]
 fn limits_store_retries() {
