One instance watches the store for all

Cause: every instance watched config, members and instances. A quiet watch cost two calls a minute, each change one call of every instance, and a start three listings and three watches. Change: an answer to a renewal vouches for the sender's copies: who compared them with the store, how long ago, and the revision of the last change of each kind (cardamomhold_entry::currency, without I/O). An instance that lacks something takes the changed objects from the one that vouches, in pages of datagrams (cardamomhold_entry::contents, without I/O), and makes no call while the vouch is young: a quarter of the time in which a change must be in force for the readers of the zones, half of it for the others. The first by rank watches with long waits, as the reads of the control objects show the store's revision. A configuration with workspaces isn't passed on, since its keys must not get into a datagram; it is listed once for each change.

--- a/crates/cardamomhold_entry/src/control.rs
+++ b/crates/cardamomhold_entry/src/control.rs
@@ -24,6 +24,8 @@
 /// The control objects with their revisions.
 #[derive(Debug, Clone, Default)]
 pub struct Control {
+    /// The store's revision at the time of the read.
+    pub revision: u64,
     /// The promotion lock.
     pub lock: Option<(promotion_lock::PromotionLock, u64)>,
     /// The voters.
@@ -37,7 +39,10 @@
 impl Control {
     /// Decodes the objects; those that can't be decoded are logged and left out.
     pub fn read(listing: &store::Listing) -> Self {
-        let mut control = Self::default();
+        let mut control = Self {
+            revision: listing.revision,
+            ..Self::default()
+        };
         for document in &listing.documents {
             if let Err(error) = control.insert(document) {
                 log::warn!(
--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -25,6 +25,7 @@
 use crate::creations;
 use crate::currency;
 use crate::failovers;
+use crate::follow;
 use crate::handover;
 use crate::lag;
 use crate::limits;
@@ -45,6 +46,7 @@
 mod lease_renewal;
 mod lock;
 mod messages;
+mod versions;
 
 pub use event::Event;
 pub use event::Handle;
@@ -65,8 +67,10 @@
     pub samples: watch::Sender<view::Samples>,
     /// Incremented when the store's watches must restart: after an outage, or when others are ahead.
     pub epoch: watch::Sender<u64>,
-    /// Whether another instance would tell this one of newer versions in the store.
-    pub informed: watch::Sender<bool>,
+    /// The tasks that keep the copies of the store's objects, in the order of [`contents::Kind::ALL`].
+    pub follows: [follow::Handle; 3],
+    /// Times in which changes in the store must be in force, by which these tasks are directed.
+    pub bounds: currency::Bounds,
     /// The limits of workspaces, whose task is told the voters and its datagrams.
     pub limits: limits::Handle,
 }
@@ -125,6 +129,8 @@
     store_answered: Option<Timestamp>,
     /// Start of the current store outage, and its first problem.
     outage: Option<(Timestamp, String)>,
+    /// End of the last store outage, until the watches have started again.
+    regained_unlisted: Option<Timestamp>,
     /// End of this instance's last long store outage; others may not have had it.
     store_regained: Option<Timestamp>,
     /// Groups without a leadership.
@@ -146,7 +152,7 @@
     exchange: exchange::Exchange,
     /// Whether other instances have newer versions from the store.
     lag: lag::Lag,
-    /// How recently the configuration has been compared with the store.
+    /// Up to which time the copies of the store's objects are complete.
     currency: currency::Currency,
 }
 
@@ -166,6 +172,7 @@
         published: Published,
         phase: watch::Receiver<stop::Phase>,
     ) -> Self {
+        let bounds = published.bounds;
         let tenure = promotion_lock::Tenure::new(clock::now(), &own);
         let run_id = clock::run_id();
         Self {
@@ -193,6 +200,7 @@
             announcements: collections::BTreeMap::new(),
             store_answered: None,
             outage: None,
+            regained_unlisted: None,
             store_regained: None,
             creations: creations::Creations::default(),
             control_reader,
@@ -205,7 +213,7 @@
             seen: message::Seen::default(),
             exchange: exchange::Exchange::new(run_id),
             lag: lag::Lag::default(),
-            currency: currency::Currency::default(),
+            currency: currency::Currency::new(clock::now(), bounds),
         }
     }
 
@@ -234,7 +242,7 @@
                 self.roster.update(now, members);
                 self.publish_members(now);
             }
-            Event::CatalogChecked(sent) => self.currency.record_check(sent),
+            Event::Held(kind, held) => self.currency.record_held(kind, held),
             Event::Instances(instances) => self.update_instances(instances),
             Event::ControlRead(sent, control) => self.handle_control(now, sent, &control),
             Event::ControlReadFailed(problem) => {
@@ -348,7 +356,8 @@
         let now = clock::now();
         self.log_lease_change(now);
         self.publish_isolation(now);
-        self.publish_informed(now);
+        self.publish_modes(now);
+        self.restart_watches(now);
         self.answer_overdue(now);
         self.renew_lease(now);
         if self.roster.has_missing() {
--- a/crates/cardamomhold_entry/src/coordinator/event.rs
+++ b/crates/cardamomhold_entry/src/coordinator/event.rs
@@ -12,7 +12,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::contents;
 use crate::control;
+use crate::currency;
 use crate::handover::permit;
 use crate::message;
 use crate::registry;
@@ -30,9 +32,8 @@
         /// Newest revision among the entries.
         revision: u64,
     },
-    /// The store has answered a call that was sent at this time: no configuration from before it is
-    /// missing.
-    CatalogChecked(Timestamp),
+    /// How recent this instance's copy of a kind of objects is.
+    Held(contents::Kind, currency::Held),
     /// The registered instances.
     Instances(registry::Instances),
     /// The store's control objects, with the time at which the read was sent.
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -44,9 +44,10 @@
             .record_revision(control.voters.as_ref().map(|(_, revision)| *revision));
         self.update_lock(now, control.lock.as_ref().map(|(l, _)| l));
         self.store_answered = Some(now);
+        self.record_revision(sent, control.revision);
         if let Some((since, problem)) = self.outage.take() {
             log::info!("event=store_regained after=\"{problem}\"");
-            self.published.epoch.send_modify(|e| *e += 1);
+            self.regained_unlisted = Some(now);
             if now.since(since) >= promotion_lock::HOLDER_TIMEOUT {
                 self.store_regained = Some(now);
             }
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -11,6 +11,7 @@
 use crate::coordinator;
 use crate::coordinator::Coordinator;
 use crate::coordinator::HeldRequest;
+use crate::follow;
 use crate::limits;
 use crate::link;
 use crate::message;
@@ -90,6 +91,7 @@
                 lock,
                 seen,
                 samples,
+                vouch,
             } => {
                 let request = self.requests.iter().find(|r| r.number == number).copied();
                 let is_complete = self.update_state(state, &name, request.is_some());
@@ -97,11 +99,13 @@
                 self.check_lag(now, seen);
                 if let Some(request) = request {
                     self.renewal.record_answer(request.level);
-                    self.currency.record_report(now, seen);
                     // The request arrived after it was sent, and was kept for some time before the
                     // answer was sent.
                     let answered = request.sent.0.saturating_add(held_us);
                     let answered = Timestamp(answered).min(now);
+                    if let Some(vouch) = &vouch {
+                        self.record_vouch(now, answered, from, vouch);
+                    }
                     if self.exchange.apply_answer(now, answered, &samples) {
                         self.publish_samples();
                     }
@@ -152,6 +156,10 @@
             } => self
                 .electorate
                 .record_answer(now, &name, generation, is_leaving),
+            message::Message::Contents(message) => {
+                let received = follow::Command::Received(from, message);
+                self.published.tell(received);
+            }
             message::Message::Limits(message) => {
                 let received = limits::Command::Received(name, message);
                 self.published.limits.send(received);
@@ -291,29 +299,25 @@
         else {
             return;
         };
+        let vouch = self.currency.vouch(now, &self.own);
+        let seen = vouch.as_ref().map(|_| self.lag.known(self.seen));
         let reply = message::Message::RenewalReply {
             number: request.number,
             age_us: age.as_micros() as u64,
             held_us: now.since(request.since).as_micros() as u64,
             state: self.state_beyond(&request.held),
             lock: self.tenure.lock().cloned(),
-            seen: self.currency.report(now, self.lag.known(self.seen)),
+            seen: seen.unwrap_or_default(),
             samples: self.exchange.answer_to(now, request.reference),
+            vouch,
         };
         self.peers.send(request.from, reply);
     }
 
-    /// Publishes whether a reader would tell this instance of newer versions, if that has changed.
-    pub(super) fn publish_informed(&self, now: Timestamp) {
-        let is_informed = self.currency.is_informed(now);
-        self.published
-            .informed
-            .send_if_modified(|i| is_informed != std::mem::replace(i, is_informed));
-    }
-
     /// Restarts the watches of the store when other instances have been ahead for a while.
     pub(super) fn check_lag(&mut self, now: Timestamp, other: message::Seen) {
-        if self.lag.record(now, self.seen, other) {
+        // An instance that doesn't watch gets what it lacks from another one.
+        if self.lag.record(now, self.seen, other) && self.published.watches() {
             log::warn!("event=behind seen={:?} other={other:?}", self.seen);
             self.published.epoch.send_modify(|e| *e += 1);
         }
--- a/crates/cardamomhold_entry/src/currency.rs
+++ b/crates/cardamomhold_entry/src/currency.rs
@@ -1,60 +1,238 @@
-//! Whether the configuration that an instance has is current, by its own calls of the store or by
-//! another instance's.
+//! Up to which time an instance's copies of configuration, members and instances are complete, and
+//! whether it watches the store itself.
 //!
-//! Load pattern: a watch on a connection that has silently stopped must be noticed within the time
-//! in which a configuration comes into force, but a short wait at every instance costs the store a
-//! call each time. So only the reader of the fleet, and whoever has no reader that is current,
-//! watches with short waits; it tells the others which versions it has.
+//! Load pattern: each watch of the store is paid for, by its answers and by its wait time, and so is
+//! each change for every instance that watches. So one instance watches, the others are told by
+//! their readers up to which time its copies are complete, and take changed objects from them. An
+//! instance whose copies aren't known to be complete recently watches the store itself: first those
+//! that the others ask, then all.
 
+use std::collections;
 use std::time;
 
+use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 
-use crate::message;
+use crate::contents::Kind;
 
-/// Age of the last check above which an instance doesn't vouch for its versions. Longer than the
-/// checks of an instance that watches with short waits are apart.
-const MAX_CHECK_AGE: time::Duration = time::Duration::from_millis(3_000);
+/// Time in which a change of the instances is to be known everywhere.
+const INSTANCES_TIME: time::Duration = time::Duration::from_millis(20_000);
 
-/// Time since a reader last vouched for its versions after which an instance is on its own: some
-/// renewals of the lease.
-const MAX_REPORT_AGE: time::Duration = time::Duration::from_millis(1_000);
+/// Instances by rank that watch the store early when nobody vouches.
+const EARLY_RANKS: u32 = 3;
 
-/// When an instance's configuration was last compared with the store.
-#[derive(Debug, Default)]
+/// Vouches that wait until this instance has the objects that it lacks.
+const MAX_PENDING: usize = 8;
+
+/// Whether a kind is watched in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Mode {
+    /// It isn't: another instance vouches for its copy, or is about to.
+    #[default]
+    Idle,
+    /// With a long wait: the reads of the control objects show the store's revision, and so whether
+    /// the watch has missed a change.
+    Long,
+    /// With a short wait, as a silent connection would not be noticed otherwise.
+    Short,
+}
+
+/// States that the sender's copies are complete.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Vouch {
+    /// The instance that has compared its copies with the store.
+    pub origin: name::InstanceName,
+    /// Age of that comparison, in microseconds.
+    pub age_us: u64,
+    /// Revision by which the last change of each kind was known.
+    pub heads: [u64; 3],
+}
+
+/// Times in which changes must be in force everywhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Of the configuration.
+    pub config: time::Duration,
+    /// Of the members.
+    pub members: time::Duration,
+}
+
+impl Bounds {
+    fn of(self, kind: Kind) -> time::Duration {
+        match kind {
+            Kind::Config => self.config,
+            Kind::Members => self.members,
+            Kind::Instances => INSTANCES_TIME,
+        }
+    }
+
+    /// Age of the last comparison above which an instance watches a kind itself. The listing that
+    /// follows, and passing it on, take the rest of the time.
+    fn max_age(self, kind: Kind, rank: u32) -> time::Duration {
+        match rank < EARLY_RANKS {
+            true => self.of(kind) / 4,
+            false => self.of(kind) / 2,
+        }
+    }
+}
+
+/// This instance's copy of a kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Held {
+    /// Revision of the store up to which it is complete; none without a copy.
+    pub revision: Option<u64>,
+    /// Revision by which the last change was known.
+    pub head: u64,
+    /// When the call was sent by which the copy was last compared with the store.
+    pub checked: Option<Timestamp>,
+}
+
+/// Another instance's vouch, which held at the time `at`.
+#[derive(Debug, Clone)]
+struct Report {
+    origin: name::InstanceName,
+    at: Timestamp,
+    heads: [u64; 3],
+}
+
+/// How recent this instance's copies are.
+#[derive(Debug)]
 pub struct Currency {
-    /// When the last call was sent that the store has answered.
-    checked: Option<Timestamp>,
-    /// When a reader last vouched for its versions.
-    reported: Option<Timestamp>,
+    bounds: Bounds,
+    started: Timestamp,
+    held: [Held; 3],
+    /// When the last read of the control objects was sent that the store has answered.
+    control: Option<Timestamp>,
+    /// The newest vouch of which this instance lacks nothing.
+    report: Option<Report>,
+    /// Vouches of which it lacks something, the newest last.
+    pending: collections::VecDeque<Report>,
 }
 
 impl Currency {
-    /// Records that the store has answered a call that was sent at `sent`.
-    pub fn record_check(&mut self, sent: Timestamp) {
-        self.checked = self.checked.max(Some(sent));
+    /// Creates the state of an instance that starts at `now`.
+    pub fn new(now: Timestamp, bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            started: now,
+            held: [Held::default(); 3],
+            control: None,
+            report: None,
+            pending: collections::VecDeque::new(),
+        }
     }
 
-    /// Records the versions that a reader reports.
-    pub fn record_report(&mut self, now: Timestamp, seen: message::Seen) {
-        if seen != message::Seen::default() {
-            self.reported = Some(now);
+    /// Records this instance's copy of a kind.
+    pub fn record_held(&mut self, kind: Kind, held: Held) {
+        let known = &mut self.held[kind as usize];
+        let checked = known.checked.max(held.checked);
+        *known = Held { checked, ..held };
+        while let Some(index) = self.pending.iter().rposition(|r| !self.lacks(&r.heads)) {
+            self.report = self.pending.drain(..=index).next_back();
         }
     }
 
-    /// Whether a reader would tell this instance of newer versions.
-    pub fn is_informed(&self, now: Timestamp) -> bool {
-        self.reported
-            .is_some_and(|at| now.since(at) < MAX_REPORT_AGE)
+    /// Records that the store had this revision when a read of the control objects was sent. Copies
+    /// of this revision are complete.
+    pub fn record_control(&mut self, sent: Timestamp, revision: u64) {
+        self.control = self.control.max(Some(sent));
+        for held in &mut self.held {
+            if held.revision.is_some_and(|r| r >= revision) {
+                held.checked = held.checked.max(Some(sent));
+            }
+        }
     }
 
-    /// The versions that this instance, asked as a reader, reports: none if it may have missed
-    /// newer ones.
-    pub fn report(&self, now: Timestamp, seen: message::Seen) -> message::Seen {
-        let is_checked = self.checked.is_some_and(|at| now.since(at) < MAX_CHECK_AGE);
-        match is_checked || self.is_informed(now) {
-            true => seen,
-            false => message::Seen::default(),
+    /// Records the vouch of another instance, which held at the time `at`.
+    pub fn record_vouch(&mut self, own: &name::InstanceName, at: Timestamp, vouch: &Vouch) {
+        let is_newer = self.report.as_ref().is_none_or(|r| r.at < at);
+        if vouch.origin == *own || !is_newer {
+            return;
         }
+        let report = Report {
+            origin: vouch.origin.clone(),
+            at,
+            heads: vouch.heads,
+        };
+        if !self.lacks(&report.heads) {
+            self.report = Some(report);
+            self.pending.clear();
+            return;
+        }
+        if self.pending.len() == MAX_PENDING {
+            self.pending.remove(MAX_PENDING / 2);
+        }
+        self.pending.push_back(report);
+    }
+
+    /// Whether the copy of a kind lacks changes up to `head`.
+    pub fn is_behind(&self, kind: Kind, head: u64) -> bool {
+        let revision = self.held[kind as usize].revision;
+        revision.is_none_or(|r| r < head)
+    }
+
+    fn lacks(&self, heads: &[u64; 3]) -> bool {
+        let mut kinds = Kind::ALL.into_iter().zip(heads);
+        kinds.any(|(kind, head)| self.is_behind(kind, *head))
+    }
+
+    /// When this instance's copies were last compared with the store by its own calls; none if that
+    /// is long ago for any of them.
+    fn checked(&self, now: Timestamp) -> Option<Timestamp> {
+        let is_recent = |kind: Kind| {
+            let checked = self.held[kind as usize].checked;
+            checked.is_some_and(|at| now.since(at) < self.bounds.of(kind) / 2)
+        };
+        let is_complete = Kind::ALL.into_iter().all(is_recent);
+        self.held[Kind::Config as usize]
+            .checked
+            .filter(|_| is_complete)
+    }
+
+    /// What this instance tells those that ask it; none if its copies may lack changes.
+    pub fn vouch(&self, now: Timestamp, own: &name::InstanceName) -> Option<Vouch> {
+        let checked = self.checked(now).map(|at| (at, own));
+        let report = self.report.as_ref().map(|r| (r.at, &r.origin));
+        let newest = checked.into_iter().chain(report).max_by_key(|(at, _)| *at);
+        let (at, origin) = newest?;
+        let age = now.since(at);
+        (age < self.bounds.config / 2).then(|| Vouch {
+            origin: origin.clone(),
+            age_us: age.as_micros() as u64,
+            heads: self.held.map(|h| h.head),
+        })
+    }
+
+    /// Whether each kind is to be watched now. `rank_of` gives the rank of an instance among those
+    /// that watch the store, 0 the first.
+    pub fn modes(
+        &self,
+        now: Timestamp,
+        own: &name::InstanceName,
+        rank_of: impl Fn(&name::InstanceName) -> u32,
+        current: [Mode; 3],
+    ) -> [Mode; 3] {
+        let knows_instances = self.held[Kind::Instances as usize].revision.is_some();
+        let rank = match knows_instances {
+            true => rank_of(own),
+            false => u32::MAX,
+        };
+        let report = self.report.as_ref();
+        let last = report.map_or(self.started, |r| r.at.max(self.started));
+        // Of two that watch, the first by rank goes on. Otherwise each might stop for the other.
+        let is_preceded = report.is_none_or(|r| rank_of(&r.origin) < rank);
+        let read_age = self.control.map(|at| now.since(at));
+        let shows_revision = read_age.is_some_and(|age| age < self.bounds.config / 4);
+        Kind::ALL.map(|kind| {
+            // An instance that isn't listed yet has no reader to ask.
+            let is_unlisted = kind == Kind::Instances && knows_instances && rank == u32::MAX;
+            let is_told = now.since(last) < self.bounds.max_age(kind, rank) && !is_unlisted;
+            let may_stop = current[kind as usize] == Mode::Idle || is_preceded;
+            match (rank, shows_revision) {
+                (1.., _) if is_told && may_stop => Mode::Idle,
+                (_, true) => Mode::Long,
+                (_, false) => Mode::Short,
+            }
+        })
     }
 }
--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod clock;
 pub mod closing;
 pub mod connect;
+pub mod contents;
 pub mod control;
 pub mod control_reader;
 pub mod coordinator;
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -8,6 +8,9 @@
 use cardamomhold_lead::voters;
 use cardamomhold_pool::exchange;
 
+use crate::contents;
+use crate::currency;
+
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Envelope {
@@ -116,6 +119,8 @@
         seen: Seen,
         /// Samples of the primaries' log positions that the sender has collected.
         samples: exchange::Answer,
+        /// How recent the sender's copies of the store's objects are.
+        vouch: Option<currency::Vouch>,
     },
     /// Announces a leadership that was written to the store.
     Announce(record::Leadership),
@@ -172,6 +177,8 @@
         /// Whether the sender is about to stop.
         is_leaving: bool,
     },
+    /// A message about the copies of the store's objects.
+    Contents(contents::Message),
     /// A message about the limits of workspaces.
     Limits(cardamomhold_limit::message::Message),
 }
@@ -202,6 +209,7 @@
             Self::LockReleased(_) => "lock_released",
             Self::VoterPing => "voter_ping",
             Self::VoterPong { .. } => "voter_pong",
+            Self::Contents(message) => message.kind(),
             Self::Limits(message) => message.kind(),
         }
     }
--- a/crates/cardamomhold_entry/src/registry.rs
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -102,6 +102,25 @@
     }
 }
 
+/// Rank of an instance among those that watch the store for the others, 0 the first: the readers of
+/// the zones, then all others; the last for one that isn't registered. Without any registered
+/// instance each is the first.
+pub fn watcher_rank(instances: &Instances, name: &name::InstanceName) -> u32 {
+    if instances.is_empty() {
+        return 0;
+    }
+    let mut first: collections::BTreeMap<&str, &name::InstanceName> = collections::BTreeMap::new();
+    for (name, entry) in instances {
+        first.entry(&entry.zone).or_insert(name);
+    }
+    if let Some(rank) = first.values().position(|n| *n == name) {
+        return rank as u32;
+    }
+    let index = instances.keys().position(|n| n == name);
+    let rank = index.map(|index| first.len() + index);
+    rank.map_or(u32::MAX, |rank| rank as u32)
+}
+
 /// Instances to ask about a primary, of all zones and `turn` by `turn` other ones. Each of them
 /// connects to the primary, which accepts fewer connections than there are instances.
 pub fn witnesses<'a>(
--- a/crates/cardamomhold_entry/tests/followed_kinds.rs
+++ b/crates/cardamomhold_entry/tests/followed_kinds.rs
@@ -5,6 +5,8 @@
 use std::time;
 
 use cardamomhold_entry::clock;
+use cardamomhold_entry::contents;
+use cardamomhold_entry::currency;
 use cardamomhold_entry::follow;
 use cardamomhold_entry::store;
 use tokio::sync::watch;
@@ -91,15 +93,16 @@
     let seen = Seen::default();
     let published = seen.clone();
     let watched = follow::Watched {
+        id: contents::Kind::Members,
         kind: "members",
         pause: time::Duration::from_millis(10),
         freshness: store::Freshness::Cached,
         silence: time::Duration::from_millis(1_000),
+        lists_first: false,
+        is_passed: |_| true,
     };
-    let control = follow::Control {
-        restart: restart.clone(),
-        informed: watch::channel(true).1,
-    };
+    let (handle, control) = follow::channels(restart.clone());
+    handle.mode.send_replace(currency::Mode::Long);
     follow::start(store.clone(), watched, control, move |progress| {
         if let follow::Progress::Changed(documents) = progress {
             let all = documents.values().map(|d| (d.name.clone(), d.revision));
--- a/crates/cardamomhold_entry/tests/message_sizes.rs
+++ b/crates/cardamomhold_entry/tests/message_sizes.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_entry::currency;
 use cardamomhold_entry::message;
 use cardamomhold_lead::pages;
 use cardamomhold_lead::promotion_lock;
@@ -88,6 +89,11 @@
             members: 90_000,
         },
         samples: samples.answer(Timestamp::from_millis(4_000_100)),
+        vouch: Some(currency::Vouch {
+            origin: instance(),
+            age_us: 400_000,
+            heads: [90_000; 3],
+        }),
     })
 }
 
--- a/crates/cardamomhold_entry/tests/silent_watches.rs
+++ b/crates/cardamomhold_entry/tests/silent_watches.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_entry::contents;
 use cardamomhold_entry::currency;
 use cardamomhold_entry::follow;
 use cardamomhold_entry::lag;
@@ -53,22 +54,22 @@
 
 const SILENCE: time::Duration = time::Duration::from_millis(400);
 
-/// Follows a kind; returns the senders that keep the task running.
-fn follow(store: &Store, is_informed: bool) -> (watch::Sender<u64>, watch::Sender<bool>) {
+/// Follows a kind; returns the sender that keeps the task running, and its channels.
+fn follow(store: &Store, mode: currency::Mode) -> (watch::Sender<u64>, follow::Handle) {
     let (epoch, restart) = watch::channel(0);
-    let (informed, is_informed) = watch::channel(is_informed);
     let watched = follow::Watched {
+        id: contents::Kind::Config,
         kind: "config",
         pause: time::Duration::from_millis(10),
         freshness: store::Freshness::Latest,
         silence: SILENCE,
+        lists_first: false,
+        is_passed: |_| true,
     };
-    let control = follow::Control {
-        restart,
-        informed: is_informed,
-    };
+    let (handle, control) = follow::channels(restart);
+    handle.mode.send_replace(mode);
     follow::start(store.clone(), watched, control, |_| {});
-    (epoch, informed)
+    (epoch, handle)
 }
 
 fn run(test: impl Future<Output = ()>) {
@@ -89,7 +90,7 @@
 fn lonely_watch_is_short() {
     run(async {
         let store = Store::default();
-        let _senders = follow(&store, false);
+        let _senders = follow(&store, currency::Mode::Short);
         sleep(100).await;
         assert_eq!(store.listings.get(), 1);
         sleep(700).await;
@@ -98,16 +99,16 @@
     });
 }
 
-/// An instance that another one tells of newer versions makes no more calls than before; once it
-/// is told nothing any more, its watch is replaced at once.
+/// An instance for which the store's revision is read otherwise makes one long watch; once that ends,
+/// its watch is replaced at once.
 #[test]
-fn informed_watch_is_long() {
+fn long_watch_is_replaced() {
     run(async {
         let store = Store::default();
-        let (_epoch, informed) = follow(&store, true);
+        let (_epoch, handle) = follow(&store, currency::Mode::Long);
         sleep(900).await;
         assert_eq!(store.waits.borrow().len(), 1);
-        informed.send_replace(false);
+        handle.mode.send_replace(currency::Mode::Short);
         sleep(50).await;
         let waits = store.waits.borrow();
         assert_eq!(waits.len(), 2);
@@ -116,27 +117,40 @@
     });
 }
 
-fn seen(config: u64) -> message::Seen {
-    message::Seen { config, members: 5 }
+/// A long watch that doesn't tell of a newer revision of the store is replaced within the bound.
+#[test]
+fn missed_revision_is_noticed() {
+    run(async {
+        let store = Store::default();
+        let (_epoch, handle) = follow(&store, currency::Mode::Long);
+        sleep(50).await;
+        handle.commands.send(follow::Command::Revision(7)).unwrap();
+        sleep(700).await;
+        assert!(store.waits.borrow().len() >= 2);
+        assert!(store.listings.get() >= 2);
+    });
 }
 
-/// An instance that doesn't compare its versions with the store, nor hears from one that does,
-/// vouches for nothing, so that those who ask it watch for themselves.
+/// An instance for which another one vouches makes no call; once nobody does, it lists at once.
 #[test]
-fn unchecked_reader_reports_nothing() {
-    let at = Timestamp::from_millis;
-    let mut currency = currency::Currency::default();
-    let nothing = message::Seen::default();
-    assert_eq!(currency.report(at(1_000), seen(4)), nothing);
-    currency.record_check(at(1_000));
-    assert_eq!(currency.report(at(3_900), seen(4)), seen(4));
-    assert_eq!(currency.report(at(4_100), seen(4)), nothing);
-    currency.record_report(at(5_000), nothing);
-    assert!(!currency.is_informed(at(5_000)));
-    currency.record_report(at(5_000), seen(4));
-    assert!(currency.is_informed(at(5_900)));
-    assert_eq!(currency.report(at(5_900), seen(4)), seen(4));
-    assert!(!currency.is_informed(at(6_000)));
+fn idle_kind_makes_no_call() {
+    run(async {
+        let store = Store::default();
+        let (_epoch, handle) = follow(&store, currency::Mode::Idle);
+        sleep(900).await;
+        assert_eq!(store.listings.get(), 0);
+        handle.mode.send_replace(currency::Mode::Short);
+        sleep(50).await;
+        assert_eq!(store.listings.get(), 1);
+        handle.mode.send_replace(currency::Mode::Idle);
+        sleep(900).await;
+        assert_eq!(store.listings.get(), 1);
+        assert_eq!(store.waits.borrow().len(), 1);
+    });
+}
+
+fn seen(config: u64) -> message::Seen {
+    message::Seen { config, members: 5 }
 }
 
 /// A reader passes on the newest configuration that it has heard of before it has it itself, so that
--- /dev/null
+++ b/crates/cardamomhold_entry/tests/vouched_copies.rs
@@ -0,0 +1,151 @@
+//! Up to which time copies of the store's objects are complete, and who watches the store.
+
+// `allow-unwrap-in-tests` of clippy.toml doesn't cover helper functions.
+#![allow(clippy::unwrap_used)]
+
+use std::time;
+
+use cardamomhold_core::name;
+use cardamomhold_core::time::Timestamp;
+use cardamomhold_entry::contents::Kind;
+use cardamomhold_entry::currency;
+use cardamomhold_entry::currency::Mode;
+
+const BOUNDS: currency::Bounds = currency::Bounds {
+    config: time::Duration::from_millis(3_000),
+    members: time::Duration::from_millis(7_000),
+};
+
+const IDLE: [Mode; 3] = [Mode::Idle; 3];
+
+fn instance(number: u32) -> name::InstanceName {
+    name::InstanceName::parse(&format!("entry-{number}")).unwrap()
+}
+
+fn rank(name: &name::InstanceName) -> u32 {
+    name.as_str()[6..].parse().unwrap()
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+/// An instance that started at 1,000 ms with complete copies of revision 10.
+fn instance_at(checked: Option<u64>) -> currency::Currency {
+    let mut currency = currency::Currency::new(at(1_000), BOUNDS);
+    hold(&mut currency, 10, checked);
+    currency
+}
+
+fn hold(currency: &mut currency::Currency, revision: u64, checked: Option<u64>) {
+    for kind in Kind::ALL {
+        let held = currency::Held {
+            revision: Some(revision),
+            head: revision,
+            checked: checked.map(at),
+        };
+        currency.record_held(kind, held);
+    }
+}
+
+fn vouch(origin: u32, head: u64) -> currency::Vouch {
+    currency::Vouch {
+        origin: instance(origin),
+        age_us: 0,
+        heads: [head; 3],
+    }
+}
+
+fn modes(currency: &currency::Currency, ms: u64, own: u32, current: [Mode; 3]) -> [Mode; 3] {
+    currency.modes(at(ms), &instance(own), rank, current)
+}
+
+/// Without an answer of the store, or a vouch that leads to one, nothing is vouched for.
+#[test]
+fn vouch_needs_a_check() {
+    let own = instance(5);
+    let currency = instance_at(None);
+    assert_eq!(currency.vouch(at(1_000), &own), None);
+    let currency = instance_at(Some(1_000));
+    let given = currency.vouch(at(1_400), &own).unwrap();
+    assert_eq!((given.origin, given.age_us), (own.clone(), 400_000));
+    assert_eq!(currency.vouch(at(2_500), &own), None);
+}
+
+/// A vouch ages on its way, so that instances that vouch for one another in a circle soon vouch for
+/// nothing.
+#[test]
+fn vouch_ages_on_its_way() {
+    let (own, origin) = (instance(5), instance(0));
+    let mut currency = instance_at(None);
+    currency.record_vouch(&own, at(2_000), &vouch(0, 10));
+    let given = currency.vouch(at(2_300), &own).unwrap();
+    assert_eq!((given.origin, given.age_us), (origin, 300_000));
+    currency.record_vouch(&own, at(1_900), &vouch(0, 10));
+    assert_eq!(currency.vouch(at(2_300), &own).unwrap().age_us, 300_000);
+    assert_eq!(currency.vouch(at(3_500), &own), None);
+}
+
+/// An instance's own vouch that comes back shows nothing.
+#[test]
+fn own_vouch_counts_for_nothing() {
+    let own = instance(5);
+    let mut currency = instance_at(None);
+    currency.record_vouch(&own, at(2_000), &vouch(5, 10));
+    assert_eq!(currency.vouch(at(2_000), &own), None);
+}
+
+/// A vouch for newer objects counts once this instance has them; its copies are complete as of the
+/// time of the vouch, not of their arrival.
+#[test]
+fn lacking_copy_is_not_complete() {
+    let own = instance(5);
+    let mut currency = instance_at(None);
+    currency.record_vouch(&own, at(2_000), &vouch(0, 12));
+    assert!(currency.is_behind(Kind::Config, 12));
+    assert_eq!(currency.vouch(at(2_000), &own), None);
+    hold(&mut currency, 12, None);
+    assert_eq!(currency.vouch(at(2_400), &own).unwrap().age_us, 400_000);
+}
+
+/// A read of the control objects shows the store's revision: copies of that revision are complete,
+/// older ones may not be.
+#[test]
+fn revision_shows_completeness() {
+    let own = instance(0);
+    let mut currency = instance_at(Some(1_000));
+    currency.record_control(at(2_000), 10);
+    assert_eq!(currency.vouch(at(2_000), &own).unwrap().age_us, 0);
+    currency.record_control(at(2_300), 11);
+    assert_eq!(currency.vouch(at(2_300), &own).unwrap().age_us, 300_000);
+    assert_eq!(modes(&currency, 2_300, 0, IDLE), [Mode::Long; 3]);
+    assert_eq!(modes(&currency, 3_300, 0, IDLE), [Mode::Short; 3]);
+}
+
+/// When nobody vouches, those that others ask watch within a quarter of the time in which a change
+/// must be in force, all others within half of it.
+#[test]
+fn next_by_rank_watches() {
+    let mut currency = instance_at(None);
+    currency.record_vouch(&instance(9), at(2_000), &vouch(0, 10));
+    for own in [1, 2] {
+        assert_eq!(modes(&currency, 2_700, own, IDLE), IDLE);
+        let expected = [Mode::Short, Mode::Idle, Mode::Idle];
+        assert_eq!(modes(&currency, 2_750, own, IDLE), expected);
+    }
+    assert_eq!(modes(&currency, 3_400, 50, IDLE), IDLE);
+    assert_eq!(modes(&currency, 3_500, 50, IDLE)[0], Mode::Short);
+    assert_eq!(modes(&currency, 5_500, 50, IDLE)[1], Mode::Short);
+}
+
+/// Of two that watch, the first by rank goes on: if each stopped for the other, nobody would watch.
+#[test]
+fn one_goes_on() {
+    let watching = [Mode::Short; 3];
+    let mut first = instance_at(Some(2_000));
+    first.record_vouch(&instance(1), at(2_100), &vouch(2, 10));
+    assert_eq!(modes(&first, 2_200, 1, watching), watching);
+    let mut second = instance_at(Some(2_000));
+    second.record_vouch(&instance(2), at(2_100), &vouch(1, 10));
+    assert_eq!(modes(&second, 2_200, 2, watching), IDLE);
+}
