Instances that the store refuses ask others for a vouch

Cause: vouches travel with the answers to renewals only, from the first instance by rank to the zones. When the store refuses that one, its zone hears of nothing and each instance of it watches the store for itself. Change: an instance whose copies are not known to be complete for a quarter (readers of the zones) or half (others) of configApplyMs asks in turn the first three by rank and one of the others (VouchRequest, VouchReply). The vouch counts from the time at which the request was sent, so that a late answer makes no copy younger.

--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -356,6 +356,7 @@
         let now = clock::now();
         self.log_lease_change(now);
         self.publish_isolation(now);
+        self.request_vouch(now);
         self.publish_modes(now);
         self.restart_watches(now);
         self.answer_overdue(now);
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -156,6 +156,16 @@
             } => self
                 .electorate
                 .record_answer(now, &name, generation, is_leaving),
+            message::Message::VouchRequest { sent } => {
+                let vouch = self.currency.vouch(now, &self.own);
+                let reply = message::Message::VouchReply { sent, vouch };
+                self.peers.send(from, reply);
+            }
+            message::Message::VouchReply { sent, vouch } => {
+                if let Some(vouch) = vouch.filter(|_| Timestamp(sent) <= now) {
+                    self.record_vouch(now, Timestamp(sent), from, &vouch);
+                }
+            }
             message::Message::Contents(message) => {
                 let received = follow::Command::Received(from, message);
                 self.published.tell(received);
--- a/crates/cardamomhold_entry/src/coordinator/versions.rs
+++ b/crates/cardamomhold_entry/src/coordinator/versions.rs
@@ -12,6 +12,7 @@
 use crate::currency::Mode;
 use crate::follow;
 use crate::link;
+use crate::message;
 use crate::promoter;
 use crate::registry;
 use crate::store;
@@ -68,6 +69,18 @@
         self.publish_modes(now);
     }
 
+    /// Asks another instance than the reader how recent its copies are, where that is due.
+    pub(super) fn request_vouch(&mut self, now: Timestamp) {
+        let rank = registry::watcher_rank(&self.instances, &self.own);
+        let Some(turn) = self.currency.next_request(now, rank) else {
+            return;
+        };
+        if let Some(entry) = registry::vouching(&self.instances, &self.own, turn) {
+            let request = message::Message::VouchRequest { sent: now.0 };
+            self.peers.send(entry.address, request);
+        }
+    }
+
     /// Records the store's revision at the time of a read.
     pub(super) fn record_revision(&mut self, sent: Timestamp, revision: u64) {
         self.currency.record_control(sent, revision);
--- a/crates/cardamomhold_entry/src/currency.rs
+++ b/crates/cardamomhold_entry/src/currency.rs
@@ -21,6 +21,9 @@
 /// Instances by rank that watch the store early when nobody vouches.
 const EARLY_RANKS: u32 = 3;
 
+/// Interval at which an instance that no other asks looks for one that vouches.
+const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
 /// Vouches that wait until this instance has the objects that it lacks.
 const MAX_PENDING: usize = 8;
 
@@ -107,6 +110,9 @@
     report: Option<Report>,
     /// Vouches of which it lacks something, the newest last.
     pending: collections::VecDeque<Report>,
+    /// When another instance was last asked beside the reader, and how often.
+    requested: Option<Timestamp>,
+    requests: u32,
 }
 
 impl Currency {
@@ -119,6 +125,8 @@
             control: None,
             report: None,
             pending: collections::VecDeque::new(),
+            requested: None,
+            requests: 0,
         }
     }
 
@@ -203,6 +211,23 @@
         })
     }
 
+    /// Whether to ask another instance now how recent its copies are: the store and the readers say
+    /// nothing. The readers of the zones do so on each tick, as others wait for them.
+    pub fn next_request(&mut self, now: Timestamp, rank: u32) -> Option<u32> {
+        let checked = self.held[Kind::Config as usize].checked;
+        let reported = self.report.as_ref().map(|r| r.at);
+        let last = self.started.max(checked.max(reported).unwrap_or_default());
+        let is_due = self
+            .requested
+            .is_none_or(|at| rank < EARLY_RANKS || now.since(at) >= REQUEST_INTERVAL);
+        if now.since(last) < self.bounds.max_age(Kind::Config, rank) || !is_due {
+            return None;
+        }
+        self.requested = Some(now);
+        self.requests += 1;
+        Some(self.requests)
+    }
+
     /// Whether each kind is to be watched now. `rank_of` gives the rank of an instance among those
     /// that watch the store, 0 the first.
     pub fn modes(
--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -177,6 +177,18 @@
         /// Whether the sender is about to stop.
         is_leaving: bool,
     },
+    /// Asks how recent the receiver's copies of the store's objects are.
+    VouchRequest {
+        /// When this is sent, by the sender's clock.
+        sent: u64,
+    },
+    /// Answers [`Message::VouchRequest`].
+    VouchReply {
+        /// When the request was sent, as it says.
+        sent: u64,
+        /// None if the copies may lack changes.
+        vouch: Option<currency::Vouch>,
+    },
     /// A message about the copies of the store's objects.
     Contents(contents::Message),
     /// A message about the limits of workspaces.
@@ -209,6 +221,8 @@
             Self::LockReleased(_) => "lock_released",
             Self::VoterPing => "voter_ping",
             Self::VoterPong { .. } => "voter_pong",
+            Self::VouchRequest { .. } => "vouch_request",
+            Self::VouchReply { .. } => "vouch_reply",
             Self::Contents(message) => message.kind(),
             Self::Limits(message) => message.kind(),
         }
--- a/crates/cardamomhold_entry/src/registry.rs
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -121,6 +121,26 @@
     rank.map_or(u32::MAX, |rank| rank as u32)
 }
 
+/// The instance to ask how recent its copies of the store's objects are: in turn the first three by
+/// rank, and one of all others.
+pub fn vouching<'a>(
+    instances: &'a Instances,
+    own: &name::InstanceName,
+    turn: u32,
+) -> Option<&'a Entry> {
+    let mut first: collections::BTreeMap<&str, &name::InstanceName> = collections::BTreeMap::new();
+    for (name, entry) in instances {
+        first.entry(&entry.zone).or_insert(name);
+    }
+    let mut ranked: Vec<_> = first.into_values().filter(|n| *n != own).take(3).collect();
+    let seed = u64::from(turn);
+    let any =
+        xxh3::xxh3_64_with_seed(own.as_str().as_bytes(), seed) % instances.len().max(1) as u64;
+    ranked.extend(instances.keys().nth(any as usize).filter(|n| *n != own));
+    let name = ranked.get(turn as usize % ranked.len().max(1))?;
+    instances.get(name.as_str())
+}
+
 /// Instances to ask about a primary, of all zones and `turn` by `turn` other ones. Each of them
 /// connects to the primary, which accepts fewer connections than there are instances.
 pub fn witnesses<'a>(
--- a/crates/cardamomhold_entry/tests/vouched_copies.rs
+++ b/crates/cardamomhold_entry/tests/vouched_copies.rs
@@ -149,3 +149,22 @@
     second.record_vouch(&instance(2), at(2_100), &vouch(1, 10));
     assert_eq!(modes(&second, 2_200, 2, watching), IDLE);
 }
+
+/// An instance that the store refuses looks for another one that vouches before it must watch, so
+/// that the instances that ask it needn't.
+#[test]
+fn refused_reader_asks() {
+    let mut first = instance_at(Some(2_000));
+    assert_eq!(first.next_request(at(2_700), 0), None);
+    assert!(first.next_request(at(2_750), 0).is_some());
+    assert!(first.next_request(at(2_850), 0).is_some());
+    first.record_vouch(&instance(0), at(2_850), &vouch(1, 10));
+    assert_eq!(first.next_request(at(2_950), 0), None);
+    let given = first.vouch(at(2_950), &instance(0)).unwrap();
+    assert_eq!((given.origin, given.age_us), (instance(1), 100_000));
+    let mut other = instance_at(Some(2_000));
+    assert_eq!(other.next_request(at(3_400), 50), None);
+    assert!(other.next_request(at(3_500), 50).is_some());
+    assert_eq!(other.next_request(at(3_700), 50), None);
+    assert!(other.next_request(at(3_800), 50).is_some());
+}
