--- a/crates/cardamomhold_entry/src/message.rs
+++ b/crates/cardamomhold_entry/src/message.rs
@@ -9,6 +9,9 @@
 use cardamomhold_pool::exchange;
 use cardamomhold_pool::interest;
 
+use crate::contents;
+use crate::currency;
+
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Envelope {
@@ -119,6 +122,8 @@
         seen: Seen,
         /// Samples of the primaries' log positions that the sender has collected.
         samples: exchange::Answer,
+        /// How recent the sender's copies of the store's objects are.
+        vouch: Option<currency::Vouch>,
     },
     /// Announces a leadership that was written to the store.
     Announce(record::Leadership),
@@ -175,6 +180,20 @@
         /// Whether the sender is about to stop.
         is_leaving: bool,
     },
+    /// Asks how recent the receiver's copies of the store's objects are.
+    VouchRequest {
+        /// When this is sent, by the sender's clock.
+        sent: u64,
+    },
+    /// Answers [`Message::VouchRequest`].
+    VouchReply {
+        /// When the request was sent, as it says.
+        sent: u64,
+        /// None if the copies may lack changes.
+        vouch: Option<currency::Vouch>,
+    },
+    /// A message about the copies of the store's objects.
+    Contents(contents::Message),
     /// A message about the limits of workspaces.
     Limits(cardamomhold_limit::message::Message),
     /// Tells that the sender is about to stop: its successors own its members from now on.
@@ -207,6 +226,9 @@
             Self::LockReleased(_) => "lock_released",
             Self::VoterPing => "voter_ping",
             Self::VoterPong { .. } => "voter_pong",
+            Self::VouchRequest { .. } => "vouch_request",
+            Self::VouchReply { .. } => "vouch_reply",
+            Self::Contents(message) => message.kind(),
             Self::Limits(message) => message.kind(),
             Self::Leaving => "leaving",
         }
--- a/crates/cardamomhold_entry/tests/reader_bytes.rs
+++ b/crates/cardamomhold_entry/tests/reader_bytes.rs
@@ -9,6 +9,7 @@
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_entry::currency;
 use cardamomhold_entry::message;
 use cardamomhold_entry::registry;
 use cardamomhold_lead::pages;
@@ -131,6 +132,11 @@
                 }),
                 seen: seen(),
                 samples: answer.clone(),
+                vouch: Some(currency::Vouch {
+                    origin: reader.clone(),
+                    age_us: 400_000,
+                    heads: [90_000; 3],
+                }),
             };
             let instance = instances.get_mut(name).unwrap();
             instance.interest.record_answer(now);
