Fixtures of limits let their instances vote

Cause: the limits' task is told the voters at once and the right to vote separately since the lease of 750 ms; the fixtures of granted_tokens and limited_operations, which stand in for the coordinator, sent the voters only, so shared_bucket and four tests of limited_operations failed.

Change: the fixtures send both; the checks are the same. early_votes checks that a voter confirms nobody before it is allowed to.

--- a/crates/cardamomhold_entry/tests/granted_tokens.rs
+++ b/crates/cardamomhold_entry/tests/granted_tokens.rs
@@ -111,6 +111,7 @@
             metrics: metrics::Metrics::new().unwrap(),
         });
         limits.send(limits::Command::Voters(voters.clone()));
+        limits.send(limits::Command::Votes);
         let is_cut = cuts[name].clone();
         let instance = Instance {
             limits: limits.clone(),
--- a/crates/cardamomhold_entry/tests/limited_operations.rs
+++ b/crates/cardamomhold_entry/tests/limited_operations.rs
@@ -88,6 +88,7 @@
     });
     let voters = voters::Voters::first([world.instance.clone()].into());
     limits.send(limits::Command::Voters(voters));
+    limits.send(limits::Command::Votes);
     let mut groups = groups::start(groups::Context {
         limits: limits.clone(),
         ..world.groups_context(connector)
