An owner that leaves closes the connections that it doesn't use

Cause: an owner may open two thirds of a member's connections. One that left kept the idle ones until its exit, which left a third to its successor. Change: it closes connections that have been idle for 250 ms.

--- a/crates/cardamomhold_entry/src/admission.rs
+++ b/crates/cardamomhold_entry/src/admission.rs
@@ -134,6 +134,8 @@
     },
     /// The limits or the address changed.
     Configure(Bounds),
+    /// This instance leaves.
+    Leave,
     /// Checks whether a member that failed can be reached again.
     Check,
 }
--- a/crates/cardamomhold_entry/src/admission/task.rs
+++ b/crates/cardamomhold_entry/src/admission/task.rs
@@ -164,6 +164,7 @@
                 result: Err(error),
             } => self.handle_failed_open(now, &key, &error),
             Message::Check => self.check(now),
+            Message::Leave => self.connections.leave(),
             Message::Configure(bounds) => {
                 self.queue.set_limits(bounds.limits());
                 self.connections.set_max(bounds.connections);
--- a/crates/cardamomhold_entry/src/group/owned.rs
+++ b/crates/cardamomhold_entry/src/group/owned.rs
@@ -41,7 +41,11 @@
         let members = &view.members;
         self.owned
             .retain(|name, _| members.contains_key(name.as_str()));
+        let is_leaving = view.leaving.contains(self.context.instance.as_str());
         for (name, owned) in &mut self.owned {
+            if is_leaving {
+                owned.handle.send(admission::Message::Leave);
+            }
             let Some(bounds) = bounds(view, spec, name) else {
                 continue;
             };
--- a/crates/cardamomhold_pool/src/connections.rs
+++ b/crates/cardamomhold_pool/src/connections.rs
@@ -33,6 +33,10 @@
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// The same at an owner that leaves, whose successor needs the connections. Instances hear within
+/// 100 to 300 ms that it leaves, and use it until then.
+const LEAVING_IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
 /// Time for which the number of open connections counts as the limit after the member has refused
 /// another one.
 const CEILING_TIME: time::Duration = time::Duration::from_secs(2);
@@ -99,6 +103,7 @@
 #[derive(Debug)]
 pub struct Connections<L> {
     max: usize,
+    idle_timeout: time::Duration,
     parts: collections::BTreeMap<Key, Part<L>>,
     /// Consecutive failed attempts.
     failures: u32,
@@ -116,6 +121,7 @@
     pub fn new(max: usize) -> Self {
         Self {
             max,
+            idle_timeout: IDLE_TIMEOUT,
             parts: collections::BTreeMap::new(),
             failures: 0,
             paused_until: Timestamp(0),
@@ -130,6 +136,11 @@
         self.max = max;
     }
 
+    /// Records that the owner leaves: idle connections are left to its successor.
+    pub fn leave(&mut self) {
+        self.idle_timeout = LEAVING_IDLE_TIMEOUT;
+    }
+
     /// Open connections, idle ones included.
     pub fn open(&self) -> usize {
         let open = self.parts.values().map(|p| p.idle.len() + p.in_use);
@@ -281,8 +292,9 @@
 
     /// Closes connections that have been idle for too long, and forgets workspaces without any.
     pub fn close_expired(&mut self, now: Timestamp) {
+        let timeout = self.idle_timeout;
         self.parts.retain(|_, part| {
-            part.idle.retain(|i| now < i.since.after(IDLE_TIMEOUT));
+            part.idle.retain(|i| now < i.since.after(timeout));
             part.connections() > 0 || part.demand.get(now) > 0
         });
     }
@@ -290,7 +302,7 @@
     /// When a connection expires or, if one `is_needed`, may be opened or evicted.
     pub fn next_wakeup(&self, now: Timestamp, is_needed: bool) -> Option<Timestamp> {
         let idle = self.parts.values().flat_map(|p| &p.idle);
-        let expiry = idle.map(|i| i.since.after(IDLE_TIMEOUT)).min();
+        let expiry = idle.map(|i| i.since.after(self.idle_timeout)).min();
         let pause_end = Some(self.paused_until).filter(|at| is_needed && *at > now);
         let eviction = is_needed.then(|| self.eviction_wakeup(now)).flatten();
         expiry.into_iter().chain(pause_end).chain(eviction).min()
--- a/crates/cardamomhold_pool/tests/connection_eviction.rs
+++ b/crates/cardamomhold_pool/tests/connection_eviction.rs
@@ -252,3 +252,22 @@
         }
     }
 }
+
+/// Guards against a successor that finds two thirds of the member's connections taken by the owner
+/// that leaves, which doesn't use them any more.
+#[test]
+fn leaving_owner_closes_idle() {
+    let mut connections = in_use(4, at(0), &["a", "b"]);
+    connections.put_back(at(100), &key("a"), 0);
+    connections.close_expired(at(5_000));
+    assert_eq!(connections.open(), 2);
+    connections.leave();
+    assert_eq!(connections.next_wakeup(at(5_000), false), Some(at(350)));
+    connections.close_expired(at(5_000));
+    assert_eq!(connections.open(), 1);
+    connections.put_back(at(5_100), &key("b"), 1);
+    connections.close_expired(at(5_349));
+    assert_eq!(connections.open(), 1);
+    connections.close_expired(at(5_350));
+    assert_eq!(connections.open(), 0);
+}
