--- a/crates/cardamomhold_entry/tests/relayed_grants.rs
+++ b/crates/cardamomhold_entry/tests/relayed_grants.rs
@@ -9,11 +9,14 @@
 use std::time;
 
 use cardamomhold_core::name;
+use cardamomhold_core::rank;
+use cardamomhold_entry::admission;
 use cardamomhold_entry::answer;
 use cardamomhold_entry::attempt;
 use cardamomhold_entry::call;
 use cardamomhold_entry::checkout;
 use cardamomhold_entry::clock;
+use cardamomhold_entry::group;
 use cardamomhold_entry::link;
 use cardamomhold_entry::link::Connector;
 use cardamomhold_entry::link::Link;
@@ -91,11 +94,20 @@
     link: &mut relay::Link<world::Member>,
     grant: Option<(&str, u64)>,
     text: &str,
+) -> Result<answer::Answer, link::LinkError> {
+    run_within(link, grant, None, text).await
+}
+
+async fn run_within(
+    link: &mut relay::Link<world::Member>,
+    grant: Option<(&str, u64)>,
+    max_wait: Option<time::Duration>,
+    text: &str,
 ) -> Result<answer::Answer, link::LinkError> {
     let deadline = clock::now().after(time::Duration::from_secs(20));
     let name = grant.map_or("caller", |(workspace, _)| workspace);
     link.set_priority(link::Priority {
-        max_wait: None,
+        max_wait,
         rank: 0,
         caller: name::CallerName::parse(name).unwrap(),
         grant: grant.map(|(text, version)| access::Grant {
@@ -278,6 +290,48 @@
     }
 }
 
+/// A refusal reports the queue of its own member; guards against a busy member that counts as idle
+/// because its owner has refused.
+#[test]
+fn refusal_reports_load() {
+    world::run_in_real_time(async {
+        let (mut world, via) = owner(3, &["kalk"]).await;
+        let mut link = connect(&world, via).await;
+        run(&mut link, Some(("kalk", 3)), "READ a").await.unwrap();
+        let group = world.group().await;
+        let mut waiting = Vec::new();
+        for _ in 0..40 {
+            let deadline = clock::now().after(time::Duration::from_secs(20));
+            let request = admission::Request {
+                max_wait: None,
+                rank: rank::Rank::Urgent,
+                caller: world::caller(),
+                workspace: Some(workspace("kalk")),
+                target: deadline,
+                deadline,
+            };
+            let (reply, admitted) = tokio::sync::oneshot::channel();
+            let member = world::member("a");
+            let admit = group::Message::Admit {
+                member,
+                request,
+                reply,
+            };
+            group.send(admit).unwrap();
+            waiting.push(admitted);
+        }
+        let max_wait = Some(time::Duration::ZERO);
+        let refused = run_within(&mut link, Some(("kalk", 3)), max_wait, "READ b").await;
+        assert!(
+            matches!(refused, Err(link::LinkError::LongWait)),
+            "{refused:?}"
+        );
+        let load = link.report().unwrap().load;
+        assert!(load.waits_ms[0] > 0, "{load:?}");
+        assert!(workspaces(&world, "READ b").is_empty());
+    });
+}
+
 /// The longest wait arrives with the grant; guards against an owner that reads one without the
 /// other.
 #[test]
