--- a/benches/src/uneven.rs
+++ b/benches/src/uneven.rs
@@ -86,6 +86,8 @@
     pub slots: usize,
     /// Operations a second on the group.
     pub per_second: f64,
+    /// Number of workspaces that send it.
+    pub workspaces: usize,
     /// Whether the load is uneven: bursts, moving clients, a slow and a lagging replica.
     pub is_uneven: bool,
 }
@@ -94,13 +96,14 @@
 const RUNS: u64 = 5;
 
 /// The replayed deployments.
-pub const DEPLOYMENTS: [Deployment; 4] = [
+pub const DEPLOYMENTS: [Deployment; 5] = [
     Deployment {
         name: "134 instances, 4 slots, uneven",
         instances: 134,
         zones: 4,
         slots: 4,
         per_second: 117.5,
+        workspaces: 84,
         is_uneven: true,
     },
     // A group whose load is one and a half times the mean of the eight groups.
@@ -110,6 +113,7 @@
         zones: 4,
         slots: 4,
         per_second: 176.0,
+        workspaces: 84,
         is_uneven: true,
     },
     Deployment {
@@ -118,6 +122,7 @@
         zones: 4,
         slots: 6,
         per_second: 176.0,
+        workspaces: 84,
         is_uneven: true,
     },
     Deployment {
@@ -126,6 +131,16 @@
         zones: 3,
         slots: 4,
         per_second: 117.5,
+        workspaces: 1,
+        is_uneven: false,
+    },
+    Deployment {
+        name: "15 instances, 4 slots, even, many workspaces",
+        instances: 15,
+        zones: 3,
+        slots: 4,
+        per_second: 117.5,
+        workspaces: 84,
         is_uneven: false,
     },
 ];
--- a/benches/src/uneven/simulation.rs
+++ b/benches/src/uneven/simulation.rs
@@ -66,7 +66,7 @@
     reports: Vec<[load::Load; 3]>,
     owners: Vec<owner::Owner>,
     members: Vec<name::MemberName>,
-    caller: name::CallerName,
+    callers: Vec<name::CallerName>,
     grant: access::Grant,
     /// Times of the commits, whose positions are their indexes plus one.
     commits: Vec<Timestamp>,
@@ -109,7 +109,9 @@
             pools,
             owners: (0..3).map(|_| owner::Owner::new(deployment)).collect(),
             members,
-            caller: name::CallerName::sanitized("client"),
+            callers: (0..deployment.workspaces)
+                .map(|i| name::CallerName::sanitized(&format!("workspace-{i}")))
+                .collect(),
             grant: access::Grant {
                 workspace: name::WorkspaceName::sanitized("client"),
                 version: 1,
@@ -196,7 +198,7 @@
             id: op as u64,
             rank: kind.rank.index() as u8,
             requirement,
-            caller: self.caller.clone(),
+            caller: self.callers[operation.caller].clone(),
             grant: Some(self.grant.clone()),
             avoid: attempt.avoid.clone(),
             asked: attempt.asked.clone(),
@@ -241,7 +243,7 @@
             return;
         }
         let (kind, sent) = (operation.kind, operation.at);
-        if !owner.offer(now, &self.caller, kind, sent, arrived) {
+        if !owner.offer(now, &self.callers[operation.caller], kind, sent, arrived) {
             self.end(now, op, Ending::Refused);
         }
         self.decide(now, member);
--- a/benches/src/uneven/traffic.rs
+++ b/benches/src/uneven/traffic.rs
@@ -60,6 +60,8 @@
     pub kind: usize,
     /// The instance that receives it.
     pub instance: usize,
+    /// Index of its workspace.
+    pub caller: usize,
     /// When it arrives there.
     pub at: Timestamp,
     /// Its time at an idle, healthy member.
@@ -112,12 +114,22 @@
         operations.push(Operation {
             kind,
             instance: instance % deployment.instances,
+            caller: workspace(&mut rng, deployment.workspaces),
             at,
             service: service(&mut rng, KINDS[kind].is_heavy),
         });
     }
 }
 
+/// A workspace: those of low index are much larger than the others.
+fn workspace(rng: &mut rand_pcg::Pcg64Mcg, count: usize) -> usize {
+    if count == 1 {
+        return 0;
+    }
+    let uniform: f64 = rng.random();
+    (uniform.powi(3) * count as f64) as usize
+}
+
 fn kind(rng: &mut rand_pcg::Pcg64Mcg) -> usize {
     let mut left = rng.random_range(0..100u32);
     for (index, kind) in KINDS.iter().enumerate() {
