The store's watches are restarted at most once a second

Cause: each store outage that ended, however short, restarted the watches of members, configuration and instances with three listings. An instance whose calls fail and succeed in turn listed all of them up to several times a second: list_servers alone was 152 of the 250 kB of the busiest second in a trial with 100 nodes and 90 groups on an overloaded machine.

Change: restarts are at least 1 s apart. The first one isn't delayed, and one that is due within the second after another follows at its end.

--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -34,6 +34,7 @@
 use crate::peers;
 use crate::promoter;
 use crate::registry;
+use crate::restarts;
 use crate::roster;
 use crate::stop;
 use crate::store;
@@ -151,6 +152,7 @@
     exchange: exchange::Exchange,
     /// The groups whose samples this instance uses.
     interest: interest::Interest,
+    restarts: restarts::Restarts,
     /// Whether other instances have newer versions from the store.
     lag: lag::Lag,
     /// How recently the configuration has been compared with the store.
@@ -213,6 +215,7 @@
             seen: message::Seen::default(),
             exchange: exchange::Exchange::new(run_id),
             interest: interest::Interest::default(),
+            restarts: restarts::Restarts::default(),
             lag: lag::Lag::default(),
             currency: currency::Currency::default(),
         }
@@ -364,6 +367,7 @@
         self.log_lease_change(now);
         self.publish_isolation(now);
         self.publish_informed(now);
+        self.restart_watches(now);
         self.answer_overdue(now);
         self.renew_lease(now);
         if self.roster.has_missing() {
--- a/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
+++ b/crates/cardamomhold_entry/src/coordinator/lease_renewal.rs
@@ -46,7 +46,8 @@
         self.store_answered = Some(now);
         if let Some((since, problem)) = self.outage.take() {
             log::info!("event=store_regained after=\"{problem}\"");
-            self.published.epoch.send_modify(|e| *e += 1);
+            self.restarts.request();
+            self.restart_watches(now);
             if now.since(since) >= promotion_lock::HOLDER_TIMEOUT {
                 self.store_regained = Some(now);
             }
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -320,6 +320,14 @@
     pub(super) fn check_lag(&mut self, now: Timestamp, other: message::Seen) {
         if self.lag.record(now, self.seen, other) {
             log::warn!("event=behind seen={:?} other={other:?}", self.seen);
+            self.restarts.request();
+            self.restart_watches(now);
+        }
+    }
+
+    /// Restarts the watches of the store if this is due.
+    pub(super) fn restart_watches(&mut self, now: Timestamp) {
+        if self.restarts.begin(now) {
             self.published.epoch.send_modify(|e| *e += 1);
         }
     }
--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod registry;
 pub mod relay;
 pub mod report;
+pub mod restarts;
 pub mod roster;
 pub mod session;
 pub mod shared_listings;
