--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -35,6 +35,7 @@
 use crate::peers;
 use crate::promoter;
 use crate::registry;
+use crate::restarts;
 use crate::roster;
 use crate::stop;
 use crate::store;
@@ -159,6 +160,7 @@
     exchange: exchange::Exchange,
     /// The groups whose samples this instance uses.
     interest: interest::Interest,
+    restarts: restarts::Restarts,
     /// Whether other instances have newer versions from the store.
     lag: lag::Lag,
     /// Up to which time the copies of the store's objects are complete.
@@ -224,6 +226,7 @@
             seen: message::Seen::default(),
             exchange: exchange::Exchange::new(run_id),
             interest: interest::Interest::default(),
+            restarts: restarts::Restarts::default(),
             lag: lag::Lag::default(),
             currency: currency::Currency::new(clock::now(), bounds),
         }
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -335,7 +335,8 @@
         // An instance that doesn't watch gets what it lacks from another one.
         if self.lag.record(now, self.seen, other) && self.published.watches() {
             log::warn!("event=behind seen={:?} other={other:?}", self.seen);
-            self.published.epoch.send_modify(|e| *e += 1);
+            self.restarts.request();
+            self.restart_watches(now);
         }
     }
 }
--- a/crates/cardamomhold_entry/src/coordinator/versions.rs
+++ b/crates/cardamomhold_entry/src/coordinator/versions.rs
@@ -92,19 +92,16 @@
         }
     }
 
-    /// Starts the watches again after a store outage, as those from before can't be relied on. The
-    /// first by rank does so at once and then vouches for its copies, so that most of the others
+    /// Starts the watches again that can't be relied on. After a store outage the first by rank does
+    /// so at once and then vouches for its copies, so that most of the others
     /// need no call.
     pub(super) fn restart_watches(&mut self, now: Timestamp) {
-        let Some(regained) = self.regained_unlisted else {
-            return;
-        };
         let is_first = registry::watcher_rank(&self.instances, &self.own) == 0;
-        if !is_first && now.since(regained) < RESTART_DELAY {
-            return;
+        let is_due = |regained| is_first || now.since(regained) >= RESTART_DELAY;
+        if self.regained_unlisted.take_if(|at| is_due(*at)).is_some() && self.published.watches() {
+            self.restarts.request();
         }
-        self.regained_unlisted = None;
-        if self.published.watches() {
+        if self.restarts.begin(now) {
             self.published.epoch.send_modify(|e| *e += 1);
         }
     }
