Help text of cardamomholdd names the optional settings

Cause: the text said that every field is needed, and left out seeds, memory_mb and max_fds, which have defaults. Change: it names them with their defaults. Result: no behaviour changed.

--- a/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
+++ b/crates/cardamomhold_daemon/src/bin/cardamomholdd.rs
@@ -28,7 +28,8 @@
     xflags::xflags! {
         /// Runs one instance of cardamomhold, a database proxy with session consistency.
         ///
-        /// The settings file is JSON; every field is needed and no other is taken:
+        /// The settings file is JSON; every field but the last three is needed, and no other
+        /// is taken:
         ///   instance      name of the instance, unique in the fleet, such as entry-a
         ///   zone          its availability zone, such as a
         ///   listen        where callers connect, such as 127.0.0.1:5401
@@ -36,6 +37,9 @@
         ///   metrics       where /metrics and /ready are served
         ///   platform      address of the platform's object API
         ///   token_secret  signs session tokens, 16 bytes or more, the same everywhere
+        ///   seeds         peer addresses of other instances, asked at the start
+        ///   memory_mb     memory that the process may use, in MB; 112 without it
+        ///   max_fds       descriptors that it may open; 3010 without it
         ///
         /// Logs go to standard error; RUST_LOG=debug shows more of them.
         /// SIGTERM stops gracefully, a second one at once. Exit codes: 0 stopped,
