An instance that watches the configuration vouches at once

Cause: an instance vouched only when its own calls had checked all kinds. Change: a kind counts as recent by the last vouch as well; a reader asks one of the other readers and one other instance at a time, from half of its age limit on; the first copies of all kinds have the time of the configuration; retries come after four times the pause. The next reader is asked on the tick on which one is skipped.

--- a/crates/cardamomhold_entry/src/coordinator/versions.rs
+++ b/crates/cardamomhold_entry/src/coordinator/versions.rs
@@ -75,7 +75,7 @@
         let Some(turn) = self.currency.next_request(now, rank) else {
             return;
         };
-        if let Some(entry) = registry::vouching(&self.instances, &self.own, turn) {
+        for entry in registry::vouching(&self.instances, &self.own, turn) {
             let request = message::Message::VouchRequest { sent: now.0 };
             self.peers.send(entry.address, request);
         }
--- a/crates/cardamomhold_entry/src/currency.rs
+++ b/crates/cardamomhold_entry/src/currency.rs
@@ -22,7 +22,7 @@
 const EARLY_RANKS: u32 = 3;
 
 /// Interval at which an instance that no other asks looks for one that vouches.
-const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(300);
+const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(400);
 
 /// Vouches that wait until this instance has the objects that it lacks.
 const MAX_PENDING: usize = 8;
@@ -184,12 +184,14 @@
         kinds.any(|(kind, head)| self.is_behind(kind, *head))
     }
 
-    /// When this instance's copies were last compared with the store by its own calls; none if that
-    /// is long ago for any of them.
+    /// When this instance's configuration was last compared with the store by its own calls; none if
+    /// any copy may be old. The others are watched later than the configuration when nobody vouches,
+    /// as their changes have more time.
     fn checked(&self, now: Timestamp) -> Option<Timestamp> {
+        let reported = self.report.as_ref().map(|r| r.at);
         let is_recent = |kind: Kind| {
-            let checked = self.held[kind as usize].checked;
-            checked.is_some_and(|at| now.since(at) < self.bounds.of(kind) / 2)
+            let last = self.held[kind as usize].checked.max(reported);
+            last.is_some_and(|at| now.since(at) < self.bounds.of(kind) / 2)
         };
         let is_complete = Kind::ALL.into_iter().all(is_recent);
         self.held[Kind::Config as usize]
@@ -212,7 +214,8 @@
     }
 
     /// Whether to ask another instance now how recent its copies are: the store and the readers say
-    /// nothing. The readers of the zones do so on each tick, as others wait for them.
+    /// nothing. The readers of the zones do so on each tick, as others wait for them. It begins at half
+    /// the age at which the instance would watch.
     pub fn next_request(&mut self, now: Timestamp, rank: u32) -> Option<u32> {
         let checked = self.held[Kind::Config as usize].checked;
         let reported = self.report.as_ref().map(|r| r.at);
@@ -220,7 +223,7 @@
         let is_due = self
             .requested
             .is_none_or(|at| rank < EARLY_RANKS || now.since(at) >= REQUEST_INTERVAL);
-        if now.since(last) < self.bounds.max_age(Kind::Config, rank) || !is_due {
+        if now.since(last) < self.bounds.max_age(Kind::Config, rank) / 2 || !is_due {
             return None;
         }
         self.requested = Some(now);
@@ -251,7 +254,12 @@
         Kind::ALL.map(|kind| {
             // An instance that isn't listed yet has no reader to ask.
             let is_unlisted = kind == Kind::Instances && knows_instances && rank == u32::MAX;
-            let is_told = now.since(last) < self.bounds.max_age(kind, rank) && !is_unlisted;
+            // Nothing is served without a copy, so that the first one has less time than a change.
+            let timed = match self.held[kind as usize].revision {
+                Some(_) => kind,
+                None => Kind::Config,
+            };
+            let is_told = now.since(last) < self.bounds.max_age(timed, rank) && !is_unlisted;
             let may_stop = current[kind as usize] == Mode::Idle || is_preceded;
             match (rank, shows_revision) {
                 (1.., _) if is_told && may_stop => Mode::Idle,
--- a/crates/cardamomhold_entry/src/follow.rs
+++ b/crates/cardamomhold_entry/src/follow.rs
@@ -32,7 +32,7 @@
 /// Timeout of a listing.
 const LIST_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
-/// Pause before a retry after a failure; doubled with each further one, as the store charges for
+/// Pause before a retry after a failure; four times as long with each further one, as the store charges for
 /// calls that it refuses.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -329,7 +329,7 @@
         }
         self.is_listing_due = self.is_listing_due || self.mode != Mode::Idle;
         self.due = now.after(self.pause);
-        self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
+        self.pause = (self.pause * 4).min(MAX_RETRY_PAUSE);
     }
 
     fn publish(&mut self, is_changed: bool, checked: Option<Timestamp>) {
--- a/crates/cardamomhold_entry/src/registry.rs
+++ b/crates/cardamomhold_entry/src/registry.rs
@@ -121,24 +121,27 @@
     rank.map_or(u32::MAX, |rank| rank as u32)
 }
 
-/// The instance to ask how recent its copies of the store's objects are: in turn the first three by
-/// rank, and one of all others.
+/// The instances to ask how recent their copies of the store's objects are: in turn one of the first
+/// three by rank, and one of all that are no readers of a zone. The store may refuse all readers.
 pub fn vouching<'a>(
     instances: &'a Instances,
     own: &name::InstanceName,
     turn: u32,
-) -> Option<&'a Entry> {
+) -> impl Iterator<Item = &'a Entry> {
     let mut first: collections::BTreeMap<&str, &name::InstanceName> = collections::BTreeMap::new();
     for (name, entry) in instances {
         first.entry(&entry.zone).or_insert(name);
     }
-    let mut ranked: Vec<_> = first.into_values().filter(|n| *n != own).take(3).collect();
-    let seed = u64::from(turn);
-    let any =
-        xxh3::xxh3_64_with_seed(own.as_str().as_bytes(), seed) % instances.len().max(1) as u64;
-    ranked.extend(instances.keys().nth(any as usize).filter(|n| *n != own));
-    let name = ranked.get(turn as usize % ranked.len().max(1))?;
-    instances.get(name.as_str())
+    let readers: Vec<_> = first.into_values().filter(|n| *n != own).collect();
+    let mut others = instances
+        .keys()
+        .filter(|n| *n != own && !readers.contains(n));
+    let count = others.clone().count().max(1) as u64;
+    let any = xxh3::xxh3_64_with_seed(own.as_str().as_bytes(), u64::from(turn)) % count;
+    let reader = turn as usize % readers.len().clamp(1, 3);
+    let names = [readers.get(reader).copied(), others.nth(any as usize)];
+    let names = names.into_iter().flatten();
+    names.filter_map(|name| instances.get(name.as_str()))
 }
 
 /// Instances to ask about a primary, of all zones and `turn` by `turn` other ones. Each of them
--- a/crates/cardamomhold_lead/src/renewal.rs
+++ b/crates/cardamomhold_lead/src/renewal.rs
@@ -144,7 +144,14 @@
     /// Returns the number of readers of a level to skip because they do not answer. The first
     /// reader is asked again after some time, so that the instances agree on one reader.
     pub fn skipped_readers(&mut self, now: Timestamp, level: Level) -> usize {
-        self.skipped(level).update(now)
+        let skipped = self.skipped(level);
+        let before = skipped.count;
+        let count = skipped.update(now);
+        if count > before {
+            // The next one is asked at once.
+            self.reader = None;
+        }
+        count
     }
 
     fn skipped(&mut self, level: Level) -> &mut Skipped {
--- a/crates/cardamomhold_lead/tests/lease_renewal.rs
+++ b/crates/cardamomhold_lead/tests/lease_renewal.rs
@@ -116,6 +116,27 @@
     }
 }
 
+/// After a reader was skipped, the next one is asked on the same tick. Guards against an instance
+/// whose readers are all gone and that takes their place too late to change the voters.
+#[test]
+fn next_reader_is_asked_at_once() {
+    let mut renewal = renewal::Renewal::default();
+    let remaining = time::Duration::from_millis(700);
+    let level = renewal::Level::Fleet;
+    let mut skips = Vec::new();
+    for tick in 0..20 {
+        let now = Timestamp::from_millis(1_000 + tick * 100);
+        let skipped = renewal.skipped_readers(now, level);
+        if skipped > skips.len() {
+            skips.push(tick * 100);
+        }
+        if renewal.next(now, remaining, false, false).reader {
+            renewal.record_sent(now, level);
+        }
+    }
+    assert_eq!(skips, [400, 800, 1_200, 1_600]);
+}
+
 /// While the store is unavailable, an instance that is not a reader rarely asks it.
 #[test]
 fn limits_store_retries() {
