--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -257,7 +257,11 @@
                 self.roster.update(now, members);
                 self.publish_members(now);
             }
-            Event::Held(kind, held) => self.currency.record_held(kind, held),
+            Event::Held(kind, held) => {
+                self.currency.record_held(kind, held);
+                // The first copy of the instances shows this one's rank.
+                self.publish_modes(now);
+            }
             Event::Instances(instances) => self.update_instances(instances),
             Event::ControlRead(sent, control) => self.handle_control(now, sent, &control),
             Event::ControlReadFailed(problem) => {
--- a/crates/cardamomhold_entry/src/currency.rs
+++ b/crates/cardamomhold_entry/src/currency.rs
@@ -18,9 +18,20 @@
 /// Time in which a change of the instances is to be known everywhere.
 const INSTANCES_TIME: time::Duration = time::Duration::from_millis(20_000);
 
+/// The same while nobody vouches: the instance that watches may have been replaced, and the voters
+/// of a fleet that is replaced within seconds must follow it.
+const REPLACED_TIME: time::Duration = time::Duration::from_millis(4_000);
+
 /// Instances by rank that watch the store early when nobody vouches.
 const EARLY_RANKS: u32 = 3;
 
+/// Instances by rank that list the store at their start. A fleet of this size serves at once after
+/// all were restarted, and in a larger one the others get their first copies from these.
+const LISTING_RANKS: u32 = 32;
+
+/// Time that the other instances leave for that: two ticks, and the way of the copies.
+const FIRST_COPY_TIME: time::Duration = time::Duration::from_millis(600);
+
 /// Interval at which an instance that no other asks looks for one that vouches.
 const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(400);
 
@@ -72,9 +83,13 @@
     /// Age of the last comparison above which an instance watches a kind itself. The listing that
     /// follows, and passing it on, take the rest of the time.
     fn max_age(self, kind: Kind, rank: u32) -> time::Duration {
+        let time = match kind {
+            Kind::Instances => REPLACED_TIME,
+            Kind::Config | Kind::Members => self.of(kind),
+        };
         match rank < EARLY_RANKS {
-            true => self.of(kind) / 4,
-            false => self.of(kind) / 2,
+            true => time / 4,
+            false => time / 2,
         }
     }
 }
@@ -223,7 +238,9 @@
         let is_due = self
             .requested
             .is_none_or(|at| rank < EARLY_RANKS || now.since(at) >= REQUEST_INTERVAL);
-        if now.since(last) < self.bounds.max_age(Kind::Config, rank) / 2 || !is_due {
+        let lacks_copy = self.held.iter().any(|h| h.revision.is_none());
+        let is_old = now.since(last) >= self.bounds.max_age(Kind::Config, rank) / 2;
+        if !(is_old || lacks_copy) || !is_due {
             return None;
         }
         self.requested = Some(now);
@@ -254,12 +271,12 @@
         Kind::ALL.map(|kind| {
             // An instance that isn't listed yet has no reader to ask.
             let is_unlisted = kind == Kind::Instances && knows_instances && rank == u32::MAX;
-            // Nothing is served without a copy, so that the first one has less time than a change.
-            let timed = match self.held[kind as usize].revision {
-                Some(_) => kind,
-                None => Kind::Config,
+            let is_recent = match self.held[kind as usize].revision {
+                Some(_) => now.since(last) < self.bounds.max_age(kind, rank),
+                // Nothing is served without a copy.
+                None => rank >= LISTING_RANKS && now.since(self.started) < FIRST_COPY_TIME,
             };
-            let is_told = now.since(last) < self.bounds.max_age(timed, rank) && !is_unlisted;
+            let is_told = is_recent && !is_unlisted;
             let may_stop = current[kind as usize] == Mode::Idle || is_preceded;
             match (rank, shows_revision) {
                 (1.., _) if is_told && may_stop => Mode::Idle,
