group.rs and coordinator.rs are split by job

Change: the group's messages, samples and reports have files of their own, and so has what the coordinator stores and publishes.

--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -3,7 +3,6 @@
 
 use std::collections;
 use std::net;
-use std::sync;
 use std::time;
 
 use cardamomhold_core::name;
@@ -49,6 +48,7 @@
 mod lock;
 mod messages;
 mod presence;
+mod state;
 mod versions;
 
 pub use event::Event;
@@ -309,74 +309,6 @@
         }
     }
 
-    fn update_catalog(&mut self, catalog: view::Catalog) {
-        let version = self.published.views.borrow().catalog.version;
-        if catalog.version <= version {
-            if catalog.version < version {
-                log::warn!(
-                    "event=config_older version={} known={version}",
-                    catalog.version
-                );
-            }
-            return;
-        }
-        log::info!(
-            "event=config version={} before={version} routes={} groups={}",
-            catalog.version,
-            catalog.routes.len(),
-            catalog.groups.len()
-        );
-        self.seen.config = catalog.version;
-        self.published
-            .views
-            .send_modify(|v| v.catalog = catalog.into());
-    }
-
-    fn update_instances(&mut self, instances: registry::Instances) {
-        if instances == self.instances {
-            return;
-        }
-        log::info!("event=instances count={}", instances.len());
-        self.electorate.record_instances(clock::now());
-        self.instances = instances;
-        let instances = &self.instances;
-        self.marks.retain(|name| instances.contains_key(name));
-        let fleet = sync::Arc::new(self.instances.clone());
-        self.published.views.send_modify(|v| v.fleet = fleet);
-    }
-
-    fn publish_members(&mut self, now: Timestamp) {
-        let members = self.roster.members(now);
-        if *self.published.views.borrow().members != members {
-            self.published
-                .views
-                .send_modify(|v| v.members = members.into());
-        }
-    }
-
-    /// Stores and publishes a leadership if it is newer; `source` is for the log.
-    fn update_record(&mut self, record: &record::Leadership, source: &str) {
-        if self.records.update(record) {
-            log_update(record, source);
-            self.publish_records();
-        }
-    }
-
-    fn publish_records(&mut self) {
-        let records = self.records.clone();
-        self.published
-            .views
-            .send_modify(|v| v.leaderships = records.into());
-    }
-
-    fn broadcast(&self, message: &message::Message) {
-        for (name, entry) in &self.instances {
-            if *name != self.own {
-                self.peers.send(entry.address, message.clone());
-            }
-        }
-    }
-
     fn tick(&mut self) {
         let now = clock::now();
         self.update_presence(now);
@@ -402,13 +334,3 @@
     let hash = xxh3::xxh3_64(own.as_str().as_bytes());
     time::Duration::from_micros(hash % TICK_INTERVAL.as_micros() as u64)
 }
-
-fn log_update(record: &record::Leadership, source: &str) {
-    log::info!(
-        "event=leadership group={} change={} primary={} term={} source={source}",
-        record.group,
-        record.change,
-        record.primary.as_ref().map_or("none", |p| p.as_str()),
-        record.term
-    );
-}
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -8,9 +8,9 @@
 use cardamomhold_lead::pages;
 use cardamomhold_lead::renewal;
 
-use crate::coordinator;
 use crate::coordinator::Coordinator;
 use crate::coordinator::HeldRequest;
+use crate::coordinator::state;
 use crate::follow;
 use crate::limits;
 use crate::link;
@@ -253,7 +253,7 @@
         let before = self.records.version();
         let records = &mut self.records;
         let is_complete = self.marks.store(source, &page, records, |record| {
-            coordinator::log_update(record, source.as_str());
+            state::log_update(record, source.as_str());
         });
         if self.records.version() != before {
             self.publish_records();
--- a/crates/cardamomhold_entry/src/group.rs
+++ b/crates/cardamomhold_entry/src/group.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use cardamomhold_core::name;
-use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::failure_detector;
 use cardamomhold_lead::suspicion;
@@ -28,133 +27,18 @@
 use crate::session;
 use crate::view;
 
+mod message;
 mod open;
 pub mod owned;
 mod permits;
+mod reports;
 mod routes;
+mod samples;
 pub mod standing;
 
-/// Minimum interval between two reports that the primary can't be reached.
-const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(200);
-
-/// Minimum interval between two samples of the primary's position sent to the coordinator.
-const SAMPLE_INTERVAL: time::Duration = time::Duration::from_millis(100);
-
-/// Minimum interval between two notices that samples are used.
-const USE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-
-/// A new connection with the member's log position, or why it could not be opened.
-pub type Opened<L> = Result<(L, Option<position::Position>), link::LinkError>;
-
-/// Messages to the group's task.
-#[derive(Debug)]
-pub enum Message<L> {
-    /// Requests a connection.
-    Request {
-        /// The request; the task sets its id.
-        request: wait_queue::Request,
-        /// Receives the connection, or why there is none.
-        reply: oneshot::Sender<Result<checkout::Checkout<L>, Refusal>>,
-    },
-    /// Asks for a connection of a member that this instance owns, for another instance.
-    Admit {
-        /// The member.
-        member: name::MemberName,
-        /// The work.
-        request: admission::Request,
-        /// Receives the connection, or why there is none.
-        reply: oneshot::Sender<Result<admission::Admitted<L>, admission::Refusal>>,
-    },
-    /// Asks for the state of a member that this instance owns.
-    Status {
-        /// The member.
-        member: name::MemberName,
-        /// Receives the state.
-        reply: oneshot::Sender<admission::Status>,
-    },
-    /// This instance's own queue has decided on a granted request.
-    Admitted {
-        /// The pool's grant.
-        grant: pool::Grant<checkout::Connection<L>>,
-        /// Change number of the leadership at the time of the grant.
-        change: u64,
-        /// The right to run the operation, where the workspace may have a limit.
-        permit: Option<limits::Permit>,
-        /// The connection, or why there is none.
-        result: Box<Result<admission::Admitted<L>, admission::Refusal>>,
-    },
-    /// A granted request has the permit of its workspace, or the time after which there may be one.
-    Permitted {
-        /// The pool's grant.
-        grant: pool::Grant<checkout::Connection<L>>,
-        /// The permit.
-        result: Result<limits::Permit, time::Duration>,
-    },
-    /// A statement of another instance returned a log position.
-    Sampled {
-        /// The member.
-        member: name::MemberName,
-        /// The position, with the time at which the statement was sent.
-        sample: sample::Sample,
-    },
-    /// Returns a connection to the pool.
-    Release {
-        /// The connection's member.
-        member: name::MemberName,
-        /// The connection; none when it was closed.
-        connection: Option<checkout::Connection<L>>,
-        /// How its use ended.
-        completion: pool::Completion,
-        /// The newest log position it returned, with the time at which that statement was sent.
-        sample: Option<sample::Sample>,
-        /// Report of this instance's own queue.
-        report: Option<link::Report>,
-    },
-    /// An attempt to open a connection finished.
-    Opened {
-        /// The pool's grant that it is for.
-        grant: pool::Grant<checkout::Connection<L>>,
-        /// The owner to which the connection was to be opened; none for a direct one.
-        owner: Option<name::InstanceName>,
-        /// Change number of the leadership at the time of the grant.
-        change: u64,
-        /// When the attempt started.
-        sent: Timestamp,
-        /// The connection with the member's log position, or the error.
-        result: Opened<L>,
-    },
-    /// A statement at this member has had no answer for a long time.
-    Unresponsive(name::MemberName),
-    /// A ping of an owner finished.
-    OwnerPinged {
-        /// The owner.
-        owner: name::InstanceName,
-        /// The member that the ping asked for.
-        member: name::MemberName,
-        /// Whether the member answers the owner; none when the owner didn't answer.
-        is_answering: Option<bool>,
-        /// Why it was pinged.
-        ping: owned::Ping,
-    },
-    /// A probe of a member finished.
-    Probed {
-        /// The member.
-        member: name::MemberName,
-        /// When the probe started.
-        sent: Timestamp,
-        /// The error, if it failed.
-        result: Result<(), link::LinkError>,
-    },
-}
-
-/// Why a request gets no connection; it did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// The pool's reason.
-    Pool(pool::Reason),
-    /// The member has too much to do; there is room after this time.
-    Overloaded(time::Duration),
-}
+pub use message::Message;
+pub use message::Opened;
+pub use message::Refusal;
 
 /// Sends messages to the group's task.
 pub type Handle<L> = mpsc::UnboundedSender<Message<L>>;
@@ -458,94 +342,6 @@
             .release_bound(now, member, connection, workspace, completion);
     }
 
-    /// Records a member's log position; samples of the primary go to the coordinator, which
-    /// sends them to other instances.
-    fn record_sample(&mut self, now: Timestamp, member: &name::MemberName, sample: sample::Sample) {
-        let is_leased = self.is_leased(now);
-        let is_new = self.pool.record_position(member, sample, is_leased);
-        if !is_new || now.since(self.last_sample) < SAMPLE_INTERVAL {
-            return;
-        }
-        self.last_sample = now;
-        self.context.coordinator.send(coordinator::Event::Sampled {
-            group: self.context.group.clone(),
-            sample,
-        });
-    }
-
-    /// Tells the coordinator that a read may need samples of the primary's position.
-    fn record_use(&mut self, now: Timestamp, requirement: &wait_queue::Requirement) {
-        let is_read = matches!(requirement, wait_queue::Requirement::Read { .. });
-        let is_due = self.last_use.is_none_or(|at| now.since(at) >= USE_INTERVAL);
-        if is_read && is_due {
-            self.last_use = Some(now);
-            let used = coordinator::Event::SamplesUsed(self.context.group.clone());
-            self.context.coordinator.send(used);
-        }
-    }
-
-    /// Applies the newest published sample of the primary's position.
-    fn apply_sample(&mut self) {
-        let samples = self.context.samples.borrow_and_update();
-        if let Some(sample) = samples.get(self.context.group.as_str()) {
-            self.pool.add_sample(*sample);
-        }
-    }
-
-    /// Updates the failure detector with the result of a statement at the primary.
-    fn record_result(
-        &mut self,
-        now: Timestamp,
-        member: &name::MemberName,
-        completion: pool::Completion,
-    ) {
-        if self.primary_change(member).is_none() {
-            return;
-        }
-        match completion {
-            pool::Completion::Failed
-            | pool::Completion::StatementFailed
-            | pool::Completion::Unserved => self.failure_detector.record_failure(now),
-            pool::Completion::Answered(_) => self.failure_detector.record_success(),
-            _ => {}
-        }
-    }
-
-    /// Change number of the leadership, if the member is the primary.
-    fn primary_change(&self, member: &name::MemberName) -> Option<u64> {
-        let view = self.context.views.borrow();
-        let record = view.leaderships.get(self.context.group.as_str())?;
-        (record.primary.as_ref() == Some(member)).then_some(record.change)
-    }
-
-    /// Reports an observation of the primary to the coordinator: each change, and failures
-    /// repeatedly.
-    fn report(
-        &mut self,
-        now: Timestamp,
-        member: &name::MemberName,
-        observation: suspicion::Observation,
-    ) {
-        if self.primary_change(member).is_none() {
-            return;
-        }
-        let is_new = observation != self.last_observation;
-        let is_due = now.since(self.last_report) >= REPORT_INTERVAL;
-        if !is_new && (observation == suspicion::Observation::Reached || !is_due) {
-            return;
-        }
-        self.last_observation = observation;
-        self.last_report = now;
-        self.context
-            .coordinator
-            .send(coordinator::Event::PrimaryObserved {
-                group: self.context.group.clone(),
-                member: member.clone(),
-                observation,
-                is_failing: self.failure_detector.is_failing(now),
-            });
-    }
-
     /// Starts due probes, and grants or refuses connections to waiting requests.
     fn serve_queue(&mut self, is_leased: bool) {
         let now = clock::now();
