Only owners of a group's members are pinged

Cause: an instance that has left must answer a ping before it is used again. Change: the pings, and the wake-ups for them, are for owners of the group's members.

--- a/crates/cardamomhold_entry/src/group/routes.rs
+++ b/crates/cardamomhold_entry/src/group/routes.rs
@@ -178,10 +178,13 @@
         self.owners.keys().next().cloned()
     }
 
-    /// Silent owners to ping now, with their addresses; the result of each ping must be recorded.
+    /// Silent owners of the group's members to ping now, with their addresses; the result of each
+    /// ping must be recorded.
     pub(super) fn start_pings(&mut self, now: Timestamp) -> Vec<link::Owner> {
         let mut due = Vec::new();
-        for name in self.standings.start_pings(now) {
+        let owners = &self.owners;
+        let is_owner = |name: &_| owns_any(owners, name);
+        for name in self.standings.start_pings(now, is_owner) {
             if let Some(entry) = self.fleet.get(name.as_str()) {
                 let address = entry.address;
                 due.push(link::Owner { name, address });
@@ -192,6 +195,15 @@
 
     /// When a ping is due or the routes must be recomputed.
     pub(super) fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
-        self.standings.next_wakeup(now)
+        let is_owner = |name: &_| owns_any(&self.owners, name);
+        self.standings.next_wakeup(now, is_owner)
     }
 }
+
+/// Whether an instance is an owner of any member.
+fn owns_any(
+    owners: &collections::BTreeMap<name::MemberName, Owners>,
+    name: &name::InstanceName,
+) -> bool {
+    owners.values().any(|o| o.names.contains(name))
+}
--- a/crates/cardamomhold_entry/src/group/standing.rs
+++ b/crates/cardamomhold_entry/src/group/standing.rs
@@ -164,11 +164,20 @@
         );
     }
 
-    /// Silent owners to ping now; the result of each ping must be recorded.
-    pub fn start_pings(&mut self, now: Timestamp) -> Vec<name::InstanceName> {
+    /// Silent owners to ping now, of those that `is_needed` holds for; the result of each ping must
+    /// be recorded. After a rolling stop of all, each instance knows all others as silent, and each
+    /// of its groups would connect to all of them.
+    pub fn start_pings(
+        &mut self,
+        now: Timestamp,
+        is_needed: impl Fn(&name::InstanceName) -> bool,
+    ) -> Vec<name::InstanceName> {
         let mut due = Vec::new();
         for (owner, failures) in &self.silent {
-            if now >= failures.avoided_until() && !self.pinged.contains(owner.as_str()) {
+            if now < failures.avoided_until() || self.pinged.contains(owner.as_str()) {
+                continue;
+            }
+            if is_needed(owner) {
                 due.push(owner.clone());
             }
         }
@@ -176,9 +185,13 @@
         due
     }
 
-    /// When a ping is due or an owner may be used again.
-    pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
-        let silent = self.silent.iter();
+    /// When a ping of an owner that `is_needed` holds for is due, or an owner may be used again.
+    pub fn next_wakeup(
+        &self,
+        now: Timestamp,
+        is_needed: impl Fn(&name::InstanceName) -> bool,
+    ) -> Option<Timestamp> {
+        let silent = self.silent.iter().filter(|(owner, _)| is_needed(owner));
         let silent = silent.filter(|(owner, _)| !self.pinged.contains(owner.as_str()));
         let pings = silent.map(|(_, failures)| failures.avoided_until());
         let unserved = self.unserved.values().map(|f| f.avoided_until());
--- a/crates/cardamomhold_entry/tests/owner_standings.rs
+++ b/crates/cardamomhold_entry/tests/owner_standings.rs
@@ -25,7 +25,7 @@
 fn count_pings(standings: &mut standing::Standings, until_ms: u64) -> usize {
     let mut pings = 0;
     for ms in (0..until_ms).step_by(10) {
-        for owner in standings.start_pings(at(ms)) {
+        for owner in standings.start_pings(at(ms), |_| true) {
             pings += 1;
             standings.record_silent(at(ms), &owner);
         }
@@ -43,8 +43,8 @@
         assert!(!standings.record_silent(at(ms), &owner()));
         standings.record_unserved(at(ms), &owner(), &member());
     }
-    assert!(standings.start_pings(at(249)).is_empty());
-    assert_eq!(standings.start_pings(at(250)), [owner()]);
+    assert!(standings.start_pings(at(249), |_| true).is_empty());
+    assert_eq!(standings.start_pings(at(250), |_| true), [owner()]);
     assert!(standings.record_answer(&owner()));
     let avoided = standings.of(at(250), &owner(), &member());
     assert_eq!(avoided, standing::Standing::Unserving(at(251)));
@@ -66,11 +66,11 @@
     let standing = standings.of(at(5), &owner(), &member());
     assert_eq!(standing, standing::Standing::Unusable);
     assert_eq!(count_pings(&mut standings, 10_000), 0);
-    assert_eq!(standings.next_wakeup(at(10_000)), None);
+    assert_eq!(standings.next_wakeup(at(10_000), |_| true), None);
     standings.set_leaving(at(10_000), &collections::BTreeSet::new());
     let standing = standings.of(at(10_000), &owner(), &member());
     assert_eq!(standing, standing::Standing::Unusable);
-    assert_eq!(standings.start_pings(at(10_250)), [owner()]);
+    assert_eq!(standings.start_pings(at(10_250), |_| true), [owner()]);
     assert!(standings.record_answer(&owner()));
     let standing = standings.of(at(10_250), &owner(), &member());
     assert_eq!(standing, standing::Standing::Usable);
@@ -83,3 +83,23 @@
     standings.record_silent(at(0), &owner());
     assert_eq!(count_pings(&mut standings, 20_000), 8);
 }
+
+/// Guards against a rolling stop of all after which each instance connects to all others, for each
+/// of its groups, to see whether they are back.
+#[test]
+fn only_owners_are_pinged() {
+    let mut standings = standing::Standings::default();
+    let names = (0..100).map(|n| name::InstanceName::parse(&format!("entry-{n}")).unwrap());
+    let leaving: collections::BTreeSet<_> = names.collect();
+    standings.set_leaving(at(0), &leaving);
+    standings.set_leaving(at(10_000), &collections::BTreeSet::new());
+    let is_owner = |name: &name::InstanceName| *name == owner();
+    assert_eq!(
+        standings.next_wakeup(at(10_000), is_owner),
+        Some(at(10_250))
+    );
+    assert_eq!(standings.start_pings(at(10_250), is_owner), [owner()]);
+    assert_eq!(standings.next_wakeup(at(10_250), is_owner), None);
+    // The others have to answer too, once they are needed.
+    assert_eq!(standings.start_pings(at(10_300), |_| true).len(), 99);
+}
