Pages of another instance or at odd offsets are ignored

Cause: a copy took pages from any sender. An instance that isn't registered could announce that it leaves. Change: pages count from the asked instance only, at multiples of their length; a different length starts the collection again. Leaving counts for registered instances.

--- a/crates/cardamomhold_entry/src/contents/fetch.rs
+++ b/crates/cardamomhold_entry/src/contents/fetch.rs
@@ -124,14 +124,18 @@
         self.active.after(PAGE_TIMEOUT)
     }
 
-    /// Handles a page. Those of an older copy are ignored; a newer copy starts the collection again.
-    pub fn receive(&mut self, now: Timestamp, page: Page) -> Step {
-        let is_expected = page.after == self.after && page.revision >= self.revision;
+    /// Handles a page. Those of an older copy or of another instance are ignored, as two instances
+    /// may encode the same revision differently; a newer copy starts the collection again.
+    pub fn receive(&mut self, now: Timestamp, from: net::SocketAddr, page: Page) -> Step {
+        let is_expected =
+            from == self.source && page.after == self.after && page.revision >= self.revision;
         let is_inside = page.offset < page.len.max(1) && page.len as usize <= MAX_UPDATE_LEN;
-        if !is_expected || !is_inside || page.bytes.len() > PAGE_LEN {
+        // Pages begin at multiples of their length, so that their number is bounded.
+        let is_page = page.bytes.len() <= PAGE_LEN && page.offset as usize % PAGE_LEN == 0;
+        if !is_expected || !is_inside || !is_page {
             return Step::Wait;
         }
-        if page.revision > self.revision {
+        if page.revision > self.revision || page.len as usize != self.len {
             self.pages.clear();
             self.revision = page.revision;
             self.requested = MAX_PAGES * PAGE_LEN;
--- a/crates/cardamomhold_entry/src/coordinator/messages.rs
+++ b/crates/cardamomhold_entry/src/coordinator/messages.rs
@@ -177,7 +177,11 @@
                 let received = limits::Command::Received(name, message);
                 self.published.limits.send(received);
             }
-            message::Message::Leaving => self.record_leaving(now, name),
+            message::Message::Leaving => {
+                if self.instances.contains_key(name.as_str()) {
+                    self.record_leaving(now, name);
+                }
+            }
         }
     }
 
--- a/crates/cardamomhold_entry/src/follow/command.rs
+++ b/crates/cardamomhold_entry/src/follow/command.rs
@@ -33,9 +33,9 @@
             Command::Received(from, contents::Message::Request(request)) => {
                 self.answer(from, request);
             }
-            Command::Received(_, contents::Message::Page(page)) => {
+            Command::Received(from, contents::Message::Page(page)) => {
                 if let Some(fetch) = &mut self.fetch {
-                    let step = fetch.receive(now, page);
+                    let step = fetch.receive(now, from, page);
                     self.handle_step(step);
                 }
             }
--- a/crates/cardamomhold_entry/tests/passed_contents.rs
+++ b/crates/cardamomhold_entry/tests/passed_contents.rs
@@ -58,7 +58,7 @@
         let (revision, encoded) = from.encode_after(request.after).unwrap();
         let skipped = if requests == 0 { lost } else { 0 };
         for page in request.pages(revision, encoded).skip(skipped) {
-            match fetch.receive(now, page) {
+            match fetch.receive(now, source(), page) {
                 Step::Wait => {}
                 Step::Request(request) => next = Some(request),
                 Step::Done(update) => return (requests + 1, to.update(update)),
@@ -148,7 +148,7 @@
 fn odd_pages_are_harmless() {
     let now = Timestamp::from_millis(1_000);
     let (mut fetch, _) = contents::Fetch::start(now, source(), Kind::Config, None);
-    for (len, offset) in [(u32::MAX, 0), (10, 10), (10, u32::MAX)] {
+    for (len, offset) in [(u32::MAX, 0), (10, 10), (10, u32::MAX), (5_000, 7)] {
         let page = contents::Page {
             kind: Kind::Config,
             after: None,
@@ -157,7 +157,7 @@
             offset,
             bytes: vec![0; 5],
         };
-        assert_eq!(fetch.receive(now, page), Step::Wait);
+        assert_eq!(fetch.receive(now, source(), page), Step::Wait);
     }
     for _ in 0..2 {
         let due = fetch.due();
@@ -165,3 +165,17 @@
     }
     assert_eq!(fetch.check(fetch.due()), Step::GiveUp);
 }
+
+/// Guards against a copy put together from the pages of two instances, which may encode the same
+/// revision differently.
+#[test]
+fn pages_of_others_are_ignored() {
+    let now = Timestamp::from_millis(1_000);
+    let (mut fetch, request) = contents::Fetch::start(now, source(), Kind::Members, None);
+    let mut from = listed(&[("a", 3)], 10);
+    let (revision, encoded) = from.encode_after(None).unwrap();
+    let page = request.pages(revision, encoded).next().unwrap();
+    let other = net::SocketAddr::from(([127, 0, 0, 1], 8));
+    assert_eq!(fetch.receive(now, other, page.clone()), Step::Wait);
+    assert!(matches!(fetch.receive(now, source(), page), Step::Done(_)));
+}
