--- a/crates/cardamomhold_entry/src/lib.rs
+++ b/crates/cardamomhold_entry/src/lib.rs
@@ -19,7 +19,7 @@
 //! use cardamomhold_entry::session;
 //!
 //! let mut session = session::Session::default();
-//! session.set("tenant", "kalkbok");
+//! session.set("region", "north");
 //! let mut applied = session::Applied::default();
 //! assert_eq!(session.difference(&applied, None).values.len(), 1);
 //! applied.record(&session, None);
--- a/crates/cardamomhold_entry/tests/relayed_statements.rs
+++ b/crates/cardamomhold_entry/tests/relayed_statements.rs
@@ -112,7 +112,7 @@
         let (world, via) = owner().await;
         let mut first = connect(&world, "a", via).await;
         let set = link::Command::Set {
-            name: "tenant",
+            name: "region",
             value: "one",
         };
         first.prepare(&[set]).await.unwrap();
