--- a/crates/cardamomhold_entry/src/contents/fetch.rs
+++ b/crates/cardamomhold_entry/src/contents/fetch.rs
@@ -131,7 +131,8 @@
             from == self.source && page.after == self.after && page.revision >= self.revision;
         let is_inside = page.offset < page.len.max(1) && page.len as usize <= MAX_UPDATE_LEN;
         // Pages begin at multiples of their length, so that their number is bounded.
-        let is_page = page.bytes.len() <= PAGE_LEN && page.offset as usize % PAGE_LEN == 0;
+        let is_page =
+            page.bytes.len() <= PAGE_LEN && (page.offset as usize).is_multiple_of(PAGE_LEN);
         if !is_expected || !is_inside || !is_page {
             return Step::Wait;
         }
