--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,284 @@
+//! Plays a case of the review: `review_standin_2 CASE PROGRAM RECORD DIR`.
+//!
+//! Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run. With `TROUBLE=0` nothing
+//! is disturbed.
+
+mod caller;
+mod crowd;
+mod group;
+mod json;
+mod node;
+mod record;
+mod store;
+
+use std::collections::BTreeSet;
+use std::env;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest wait until writes and reads are served.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest wait for a promotion.
+const PROMOTION_TIMEOUT: Duration = Duration::from_secs(15);
+
+const WRITERS_PER_NODE: usize = 2;
+
+/// Zones of the instances in the case of lost ones, by their numbers.
+const ZONES: [u8; 5] = [1, 1, 2, 2, 3];
+
+/// The instances that are lost, most of them.
+const LOST: [usize; 3] = [0, 2, 4];
+
+/// Time in which the system has to be itself again: `recoveryS`.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Callers that prepare a long statement each, at one instance.
+const CROWD: usize = 60;
+
+/// What happens.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Case {
+    /// The replica that has received all commits is draining when the primary crashes.
+    LeavingReplica,
+    /// Most instances are lost for good and replaced by new ones; later the primary is to be replaced.
+    LostInstances,
+    /// Many callers prepare long statements at the same time.
+    Crowd,
+}
+
+fn config() -> String {
+    let max = group::MAX_CONNECTIONS;
+    let name = group::GROUP;
+    format!(
+        r#"{{"version":7,"routes":[{{"name":"r-main","host":"main","pathPrefix":"/","routeKind":"primary","timeoutMs":800,"targetLatencyMs":150,"priority":0,"service":"{name}","maxAttempts":2}},{{"name":"r-history","host":"history","pathPrefix":"/","routeKind":"bounded","timeoutMs":2000,"targetLatencyMs":1000,"priority":2,"service":"{name}","maxAttempts":2,"maxStalenessMs":1500}}],"services":[{{"name":"{name}","healthPath":"/health","maxConns":{max},"syncReplicas":1}}],"limits":{{"txIdleMs":3000}}}}"#
+    )
+}
+
+fn wait_until(limit: Duration, mut is_done: impl FnMut() -> bool) -> bool {
+    let start = Instant::now();
+    while !is_done() {
+        if start.elapsed() > limit {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    true
+}
+
+fn play(case: Case, program: &PathBuf, record: &Arc<record::Record>, dir: &PathBuf) -> u8 {
+    let is_disturbed = env::var("TROUBLE").as_deref() != Ok("0");
+    let store = store::Store::start();
+    store.put("config", "main", &config());
+    let group = group::Group::start(&store, record);
+    let mut nodes = Vec::new();
+    let zones: &[u8] = match case {
+        Case::LostInstances => &ZONES,
+        Case::LeavingReplica | Case::Crowd => &[1, 2, 3],
+    };
+    for zone in zones {
+        nodes.push(node::Node::start(program, *zone, store.address, dir));
+    }
+    let told = Arc::new(caller::Told::default());
+    for (index, node) in nodes.iter().enumerate() {
+        if case == Case::LostInstances && LOST.contains(&index) {
+            continue;
+        }
+        for number in 0..WRITERS_PER_NODE {
+            let name = format!("w{index}{number}");
+            let pause = Duration::from_millis(20);
+            caller::write(node.callers, name, pause, &told, record);
+        }
+        caller::read(node.callers, format!("r{index}"), &told);
+    }
+    let is_served = wait_until(START_TIMEOUT, || {
+        told.acknowledged.lock().unwrap().len() > 50 && told.reads.load(Ordering::SeqCst) > 20
+    });
+    if !is_served {
+        record.line("not served, the case can't run");
+        return 2;
+    }
+    thread::sleep(Duration::from_secs(3));
+    if case == Case::Crowd {
+        let result = play_crowd(&mut nodes, is_disturbed, &told, record);
+        told.is_over.store(true, Ordering::SeqCst);
+        return result;
+    }
+    if case == Case::LostInstances {
+        let result = play_lost(
+            &mut nodes,
+            &group,
+            is_disturbed,
+            &told,
+            (record, program, dir),
+        );
+        told.is_over.store(true, Ordering::SeqCst);
+        return result;
+    }
+    if is_disturbed {
+        group.drain(1);
+        thread::sleep(Duration::from_secs(1));
+        group.deafen(2);
+        thread::sleep(Duration::from_secs(2));
+        group.crash(0);
+        let is_promoted = wait_until(PROMOTION_TIMEOUT, || {
+            !group.promotions.lock().unwrap().is_empty()
+        });
+        group.hear(2);
+        if !is_promoted {
+            record.line("nobody was promoted");
+        }
+    }
+    thread::sleep(Duration::from_secs(2));
+    told.is_over.store(true, Ordering::SeqCst);
+    let acknowledged = told.acknowledged.lock().unwrap().clone();
+    record.line(&format!(
+        "acknowledged={} reads={} refused={} {}",
+        acknowledged.len(),
+        told.reads.load(Ordering::SeqCst),
+        told.refused.load(Ordering::SeqCst),
+        group.received()
+    ));
+    judge(&group, &acknowledged, record)
+}
+
+/// RECOVER: of the requests sent later than `recoveryS` after the machines are back, less than a
+/// quarter is served, though a quarter or more was before the final fault.
+fn play_lost(
+    nodes: &mut Vec<node::Node>,
+    group: &group::Group,
+    is_disturbed: bool,
+    told: &Arc<caller::Told>,
+    (record, program, dir): (&Arc<record::Record>, &PathBuf, &PathBuf),
+) -> u8 {
+    // The instances have chosen their voters by then.
+    let before = told.served_during(Duration::from_secs(5));
+    if is_disturbed {
+        let store = nodes[0].store;
+        for index in LOST {
+            nodes[index].kill();
+            record.line(&format!("lost for good {}", nodes[index].name));
+        }
+        thread::sleep(Duration::from_secs(2));
+        for index in LOST {
+            let node = node::Node::start(program, ZONES[index], store, dir);
+            record.line(&format!("added {}", node.name));
+            let name = format!("n{index}");
+            caller::write(node.callers, name, Duration::from_millis(20), told, record);
+            caller::read(node.callers, format!("s{index}"), told);
+            nodes.push(node);
+        }
+    }
+    // The new instances serve by then.
+    thread::sleep(Duration::from_secs(6));
+    let between = told.served_during(Duration::from_secs(2));
+    group.drain(0);
+    thread::sleep(RECOVERY_TIME);
+    let after = told.served_during(Duration::from_secs(15));
+    let promotions = group.promotions.lock().unwrap().len();
+    record.line(&format!(
+        "served before={before:?} until the release={between:?} later={after:?} promotions={promotions}"
+    ));
+    let is_broken = before.share() >= 0.25 && after.share() < 0.25;
+    let result = if is_broken {
+        "RECOVER is broken"
+    } else {
+        "held"
+    };
+    record.line(&format!("result: {result}"));
+    println!("{result}: served before {before:?}, later {after:?}, promotions {promotions}");
+    u8::from(is_broken)
+}
+
+/// The platform kills a process that exceeds the memory of its machine.
+fn play_crowd(
+    nodes: &mut [node::Node],
+    is_disturbed: bool,
+    told: &caller::Told,
+    record: &Arc<record::Record>,
+) -> u8 {
+    let node = &mut nodes[0];
+    if is_disturbed {
+        crowd::start(node.callers, CROWD, record);
+    }
+    let limit = node::MEMORY_MB * 1_000_000;
+    let (peak, is_over) = crowd::watch(node.id(), limit, Duration::from_secs(10));
+    record.line(&format!("memory peak={peak} limit={limit}"));
+    if is_over {
+        record.line("killed by the platform");
+        node.kill();
+    }
+    let before = told.acknowledged.lock().unwrap().len();
+    let is_served = wait_until(Duration::from_secs(5), || {
+        told.acknowledged.lock().unwrap().len() > before + 10
+    });
+    let is_running = node.is_running();
+    record.line(&format!(
+        "served afterwards={is_served} running={is_running}"
+    ));
+    let result = if is_running {
+        "held"
+    } else {
+        "a process has ended"
+    };
+    println!(
+        "{result}: memory peak {} MB of {} MB",
+        peak / 1_000_000,
+        node::MEMORY_MB
+    );
+    u8::from(!is_running)
+}
+
+/// LOST: an acknowledged commit isn't in the log of the member that is promoted.
+fn judge(group: &group::Group, acknowledged: &[String], record: &record::Record) -> u8 {
+    let promotions = group.promotions.lock().unwrap();
+    let Some(first) = promotions.first() else {
+        record.line("result: held, no member was promoted");
+        return 0;
+    };
+    let first_log = group.before_crash();
+    let run: BTreeSet<&String> = first_log.iter().collect();
+    let kept: BTreeSet<&String> = first.log.iter().collect();
+    let before = acknowledged.iter().filter(|data| run.contains(data));
+    let lost: Vec<&String> = before.filter(|data| !kept.contains(data)).collect();
+    for data in &lost {
+        record.line(&format!(
+            "lost write={data} promoted={} term={}",
+            first.id, first.term
+        ));
+    }
+    let result = if lost.is_empty() {
+        "held"
+    } else {
+        "LOST is broken"
+    };
+    record.line(&format!("result: {result}, {} lost", lost.len()));
+    println!(
+        "{result}: {} acknowledged commits are not in the log of {}",
+        lost.len(),
+        first.id
+    );
+    u8::from(!lost.is_empty())
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().collect();
+    let [_, case, program, record, dir] = &arguments[..] else {
+        eprintln!("usage: review_standin_2 CASE PROGRAM RECORD DIR");
+        return ExitCode::from(2);
+    };
+    let case = match case.as_str() {
+        "leaving-replica" => Case::LeavingReplica,
+        "lost-instances" => Case::LostInstances,
+        "crowd" => Case::Crowd,
+        _ => return ExitCode::from(2),
+    };
+    let record = Arc::new(record::Record::create(&PathBuf::from(record)));
+    let result = play(case, &PathBuf::from(program), &record, &PathBuf::from(dir));
+    record.flush();
+    ExitCode::from(result)
+}
