--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 8, without a network. The instances are built by the deploy
+# Builds the stand-ins of the cases 6 to 9, without a network. The instances are built by the deploy
 # file's build line.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/standin-2/src/group.rs
+++ b/review/standin-2/src/group.rs
@@ -25,6 +25,9 @@
 const READ_TIME: Duration = Duration::from_millis(30);
 const WRITE_TIME: Duration = Duration::from_millis(6);
 
+/// Time for which a draining member may still be used: `drainMs`.
+pub const DRAIN_TIME: Duration = Duration::from_millis(7_000);
+
 /// Time from a promotion call to its effect.
 const PROMOTE_TIME: Duration = Duration::from_millis(600);
 
@@ -49,7 +52,8 @@
     is_down: bool,
     /// Whether it receives nothing.
     is_deaf: bool,
-    is_draining: bool,
+    /// When the store acknowledged that it is draining.
+    drained: Option<Instant>,
     connections: Vec<TcpStream>,
 }
 
@@ -90,6 +94,8 @@
     store: Arc<Store>,
     record: Arc<Record>,
     pub promotions: Mutex<Vec<Promotion>>,
+    /// Statements that reached a draining member later than it may be used.
+    pub late: AtomicUsize,
 }
 
 /// A slot that is in use.
@@ -140,7 +146,7 @@
                 applied: 0,
                 is_down: false,
                 is_deaf: false,
-                is_draining: false,
+                drained: None,
                 connections: Vec::new(),
             };
             members.push(Arc::new(Member {
@@ -158,6 +164,7 @@
             store: store.clone(),
             record: record.clone(),
             promotions: Mutex::new(Vec::new()),
+            late: AtomicUsize::new(0),
         });
         for (index, listener) in listeners.into_iter().enumerate() {
             group.register(index);
@@ -189,7 +196,7 @@
             r#"{{"service":"{GROUP}","address":"{}","zone":"{}","version":"v1","slots":{SLOTS},"state":"{}","coldLeftMs":0,"dbRole":"{role}","seqNo":1,"born":1700000000000}}"#,
             member.address,
             member.zone,
-            if state.is_draining {
+            if state.drained.is_some() {
                 "draining"
             } else {
                 "ready"
@@ -322,8 +329,11 @@
 
     /// A member reports that it is draining; it goes on to serve and to receive.
     pub fn drain(&self, index: usize) {
-        self.members[index].state.lock().unwrap().is_draining = true;
+        let member = &self.members[index];
+        member.state.lock().unwrap().drained = Some(Instant::now());
         self.register(index);
+        // The store has acknowledged it by now.
+        member.state.lock().unwrap().drained = Some(Instant::now());
         self.record
             .line(&format!("draining id={}", self.members[index].id));
     }
@@ -403,11 +413,11 @@
         for line in lines {
             let line = line?;
             let mut words = line.splitn(3, ' ');
-            let (verb, _id, text) = (words.next(), words.next(), words.next());
+            let (verb, id, text) = (words.next(), words.next(), words.next());
             if verb != Some("QUERY") {
                 return Ok(());
             }
-            let Some(answer) = self.run(member, text.unwrap_or("")) else {
+            let Some(answer) = self.run(member, id.unwrap_or(""), text.unwrap_or("")) else {
                 return Ok(());
             };
             output.write_all(answer.as_bytes())?;
@@ -415,8 +425,25 @@
         Ok(())
     }
 
+    /// Counts a caller's statement that reaches a member too long after it began to drain.
+    fn check_drained(&self, member: &Arc<Member>, id: &str, text: &str) {
+        let drained = member.state.lock().unwrap().drained;
+        let Some(since) = drained.map(|at| at.elapsed()).filter(|_| id != "-") else {
+            return;
+        };
+        let ms = since.as_millis();
+        self.record.line(&format!(
+            "reached draining={} after_ms={ms} id={id} text=\"{text}\"",
+            member.id
+        ));
+        if since > DRAIN_TIME {
+            self.late.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
     /// Runs a statement; none if the member crashes meanwhile.
-    fn run(&self, member: &Arc<Member>, text: &str) -> Option<String> {
+    fn run(&self, member: &Arc<Member>, id: &str, text: &str) -> Option<String> {
+        self.check_drained(member, id, text);
         let words: Vec<&str> = text.split(' ').collect();
         let (rows, end) = match words[..] {
             ["AFTER", position, "READ", _] => {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -28,11 +28,17 @@
 
 const WRITERS_PER_NODE: usize = 2;
 
-/// Zones of the instances in the case of lost ones, by their numbers.
-const ZONES: [u8; 5] = [1, 1, 2, 2, 3];
+/// Time from a loss to the next one.
+const LOSS_INTERVAL: Duration = Duration::from_millis(25_000);
 
-/// The instances that are lost, most of them.
-const LOST: [usize; 3] = [0, 2, 4];
+/// How often each instance is replaced.
+const ROUNDS: usize = 3;
+
+/// Time from the start of a new instance to the stop of the one that it replaces.
+const REPLACE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time from SIGTERM to SIGKILL: `graceS`.
+const GRACE_TIME: Duration = Duration::from_secs(6);
 
 /// Time in which the system has to be itself again: `recoveryS`.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
@@ -45,8 +51,10 @@
 enum Case {
     /// The replica that has received all commits is draining when the primary crashes.
     LeavingReplica,
-    /// Most instances are lost for good and replaced by new ones; later the primary is to be replaced.
-    LostInstances,
+    /// Each instance has been replaced in turn, several times; then the primary is to be replaced.
+    ReplacedInstances,
+    /// Instances are lost for good one at a time, each is replaced by a new one.
+    LoneLosses,
     /// Many callers prepare long statements at the same time.
     Crowd,
 }
@@ -77,17 +85,14 @@
     let group = group::Group::start(&store, record);
     let mut nodes = Vec::new();
     let zones: &[u8] = match case {
-        Case::LostInstances => &ZONES,
-        Case::LeavingReplica | Case::Crowd => &[1, 2, 3],
+        Case::ReplacedInstances => &[1, 2, 3, 1, 2, 3, 1, 2, 3],
+        Case::LeavingReplica | Case::LoneLosses | Case::Crowd => &[1, 2, 3],
     };
     for zone in zones {
         nodes.push(node::Node::start(program, *zone, store.address, dir));
     }
     let told = Arc::new(caller::Told::default());
     for (index, node) in nodes.iter().enumerate() {
-        if case == Case::LostInstances && LOST.contains(&index) {
-            continue;
-        }
         for number in 0..WRITERS_PER_NODE {
             let name = format!("w{index}{number}");
             let pause = Duration::from_millis(20);
@@ -108,8 +113,19 @@
         told.is_over.store(true, Ordering::SeqCst);
         return result;
     }
-    if case == Case::LostInstances {
-        let result = play_lost(
+    if case == Case::ReplacedInstances {
+        let result = play_replaced(
+            &mut nodes,
+            &group,
+            is_disturbed,
+            &told,
+            (record, program, dir),
+        );
+        told.is_over.store(true, Ordering::SeqCst);
+        return result;
+    }
+    if case == Case::LoneLosses {
+        let result = play_lone(
             &mut nodes,
             &group,
             is_disturbed,
@@ -148,37 +164,42 @@
 
 /// RECOVER: of the requests sent later than `recoveryS` after the machines are back, less than a
 /// quarter is served, though a quarter or more was before the final fault.
-fn play_lost(
-    nodes: &mut Vec<node::Node>,
+fn play_lone(
+    nodes: &mut [node::Node],
     group: &group::Group,
     is_disturbed: bool,
     told: &Arc<caller::Told>,
     (record, program, dir): (&Arc<record::Record>, &PathBuf, &PathBuf),
 ) -> u8 {
-    // The instances have chosen their voters by then.
-    let before = told.served_during(Duration::from_secs(5));
+    let store = nodes[0].store;
+    let add = |index: usize| {
+        let node = node::Node::start(program, index as u8 + 1, store, dir);
+        let name = format!("n{}", node.name);
+        caller::write(
+            node.callers,
+            name.clone(),
+            Duration::from_millis(20),
+            told,
+            record,
+        );
+        caller::read(node.callers, name, told);
+        node
+    };
+    let before = told.served_during(Duration::from_secs(4));
     if is_disturbed {
-        let store = nodes[0].store;
-        for index in LOST {
+        for index in [0, 1] {
             nodes[index].kill();
             record.line(&format!("lost for good {}", nodes[index].name));
-        }
-        thread::sleep(Duration::from_secs(2));
-        for index in LOST {
-            let node = node::Node::start(program, ZONES[index], store, dir);
-            record.line(&format!("added {}", node.name));
-            let name = format!("n{index}");
-            caller::write(node.callers, name, Duration::from_millis(20), told, record);
-            caller::read(node.callers, format!("s{index}"), told);
-            nodes.push(node);
+            thread::sleep(Duration::from_secs(1));
+            nodes[index] = add(index);
+            record.line(&format!("added {}", nodes[index].name));
+            thread::sleep(LOSS_INTERVAL);
         }
     }
-    // The new instances serve by then.
-    thread::sleep(Duration::from_secs(6));
     let between = told.served_during(Duration::from_secs(2));
     group.drain(0);
     thread::sleep(RECOVERY_TIME);
-    let after = told.served_during(Duration::from_secs(15));
+    let after = told.served_during(Duration::from_secs(10));
     let promotions = group.promotions.lock().unwrap().len();
     record.line(&format!(
         "served before={before:?} until the release={between:?} later={after:?} promotions={promotions}"
@@ -194,6 +215,48 @@
     u8::from(is_broken)
 }
 
+/// DRAIN: a request reaches a member later than `drainMs` after the store acknowledged that the
+/// member is draining.
+fn play_replaced(
+    nodes: &mut [node::Node],
+    group: &group::Group,
+    is_disturbed: bool,
+    told: &Arc<caller::Told>,
+    (record, program, dir): (&Arc<record::Record>, &PathBuf, &PathBuf),
+) -> u8 {
+    let store = nodes[0].store;
+    for round in 0..if is_disturbed { ROUNDS } else { 0 } {
+        for (index, node) in nodes.iter_mut().enumerate() {
+            // The new one first, then the old one is asked to stop.
+            let new = node::Node::start(program, index as u8 % 3 + 1, store, dir);
+            thread::sleep(REPLACE_TIME);
+            node.terminate();
+            record.line(&format!("replaced {} by {}", node.name, new.name));
+            let old = std::mem::replace(node, new);
+            thread::spawn(move || {
+                thread::sleep(GRACE_TIME);
+                drop(old);
+            });
+            if round + 1 == ROUNDS {
+                let name = format!("n{index}");
+                caller::write(node.callers, name, Duration::from_millis(20), told, record);
+            }
+        }
+    }
+    thread::sleep(GRACE_TIME * 2);
+    let before = told.served_during(Duration::from_secs(3));
+    group.drain(0);
+    thread::sleep(group::DRAIN_TIME + Duration::from_secs(8));
+    let late = group.late.load(Ordering::SeqCst);
+    let promotions = group.promotions.lock().unwrap().len();
+    let result = if late == 0 { "held" } else { "DRAIN is broken" };
+    record.line(&format!(
+        "served before the release={before:?} promotions={promotions} late={late} result: {result}"
+    ));
+    println!("{result}: {late} requests reached the draining primary later than drainMs");
+    u8::from(late > 0)
+}
+
 /// The platform kills a process that exceeds the memory of its machine.
 fn play_crowd(
     nodes: &mut [node::Node],
@@ -273,7 +336,8 @@
     };
     let case = match case.as_str() {
         "leaving-replica" => Case::LeavingReplica,
-        "lost-instances" => Case::LostInstances,
+        "replaced-instances" => Case::ReplacedInstances,
+        "lone-losses" => Case::LoneLosses,
         "crowd" => Case::Crowd,
         _ => return ExitCode::from(2),
     };
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -9,6 +9,9 @@
 /// Memory of a machine: the smallest one of the installations.
 pub const MEMORY_MB: u64 = 112;
 
+/// Number in the name of the first instance; all names sort in the order of their numbers.
+const FIRST_NUMBER: u8 = 101;
+
 /// Number of instances started so far.
 static STARTED: AtomicU8 = AtomicU8::new(0);
 
@@ -33,7 +36,7 @@
             listeners.push(listener);
         }
         drop(listeners);
-        let name = format!("front-z{zone}-{}", index + 1);
+        let name = format!("front-z{zone}-{}", FIRST_NUMBER + index);
         let text = format!(
             "node = \"{name}\"\nrole = \"entry\"\nmachineClass = \"front\"\nserves = [\"front\"]\n\
              ip = \"{ip}\"\nzone = \"z{zone}\"\nregion = \"r1\"\ninternalPorts = [{0},{0}]\n\
@@ -81,6 +84,14 @@
         let _ = self.child.wait();
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        // It may have ended already.
+        let _ = Command::new("kill")
+            .args(["-TERM", &self.id().to_string()])
+            .status();
+    }
+
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
