--- a/review/standin-2/src/group.rs
+++ b/review/standin-2/src/group.rs
@@ -1,6 +1,6 @@
 //! Stand-in of a database group of three members, over the line protocol.
 //!
-//! A commit is acknowledged once one replica has received it (`syncReplicas` = 1). A member runs as
+//! With `syncReplicas` = 1 a commit is acknowledged once one replica has received it. A member runs as
 //! many statements at once as it has slots, and answers `BUSY` to others.
 
 use std::io::{BufRead, BufReader, Write};
@@ -93,6 +93,8 @@
     pub members: Vec<Arc<Member>>,
     store: Arc<Store>,
     record: Arc<Record>,
+    /// Replicas that must have received a commit before it is acknowledged: 0 or 1.
+    sync_replicas: usize,
     pub promotions: Mutex<Vec<Promotion>>,
     /// Statements that reached a draining member later than it may be used.
     pub late: AtomicUsize,
@@ -134,7 +136,7 @@
 }
 
 impl Group {
-    pub fn start(store: &Arc<Store>, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(store: &Arc<Store>, record: &Arc<Record>, sync_replicas: usize) -> Arc<Self> {
         let mut members = Vec::new();
         let mut listeners = Vec::new();
         for (index, zone) in ["z1", "z2", "z3"].into_iter().enumerate() {
@@ -163,6 +165,7 @@
             members,
             store: store.clone(),
             record: record.clone(),
+            sync_replicas,
             promotions: Mutex::new(Vec::new()),
             late: AtomicUsize::new(0),
         });
@@ -521,14 +524,15 @@
             state.applied = state.log.len();
             state.log.len()
         };
-        // One replica has to have received it.
+        // The replicas that have to have received it.
         loop {
             let has_received = |other: &Arc<Member>| {
                 let state = other.state.lock().unwrap();
                 let entry = state.log.get(number - 1);
                 other.id != member.id && !state.is_down && entry.is_some_and(|e| e.data == data)
             };
-            if self.members.iter().any(has_received) {
+            let received = self.members.iter().filter(|m| has_received(m)).count();
+            if received >= self.sync_replicas {
                 self.record
                     .line(&format!("run id={} write={data}", member.id));
                 return Some((String::new(), format!("DONE sig-{}", member.id)));
