--- a/crates/cardamomhold_daemon/tests/crowd/mod.rs
+++ b/crates/cardamomhold_daemon/tests/crowd/mod.rs
@@ -183,11 +183,12 @@
     ) -> Self {
         let [_, _, high, low] = process::id().to_be_bytes();
         let ip = net::Ipv4Addr::new(127, 101 + high % 100, low, index + 1);
-        let mut addresses = Vec::new();
-        for _ in 0..3 {
-            let listener = net::TcpListener::bind((ip, 0)).unwrap();
-            addresses.push(listener.local_addr().unwrap().to_string());
-        }
+        // All are open at the same time: a port of a closed socket may be found again.
+        let listeners = [(); 3].map(|()| net::TcpListener::bind((ip, 0)).unwrap());
+        let addresses = listeners
+            .each_ref()
+            .map(|listener| listener.local_addr().unwrap().to_string());
+        drop(listeners);
         let name = format!("entry-{zone}");
         let text = serde_json::json!({
             "instance": name, "zone": zone, "listen": addresses[0], "peer": addresses[1],
--- a/crates/cardamomhold_entry/tests/granted_tokens.rs
+++ b/crates/cardamomhold_entry/tests/granted_tokens.rs
@@ -47,9 +47,12 @@
     name::WorkspaceName::parse("small").unwrap()
 }
 
-fn free_address() -> net::SocketAddr {
-    let socket = net::UdpSocket::bind(("127.0.0.1", 0)).unwrap();
-    socket.local_addr().unwrap()
+/// Returns different free addresses. The sockets stay open until all are found: a port of a closed
+/// one may be found again.
+fn free_addresses(count: usize) -> Vec<net::SocketAddr> {
+    let bind = |_| net::UdpSocket::bind(("127.0.0.1", 0)).unwrap();
+    let sockets: Vec<_> = (0..count).map(bind).collect();
+    sockets.iter().map(|s| s.local_addr().unwrap()).collect()
 }
 
 /// The view of instances that know one workspace with a limit.
@@ -76,10 +79,10 @@
 /// Starts instances that are all voters; what a cut one sends or should receive is lost.
 async fn start(count: usize) -> Vec<Instance> {
     let mut fleet = registry::Instances::new();
-    for number in 0..count {
+    for (number, address) in free_addresses(count).into_iter().enumerate() {
         let name = name::InstanceName::parse(&format!("entry-{number}")).unwrap();
         let entry = registry::Entry {
-            address: free_address(),
+            address,
             zone: format!("zone-{number}"),
         };
         fleet.insert(name, entry);
