--- a/crates/cardamomhold_entry/src/coordinator.rs
+++ b/crates/cardamomhold_entry/src/coordinator.rs
@@ -44,6 +44,7 @@
 mod electorate;
 mod event;
 mod failover;
+mod job;
 mod lease_renewal;
 mod lock;
 mod messages;
--- a/crates/cardamomhold_entry/src/coordinator/failover.rs
+++ b/crates/cardamomhold_entry/src/coordinator/failover.rs
@@ -18,7 +18,6 @@
 use crate::promoter;
 use crate::registry;
 use crate::store;
-use crate::view;
 
 /// How long a report that a primary fails statements stays valid.
 const FAILING_REPORT_LIFETIME: time::Duration = time::Duration::from_millis(1_000);
@@ -81,40 +80,6 @@
         }
     }
 
-    pub(super) fn handover_job(
-        &self,
-        group: &name::GroupName,
-        cause: suspicion::Cause,
-    ) -> handover::Job {
-        let view = self.published.views.borrow();
-        let mut members = Vec::new();
-        let mut leaving = Vec::new();
-        for member in view.members.values() {
-            if member.group != *group {
-                continue;
-            }
-            if member.state == view::MemberState::Leaving {
-                leaving.push(member.name.clone());
-            }
-            members.push(link::Target {
-                group: group.clone(),
-                member: member.name.clone(),
-                address: member.address,
-                via: None,
-                workspace: None,
-            });
-        }
-        handover::Job {
-            own: self.own.clone(),
-            group: group.clone(),
-            change: self.records.get(group.as_str()).map_or(0, |r| r.change),
-            cause,
-            members,
-            leaving,
-            instances: self.instances.keys().cloned().collect(),
-        }
-    }
-
     pub(super) fn handle_observation(
         &mut self,
         now: Timestamp,
--- a/crates/cardamomhold_entry/src/handover.rs
+++ b/crates/cardamomhold_entry/src/handover.rs
@@ -10,6 +10,7 @@
 use cardamomhold_core::time::Timestamp;
 use cardamomhold_lead::acks;
 use cardamomhold_lead::candidate;
+use cardamomhold_lead::durability;
 use cardamomhold_lead::promotion_lock;
 use cardamomhold_lead::succession;
 use cardamomhold_lead::suspicion;
@@ -30,6 +31,8 @@
 mod members;
 pub mod permit;
 mod promote;
+mod record;
+mod survey;
 
 pub use create::acquire_first_lock;
 pub use create::create_leadership;
@@ -75,8 +78,13 @@
     pub cause: suspicion::Cause,
     /// The group's known members.
     pub members: Vec<link::Target>,
-    /// Members that are leaving, which are not promoted.
+    /// Members that are leaving, which are not promoted, or only for a moment.
     pub leaving: Vec<name::MemberName>,
+    /// Members that were listed a while ago and are no longer.
+    pub departed: Vec<durability::Holder>,
+    /// Replicas that must have received a commit before it is acknowledged; none if the
+    /// configuration that this instance has doesn't name the group.
+    pub sync_replicas: Option<usize>,
     /// Registered instances, whose acknowledgements are awaited.
     pub instances: Vec<name::InstanceName>,
 }
@@ -174,49 +182,10 @@
             order,
             read_at,
         };
-        if run.record.leadership.primary.is_some() {
-            run.write(run.record.ended()).await?;
-        }
+        run.end_leadership().await?;
         Ok(run)
     }
 
-    /// Writes the next record of the leadership to the store.
-    async fn write(&mut self, next: succession::Succession) -> Result<(), HandoverError> {
-        let condition = store::Condition::Revision(self.revision);
-        let written = with_timeout(control::write_record(
-            &self.adapters.store,
-            &next,
-            condition,
-        ))
-        .await;
-        match written {
-            Ok(store::WriteOutcome::Done(document)) => self.revision = document.revision,
-            Ok(store::WriteOutcome::Conflict) => return Err(HandoverError::Superseded),
-            Err(error) => {
-                // The write may have taken effect although its answer was lost.
-                let control = read_control(&self.adapters.store).await?;
-                let entry = control.records.get(self.job.group.as_str());
-                let Some((_, revision)) = entry.filter(|(record, _)| *record == next) else {
-                    return Err(HandoverError::Store(error));
-                };
-                self.revision = *revision;
-            }
-        }
-        log::info!(
-            "event=leadership_written group={} change={} primary={} candidate={} term={} cause={} \
-             token={}",
-            next.leadership.group,
-            next.leadership.change,
-            member_text(next.leadership.primary.as_ref()),
-            member_text(next.leadership.candidate.as_ref()),
-            next.leadership.term,
-            self.job.cause.as_str(),
-            self.lock.token
-        );
-        self.record = next;
-        Ok(())
-    }
-
     async fn finish(&mut self) -> Result<name::MemberName, HandoverError> {
         let (acked, mut acks) = mpsc::unbounded_channel();
         self.announce(Some(acked));
@@ -224,7 +193,10 @@
         if self.job.cause == suspicion::Cause::Leaving {
             self.collect_acks(&mut awaited, &mut acks, DRAIN_TIME).await;
         }
+        let is_synchronous = !self.record.durability.is_asynchronous();
         let former_position = match self.job.cause {
+            // The replicas may need what only the former primary can send them.
+            _ if is_synchronous => None,
             suspicion::Cause::Leaving | suspicion::Cause::Gone => self.demote_and_read().await,
             suspicion::Cause::Unreachable | suspicion::Cause::Unfinished => {
                 self.demote_former(self.record.leadership.term.next());
@@ -235,12 +207,16 @@
         let begun = clock::now();
         let inherited = self.record.leadership.candidate.clone();
         let mut waiting = None;
+        let mut survey = survey::Survey::default();
         loop {
             self.collect_acks(&mut awaited, &mut acks, POLL_INTERVAL)
                 .await;
+            let ended_at = awaited.ended_at();
+            if is_synchronous && !awaited.is_over(clock::now()) {
+                // Answers to earlier questions don't show what is acknowledged until then.
+                continue;
+            }
             let waited = waiting.map_or(time::Duration::ZERO, |at| clock::now().since(at));
-            let statuses = self.statuses(waited).await;
-            let candidates = members::candidates(&statuses);
             let progress = succession::Progress {
                 members: self.job.members.len(),
                 tried: &tried,
@@ -248,11 +224,30 @@
                 running: clock::now().since(begun),
                 inherited: inherited.as_ref(),
                 order: self.order.as_ref(),
+                leaving: &self.job.leaving,
+                // Until the members have answered.
+                requirement: durability::Requirement::Unknown,
+            };
+            let statuses = self.statuses(progress, &mut survey).await;
+            let candidates = members::candidates(&statuses);
+            let progress = succession::Progress {
+                requirement: survey.requirement(&self.record),
+                ..progress
             };
             let best = match self.record.step(&candidates, progress) {
-                succession::Step::Complete(promoted) => return self.complete(promoted).await,
+                succession::Step::Complete(promoted) => {
+                    if let Some(primary) = self.accept(promoted, inherited.as_ref()).await? {
+                        return Ok(primary);
+                    }
+                    tried.clear();
+                    waiting = None;
+                    continue;
+                }
                 succession::Step::Promote(best) => best,
-                succession::Step::GiveUp => return Err(self.give_up(&candidates)),
+                succession::Step::GiveUp => {
+                    survey.log(&self.record, progress.requirement, None);
+                    return Err(self.give_up(&candidates, progress.requirement));
+                }
                 step => {
                     if waiting.is_none() {
                         waiting = Some(clock::now());
@@ -277,9 +272,13 @@
             if !self.record.has_candidate(&member, self.order.as_ref()) {
                 let max_term = candidates.iter().map(|c| c.status.term).max();
                 let max_term = max_term.unwrap_or_default();
-                let next = self
-                    .record
-                    .with_candidate(best, max_term, self.order.as_ref());
+                survey.log(&self.record, progress.requirement, Some(&member));
+                let next = self.record.with_candidate(
+                    best,
+                    max_term,
+                    self.order.as_ref(),
+                    progress.requirement,
+                );
                 self.write(next).await?;
             }
             if best.status.role == candidate::Role::Primary && !self.step_down(&member).await {
@@ -291,13 +290,22 @@
             if !awaited.is_over(clock::now()) {
                 continue;
             }
+            if is_synchronous && awaited.ended_at() > ended_at {
+                // With other voters commits may have been acknowledged until later.
+                survey = survey::Survey::default();
+                continue;
+            }
             match self.promote(permit, &member).await? {
                 promote::Outcome::Promoted(status) if self.record.may_lead(&status) => {
                     let promoted = candidate::Candidate {
                         name: &member,
                         status,
                     };
-                    return self.complete(promoted).await;
+                    if let Some(primary) = self.accept(promoted, inherited.as_ref()).await? {
+                        return Ok(primary);
+                    }
+                    tried.clear();
+                    waiting = None;
                 }
                 promote::Outcome::Promoted(status) => {
                     log::warn!(
@@ -338,22 +346,4 @@
             }
         }
     }
-
-    /// Writes and announces the new primary, and demotes the former one.
-    async fn complete(
-        &mut self,
-        promoted: candidate::Candidate<'_>,
-    ) -> Result<name::MemberName, HandoverError> {
-        let member = promoted.name.clone();
-        if self.record.leadership.former.as_ref() != Some(&member) {
-            self.demote_former(promoted.status.term);
-        }
-        self.write(self.record.with_primary(promoted)).await?;
-        self.announce(None);
-        Ok(member)
-    }
-}
-
-fn member_text(member: Option<&name::MemberName>) -> &str {
-    member.map_or("none", |m| m.as_str())
 }
--- a/crates/cardamomhold_entry/src/handover/error.rs
+++ b/crates/cardamomhold_entry/src/handover/error.rs
@@ -17,6 +17,8 @@
     NoCandidate,
     /// The members that answer may hold commits that an earlier change of primary has abandoned.
     Ineligible,
+    /// No member that answers is known to have each acknowledged commit.
+    MissingCommits,
     /// The promotion was not confirmed.
     Unconfirmed,
     /// The handover or one of its steps took too long.
@@ -31,6 +33,9 @@
             Self::NoVoters => f.write_str("no voters are stored yet"),
             Self::NoCandidate => f.write_str("no member can take over"),
             Self::Ineligible => f.write_str("no member without abandoned commits answers"),
+            Self::MissingCommits => {
+                f.write_str("no member that answers is known to have each acknowledged commit")
+            }
             Self::Unconfirmed => f.write_str("the promotion was not confirmed"),
             Self::TimedOut => f.write_str("timed out"),
         }
--- a/crates/cardamomhold_entry/src/roster.rs
+++ b/crates/cardamomhold_entry/src/roster.rs
@@ -2,15 +2,22 @@
 //! disappeared, as entries may expire during a store outage.
 
 use std::collections;
+use std::time;
 
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_lead::durability;
 
 use crate::failovers;
 use crate::view;
 
 type Members = collections::BTreeMap<name::MemberName, view::Member>;
 
+/// How long a member without an entry counts as one that may alone hold acknowledged commits, unless
+/// another one has taken over its address. While the primary serves, the other replicas receive them
+/// within seconds.
+const DEPARTED_LIFETIME: time::Duration = time::Duration::from_secs(60);
+
 /// The members of all groups.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -18,6 +25,8 @@
     /// Members without an entry, with the time when the entry disappeared or the store last
     /// failed to answer, whichever is later.
     missing: collections::BTreeMap<name::MemberName, (view::Member, Timestamp)>,
+    /// Members without an entry, with the time when it disappeared.
+    departed: collections::BTreeMap<name::MemberName, (view::Member, Timestamp)>,
 }
 
 impl Roster {
@@ -28,6 +37,7 @@
                 continue;
             }
             log::info!("event=member_missing member={name} group={}", member.group);
+            self.departed.insert(name.clone(), (member.clone(), now));
             if member.state == view::MemberState::Ready {
                 self.missing.insert(name.clone(), (member.clone(), now));
             }
@@ -47,6 +57,36 @@
             }
         }
         self.listed = listed;
+        self.prune_departed(now);
+    }
+
+    /// Drops departed members that are listed again, are replaced at their address, or left long ago.
+    fn prune_departed(&mut self, now: Timestamp) {
+        if self.departed.is_empty() {
+            return;
+        }
+        let listed = self.listed.values();
+        let taken: collections::HashSet<_> = listed.map(|m| (&m.group, m.address)).collect();
+        self.departed.retain(|name, (member, since)| {
+            let is_old = now >= since.after(DEPARTED_LIFETIME);
+            let is_replaced = taken.contains(&(&member.group, member.address));
+            !is_old && !is_replaced && !self.listed.contains_key(name.as_str())
+        });
+    }
+
+    /// Members of a group without an entry whose logs nobody else is known to have.
+    pub fn departed(&self, now: Timestamp, group: &name::GroupName) -> Vec<durability::Holder> {
+        let mut holders = Vec::new();
+        for (member, since) in self.departed.values() {
+            if member.group != *group || now >= since.after(DEPARTED_LIFETIME) {
+                continue;
+            }
+            holders.push(durability::Holder {
+                member: member.name.clone(),
+                address: member.address,
+            });
+        }
+        holders
     }
 
     /// Restarts the timeouts of missing entries: entries that expire during a store outage don't
--- a/crates/cardamomhold_entry/src/view.rs
+++ b/crates/cardamomhold_entry/src/view.rs
@@ -80,6 +80,8 @@
     pub name: name::GroupName,
     /// Connections that each member accepts from all instances.
     pub connections: usize,
+    /// Replicas that must have received a commit before it is acknowledged.
+    pub sync_replicas: usize,
 }
 
 /// The operators' configuration.
--- a/crates/cardamomhold_entry/tests/creation_cost.rs
+++ b/crates/cardamomhold_entry/tests/creation_cost.rs
@@ -153,6 +153,8 @@
         cause: suspicion::Cause::Unfinished,
         members: vec![target],
         leaving: Vec::new(),
+        departed: Vec::new(),
+        sync_replicas: None,
         instances: Vec::new(),
     }
 }
--- a/crates/cardamomhold_entry/tests/stale_handover.rs
+++ b/crates/cardamomhold_entry/tests/stale_handover.rs
@@ -121,6 +121,8 @@
             cause: suspicion::Cause::Unfinished,
             members: Vec::new(),
             leaving: Vec::new(),
+            departed: Vec::new(),
+            sync_replicas: None,
             instances: vec![instance("entry-2")],
         };
         let (coordinator, mut events) = coordinator::mailbox();
--- a/crates/cardamomhold_entry/tests/stored_history.rs
+++ b/crates/cardamomhold_entry/tests/stored_history.rs
@@ -10,6 +10,7 @@
 use cardamomhold_entry::control;
 use cardamomhold_entry::store;
 use cardamomhold_lead::candidate;
+use cardamomhold_lead::durability;
 use cardamomhold_lead::record;
 use cardamomhold_lead::succession;
 use serde_json::Value;
@@ -67,6 +68,8 @@
         running: time::Duration::from_secs(10),
         inherited: None,
         order: None,
+        leaving: &[],
+        requirement: durability::Requirement::Nothing,
     };
     match record.step(&candidates, progress) {
         succession::Step::Promote(best) => Some(best.name.clone()),
@@ -100,7 +103,8 @@
         status: status(4, 4, 70),
     };
     let first = succession::Succession::first(leadership).ended();
-    let next = first.with_candidate(chosen, position::Term(4), None);
+    let nothing = durability::Requirement::Nothing;
+    let next = first.with_candidate(chosen, position::Term(4), None, nothing);
     let led = next.with_primary(candidate::Candidate {
         status: status(5, 4, 70),
         ..chosen
@@ -128,7 +132,8 @@
             name: &name,
             status: status(number, number, number * 1_000_000_000),
         };
-        let candidate = record.with_candidate(chosen, position::Term(number), None);
+        let nothing = durability::Requirement::Nothing;
+        let candidate = record.with_candidate(chosen, position::Term(number), None, nothing);
         record = candidate.with_primary(candidate::Candidate {
             status: status(number + 1, number, number * 1_000_000_000),
             ..chosen
@@ -138,3 +143,34 @@
         record = record.ended();
     }
 }
+
+/// A change of primary that another instance continues knows the members and the log that the first
+/// one has found. Without synchronous replicas nothing is stored.
+#[test]
+fn durability_is_stored() {
+    let first = read(former_record(Some("m-a"), None, 4));
+    let holders = ["m-a", "m-b", "m-c"].map(|name| durability::Holder {
+        member: member(name),
+        address: ([127, 0, 0, 1], 5_000).into(),
+    });
+    let asynchronous = first.ended().with_holders(0, &holders);
+    let content = serde_json::to_value(&asynchronous).unwrap();
+    assert!(content.get("durability").is_none(), "{content}");
+    let ended = first.ended().with_holders(1, &holders);
+    let chosen = candidate::Candidate {
+        name: &member("m-b"),
+        status: status(4, 4, 70),
+    };
+    let log = position::LogPosition(70);
+    let requirement = durability::Requirement::Log(log, durability::Basis::Replicas);
+    let next = ended.with_candidate(chosen, position::Term(4), None, requirement);
+    for record in [ended, next.clone()] {
+        assert_eq!(read(serde_json::to_value(&record).unwrap()), record);
+    }
+    // Nobody has answered yet, but the log that is needed is known.
+    let shown = next.answers(&[]).requirement(&next.durability);
+    assert_eq!(shown.log(), Some(log));
+    // The configuration no longer asks for replicas.
+    let changed = next.with_holders(0, &holders);
+    assert!(changed.durability.is_asynchronous());
+}
--- a/crates/cardamomhold_entry/tests/world/mod.rs
+++ b/crates/cardamomhold_entry/tests/world/mod.rs
@@ -425,6 +425,7 @@
     catalog.groups.push(view::GroupSpec {
         name: group_name(),
         connections: 47,
+        sync_replicas: 0,
     });
     let own = view::Consistency::OwnWrites(time::Duration::from_millis(2_500));
     for (database, consistency) in [("main", view::Consistency::Primary), ("own", own)] {
--- a/crates/cardamomhold_lead/src/history.rs
+++ b/crates/cardamomhold_lead/src/history.rs
@@ -78,6 +78,22 @@
         status.received.log <= self.limit(self.joined(status))
     }
 
+    /// Length of the part of a member's log that is a prefix of the newest term's log. None if the
+    /// log is longer and a candidate that was replaced may have begun its term: the member may hold
+    /// more than is known.
+    pub fn prefix_len(&self, status: &candidate::Status) -> Option<position::LogPosition> {
+        if self.is_prefix(status) {
+            return Some(status.received.log);
+        }
+        let is_known = self.has_begun(status.received.term);
+        is_known.then(|| self.limit(status.received.term))
+    }
+
+    /// Whether a term is among the known beginnings, or older than they are.
+    fn has_begun(&self, term: position::Term) -> bool {
+        term <= self.since || self.beginnings.iter().any(|b| b.term == term)
+    }
+
     /// Whether the promotion of the present candidate was ordered by an operator.
     pub fn is_ordered(&self) -> bool {
         self.call.is_some_and(|call| call.is_ordered)
@@ -104,7 +120,7 @@
     /// back.
     fn joined(&self, status: &candidate::Status) -> position::Term {
         let term = status.received.term;
-        if term <= self.since || self.beginnings.iter().any(|b| b.term == term) {
+        if self.has_begun(term) {
             return term;
         }
         // Begun by a candidate that was not accepted; its log was a prefix of the log of the term
--- a/crates/cardamomhold_lead/src/lib.rs
+++ b/crates/cardamomhold_lead/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod acks;
 pub mod answer_budget;
 pub mod candidate;
+pub mod durability;
 pub mod failure_detector;
 pub mod history;
 pub mod lease;
--- a/crates/cardamomhold_lead/src/succession.rs
+++ b/crates/cardamomhold_lead/src/succession.rs
@@ -7,6 +7,7 @@
 use cardamomhold_core::position;
 
 use crate::candidate;
+use crate::durability;
 use crate::history;
 use crate::record;
 
@@ -19,6 +20,10 @@
 /// and the operator's orders again.
 pub const ELIGIBLE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Time without a member to promote after which one that is leaving may be, if it alone has the log.
+/// Commits on their way to other replicas arrive before, which saves a second promotion.
+pub const LEAVING_DELAY: time::Duration = time::Duration::from_millis(200);
+
 /// How long a promotion call may take until its effect shows.
 pub const EFFECT_TIMEOUT: time::Duration = time::Duration::from_millis(4_000);
 
@@ -31,6 +36,12 @@
     /// History of the terms; absent in records of the former format.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub history: Option<history::TermHistory>,
+    /// Synchronous replication; absent without it.
+    #[serde(
+        default,
+        skip_serializing_if = "durability::Durability::is_asynchronous"
+    )]
+    pub durability: durability::Durability,
 }
 
 /// An operator's order to promote a member although it holds abandoned commits.
@@ -59,6 +70,10 @@
     pub inherited: Option<&'a name::MemberName>,
     /// The operator's order for the group.
     pub order: Option<&'a Order>,
+    /// Members that are leaving.
+    pub leaving: &'a [name::MemberName],
+    /// The log that a new primary must have.
+    pub requirement: durability::Requirement,
 }
 
 /// Next step of a change of primary.
@@ -83,6 +98,7 @@
         Self {
             leadership,
             history,
+            durability: durability::Durability::default(),
         }
     }
 
@@ -148,14 +164,8 @@
         if let Some(ordered) = self.ordered(candidates, progress) {
             return Step::Promote(ordered);
         }
-        let eligible = self.eligible(candidates);
-        let former = leadership.former.as_ref();
-        let has_majority = candidates.len() * 2 > progress.members;
-        let may_return = has_majority && progress.waited >= FORMER_DELAY;
-        let best = candidate::choose(&eligible, former, progress.tried).or_else(|| {
-            let returned = may_return.then_some(&eligible)?;
-            candidate::choose(returned, None, progress.tried)
-        });
+        let best = self.successor(candidates, progress);
+        let best = best.or_else(|| self.interim(candidates, progress));
         if let Some(best) = best {
             // Another instance may have sent a call for this candidate a moment ago. If that took
             // effect after the next one's, the member that is promoted now would be replaced.
@@ -166,15 +176,104 @@
                 false => Step::Promote(best),
             };
         }
-        if !progress.tried.is_empty() {
-            return Step::Retry;
-        }
+        let is_asynchronous = self.durability.is_asynchronous();
         match progress.waited < ELIGIBLE_TIMEOUT {
+            // A list of members that is read again may have the one with the log.
+            is_early if !progress.tried.is_empty() && (is_early || is_asynchronous) => Step::Retry,
             true => Step::Wait,
             false => Step::GiveUp,
         }
     }
 
+    /// The member to promote that stays in the group. The former primary may be promoted again after
+    /// some time.
+    pub fn successor<'a>(
+        &self,
+        candidates: &[candidate::Candidate<'a>],
+        progress: Progress<'_>,
+    ) -> Option<candidate::Candidate<'a>> {
+        let mut staying = self.sufficient(candidates, progress);
+        staying.retain(|c| !progress.leaving.contains(c.name));
+        self.choose(&staying, candidates.len(), progress)
+    }
+
+    /// The leaving member to promote for as long as another one needs to receive its log, if no
+    /// member that stays has it and no primary is there from which one could receive it.
+    fn interim<'a>(
+        &self,
+        candidates: &[candidate::Candidate<'a>],
+        progress: Progress<'_>,
+    ) -> Option<candidate::Candidate<'a>> {
+        let has_source = candidates.iter().any(|c| self.is_source(c));
+        if self.durability.is_asynchronous() || has_source || progress.waited < LEAVING_DELAY {
+            return None;
+        }
+        let sufficient = self.sufficient(candidates, progress);
+        self.choose(&sufficient, candidates.len(), progress)
+    }
+
+    /// Whether a member is the former primary and still leads, so that the replicas follow it.
+    fn is_source(&self, candidate: &candidate::Candidate<'_>) -> bool {
+        let is_former = self.leadership.former.as_ref() == Some(candidate.name);
+        let status = candidate.status;
+        is_former && status.role == candidate::Role::Primary && status.term >= self.leadership.term
+    }
+
+    /// The eligible members that have each acknowledged commit.
+    fn sufficient<'a>(
+        &self,
+        candidates: &[candidate::Candidate<'a>],
+        progress: Progress<'_>,
+    ) -> Vec<candidate::Candidate<'a>> {
+        let mut sufficient = self.eligible(candidates);
+        sufficient.retain(|c| progress.requirement.is_met(c.status.received.log));
+        sufficient
+    }
+
+    /// The one with the newest log; `answered` is the number of members that have answered.
+    fn choose<'a>(
+        &self,
+        eligible: &[candidate::Candidate<'a>],
+        answered: usize,
+        progress: Progress<'_>,
+    ) -> Option<candidate::Candidate<'a>> {
+        let former = self.leadership.former.as_ref();
+        let has_majority = answered * 2 > progress.members;
+        let may_return = has_majority && progress.waited >= FORMER_DELAY;
+        candidate::choose(eligible, former, progress.tried).or_else(|| {
+            let returned = may_return.then_some(eligible)?;
+            candidate::choose(returned, None, progress.tried)
+        })
+    }
+
+    /// What the members' answers show about the log that a new primary must have. The answers must
+    /// have been asked for after the last commit of the former primary was acknowledged.
+    pub fn answers<'a>(&'a self, answers: &[candidate::Candidate<'_>]) -> durability::Answers<'a> {
+        let former = self.leadership.former.as_ref();
+        let mut shown = durability::Answers::default();
+        for holder in &self.durability.holders {
+            let answer = answers.iter().find(|c| *c.name == holder.member);
+            if former == Some(&holder.member) {
+                shown.former = answer.map(|c| c.status.received.log);
+                continue;
+            }
+            match answer.and_then(|c| self.prefix_len(&c.status)) {
+                Some(log) => shown.replicas.push(log),
+                None => shown.silent.push(&holder.member),
+            }
+        }
+        shown
+    }
+
+    /// Length of a member's log that is a prefix of the newest term's log; none if that can't be
+    /// told.
+    fn prefix_len(&self, status: &candidate::Status) -> Option<position::LogPosition> {
+        match self.known_history() {
+            Some(history) => history.prefix_len(status),
+            None => (status.received.term >= self.leadership.term).then_some(status.received.log),
+        }
+    }
+
     /// The member whose promotion an operator has ordered, if it answers.
     fn ordered<'a>(
         &self,
@@ -203,6 +302,16 @@
         Self {
             leadership: self.leadership.ended(),
             history: self.known_history().map(|h| h.without_call()),
+            durability: self.durability.clone(),
+        }
+    }
+
+    /// Returns the record of a change in progress with the group's synchronous replication and the
+    /// members that an instance knows.
+    pub fn with_holders(&self, sync_replicas: usize, known: &[durability::Holder]) -> Self {
+        Self {
+            durability: self.durability.changing(sync_replicas, known),
+            ..self.clone()
         }
     }
 
@@ -220,18 +329,23 @@
     }
 
     /// Returns the record with the member to promote; `reported` is the newest term that any
-    /// member has reported.
+    /// member has reported, `requirement` the log by which it was chosen.
     pub fn with_candidate(
         &self,
         chosen: candidate::Candidate<'_>,
         reported: position::Term,
         order: Option<&Order>,
+        requirement: durability::Requirement,
     ) -> Self {
         let is_ordered = order.is_some_and(|o| self.is_for(o, chosen.name));
         let history = self.known_history();
         Self {
             leadership: self.leadership.with_candidate(chosen.name, reported),
             history: history.map(|h| h.with_call(&chosen.status, is_ordered)),
+            durability: durability::Durability {
+                required: requirement.log().or(self.durability.required),
+                ..self.durability.clone()
+            },
         }
     }
 
@@ -245,6 +359,28 @@
         Self {
             leadership: self.leadership.with_primary(promoted.name, term),
             history: Some(history),
+            durability: self.durability.settled(),
         }
     }
+
+    /// Returns the record with a leaving member that was promoted for the time until another one has
+    /// its log. No instance uses it: the change of primary goes on. If another instance had chosen it
+    /// before, as `inherited` tells, it remains the candidate, as a call of that one may still arrive
+    /// and promote it again.
+    pub fn with_interim(
+        &self,
+        promoted: candidate::Candidate<'_>,
+        inherited: Option<&name::MemberName>,
+    ) -> Self {
+        let mut next = self.with_primary(promoted).ended();
+        next.leadership.candidate = inherited.filter(|i| *i == promoted.name).cloned();
+        // Nothing is acknowledged in its term.
+        let log = promoted.status.received.log;
+        let required = self.durability.required.map_or(log, |r| r.min(log));
+        next.durability = durability::Durability {
+            required: Some(required),
+            ..self.durability.clone()
+        };
+        next
+    }
 }
--- a/crates/cardamomhold_lead/tests/recovery_fuzz.rs
+++ b/crates/cardamomhold_lead/tests/recovery_fuzz.rs
@@ -25,7 +25,7 @@
 fn abandoned_commits_stay_out() {
     let mut stuck = Vec::new();
     for seed in 0..cases() {
-        let mut world = succession::World::new(seed, succession::Disabled::Nothing);
+        let mut world = succession::World::new(seed, succession::Disabled::Nothing, 0);
         let has_primary = world.run();
         assert_eq!(world.violations, 0, "seed {seed}");
         let is_served = has_primary || world.needs_order() && world.run_with_order();
@@ -41,7 +41,7 @@
 fn detects_missing_rule() {
     let mut violations = 0;
     for seed in 0..100 {
-        let mut world = succession::World::new(seed, succession::Disabled::Prefix);
+        let mut world = succession::World::new(seed, succession::Disabled::Prefix, 0);
         world.run();
         violations += world.violations;
     }
@@ -53,7 +53,7 @@
 #[test]
 fn detects_counted_calls() {
     let stuck = (0..100).filter(|seed| {
-        let mut world = succession::World::new(*seed, succession::Disabled::Reported);
+        let mut world = succession::World::new(*seed, succession::Disabled::Reported, 0);
         !world.run() && !world.needs_order()
     });
     assert!(stuck.count() > 0);
--- a/crates/cardamomhold_lead/tests/succession/members.rs
+++ b/crates/cardamomhold_lead/tests/succession/members.rs
@@ -1,5 +1,7 @@
 //! Members with their logs, replication, and promotions on their way.
 
+use std::collections;
+
 use cardamomhold_core::position;
 use cardamomhold_lead::candidate;
 use rand::RngExt;
@@ -17,6 +19,8 @@
     pub is_cut: bool,
     /// Receives no commits.
     pub is_deaf: bool,
+    /// About to be stopped; it goes on to receive.
+    pub is_leaving: bool,
 }
 
 impl World {
@@ -47,12 +51,14 @@
     /// Members lose and regain their neighbours, their process and their log's stream.
     pub fn disturb(&mut self) {
         let index = self.random.random_range(0..self.members.len());
-        let kind = self.random.random_range(0..3);
+        let kinds = if self.sync_replicas > 0 { 4 } else { 3 };
+        let kind = self.random.random_range(0..kinds);
         let is_begun = self.has_chance(50);
         let member = &mut self.members[index];
         match kind {
             0 => member.is_down = is_begun,
             1 => member.is_cut = is_begun,
+            3 => member.is_leaving = is_begun,
             _ => member.is_deaf = is_begun,
         }
     }
@@ -82,6 +88,7 @@
                 member.log.extend(&source.log[common..]);
             }
         }
+        self.acknowledge();
     }
 
     /// A client of the recorded primary writes; clients may be cut off together with it.
@@ -89,14 +96,38 @@
         let Some(primary) = &self.record.leadership.primary else {
             return;
         };
-        let id = self.acked.len() as u64;
+        let id = self.next_id;
         let member = &mut self.members[index_of(primary)];
         if member.is_primary && !member.is_down {
             member.log.push((member.term, id));
-            self.acked.push(id);
+            self.next_id += 1;
+            self.pending.push(id);
+            self.acknowledge();
         }
     }
 
+    /// Acknowledges the commits that the primary and enough replicas have.
+    pub fn acknowledge(&mut self) {
+        let Some(primary) = &self.record.leadership.primary else {
+            return;
+        };
+        let primary = index_of(primary);
+        if self.members[primary].is_down {
+            return;
+        }
+        let mut pending = Vec::new();
+        for id in std::mem::take(&mut self.pending) {
+            let holds = |member: &Member| member.log.iter().any(|(_, held)| *held == id);
+            let others = self.members.iter().enumerate();
+            let replicas = others.filter(|(index, m)| *index != primary && holds(m));
+            match replicas.count() >= self.sync_replicas && holds(&self.members[primary]) {
+                true => self.acked.push(id),
+                false => pending.push(id),
+            }
+        }
+        self.pending = pending;
+    }
+
     pub fn take_effect(&mut self) {
         let now = self.now;
         let due: Vec<_> = self.calls.extract_if(.., |(at, _)| *at <= now).collect();
@@ -107,7 +138,18 @@
             if !member.is_down && !leads {
                 member.is_primary = true;
                 member.term = newest + 1;
+                self.lost += self.lacks_acked(index);
             }
         }
     }
+
+    /// Number of acknowledged commits that a member lacks, of a group with synchronous replicas.
+    pub fn lacks_acked(&self, index: usize) -> usize {
+        if self.sync_replicas == 0 {
+            return 0;
+        }
+        let log = &self.members[index].log;
+        let held: collections::BTreeSet<u64> = log.iter().map(|(_, id)| *id).collect();
+        self.acked.iter().filter(|id| !held.contains(id)).count()
+    }
 }
--- a/crates/cardamomhold_lead/tests/succession/mod.rs
+++ b/crates/cardamomhold_lead/tests/succession/mod.rs
@@ -1,11 +1,13 @@
 //! A group, its platform and the instances that change its primary.
 
 use std::collections;
+use std::net;
 use std::time;
 
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_lead::candidate;
+use cardamomhold_lead::durability;
 use cardamomhold_lead::record;
 use cardamomhold_lead::succession;
 use rand::RngExt;
@@ -33,6 +35,8 @@
     Prefix,
     /// Each replaced candidate counts as a term that has begun.
     Reported,
+    /// The members that answer are enough, whatever the others may hold.
+    Durability,
 }
 
 /// A handover of one instance.
@@ -45,6 +49,8 @@
     waiting: Option<u64>,
     /// When the last call was sent.
     called: Option<u64>,
+    /// The last answers, which stay valid while a member is silent.
+    answers: collections::BTreeMap<name::MemberName, candidate::Status>,
 }
 
 pub struct World {
@@ -59,9 +65,16 @@
     /// Promotions on their way: when they take effect, and the member.
     calls: Vec<(u64, usize)>,
     order: Option<succession::Order>,
+    /// Replicas that must have received a commit before it is acknowledged.
+    sync_replicas: usize,
+    next_id: u64,
+    /// Commits that wait for the replicas.
+    pending: Vec<u64>,
     acked: Vec<u64>,
     abandoned: collections::BTreeSet<u64>,
     pub violations: u64,
+    /// Acknowledged commits that a promoted member lacks, with synchronous replicas.
+    pub lost: usize,
 }
 
 fn member_name(index: usize) -> name::MemberName {
@@ -73,7 +86,8 @@
 }
 
 impl World {
-    pub fn new(seed: u64, disabled: Disabled) -> Self {
+    /// A group whose commits are acknowledged once `sync_replicas` replicas have received them.
+    pub fn new(seed: u64, disabled: Disabled, sync_replicas: usize) -> Self {
         let count = if seed.is_multiple_of(2) { 3 } else { 5 };
         let mut members = vec![members::Member::default(); count];
         for member in &mut members {
@@ -92,9 +106,13 @@
             handover: None,
             calls: Vec::new(),
             order: None,
+            sync_replicas,
+            next_id: 0,
+            pending: Vec::new(),
             acked: Vec::new(),
             abandoned: collections::BTreeSet::new(),
             violations: 0,
+            lost: 0,
         }
     }
 
@@ -107,13 +125,18 @@
     fn detect(&mut self, has_faults: bool) {
         let is_failing = self.record.leadership.primary.as_ref().is_none_or(|p| {
             let member = &self.members[index_of(p)];
-            member.is_down || member.is_cut || !member.is_primary
+            member.is_down || member.is_cut || member.is_leaving || !member.is_primary
         });
         let is_ended = has_faults && self.has_chance(1);
         if is_failing && (self.handover.is_none() || is_ended) {
             if self.record.leadership.primary.is_some() {
                 self.record = self.record.ended();
+                // Their callers are told nothing any more.
+                self.pending.clear();
             }
+            self.record = self
+                .record
+                .with_holders(self.sync_replicas, &self.holders());
             self.handover = Some(Handover {
                 begun: self.now,
                 inherited: self.record.leadership.candidate.clone(),
@@ -122,20 +145,39 @@
         }
     }
 
-    fn complete(&mut self, member: &name::MemberName, status: candidate::Status) {
+    fn complete(
+        &mut self,
+        mut handover: Handover,
+        member: &name::MemberName,
+        status: candidate::Status,
+    ) {
         let promoted = candidate::Candidate {
             name: member,
             status,
         };
+        self.give_up_commits(index_of(member));
+        if self.sync_replicas > 0 && self.members[index_of(member)].is_leaving {
+            let inherited = handover.inherited.as_ref();
+            self.record = self.record.with_interim(promoted, inherited);
+            handover.tried.clear();
+            (handover.waiting, handover.called) = (None, None);
+            self.handover = Some(handover);
+            return;
+        }
         self.record = self.record.with_primary(promoted);
         self.handover = None;
-        let log = &self.members[index_of(member)].log;
+    }
+
+    /// The commits that an accepted member lacks are given up, acknowledged or not; it must not have
+    /// any that was given up before.
+    fn give_up_commits(&mut self, accepted: usize) {
+        let log = &self.members[accepted].log;
         let held: collections::BTreeSet<u64> = log.iter().map(|(_, id)| *id).collect();
         if held.intersection(&self.abandoned).next().is_some() {
             self.violations += 1;
         }
-        let lost = self.acked.iter().filter(|id| !held.contains(id));
-        self.abandoned.extend(lost);
+        let missing = (0..self.next_id).filter(|id| !held.contains(id));
+        self.abandoned.extend(missing);
     }
 
     fn hand_over(&mut self, has_faults: bool) {
@@ -149,9 +191,14 @@
         for (index, member) in self.members.iter().enumerate() {
             let name = member_name(index);
             let is_former = self.record.leadership.former.as_ref() == Some(&name);
-            let is_reached = !member.is_down && !member.is_cut;
-            if is_reached && (!is_former || self.record.needs_former(waited)) {
-                names.push((name, self.status(index)));
+            let is_asked = match self.sync_replicas {
+                0 => !member.is_leaving && (!is_former || self.record.needs_former(waited)),
+                _ => true,
+            };
+            if !member.is_down && !member.is_cut && is_asked {
+                let status = self.status(index);
+                handover.answers.insert(name.clone(), status);
+                names.push((name, status));
             }
         }
         let candidates: Vec<_> = names
@@ -168,6 +215,8 @@
             running,
             inherited: handover.inherited.as_ref(),
             order: self.order.as_ref(),
+            leaving: &self.leaving(),
+            requirement: self.requirement(&handover.answers),
         };
         let mut step = self.record.step(&candidates, progress);
         if self.disabled == Disabled::Prefix {
@@ -175,7 +224,7 @@
         }
         let best = match step {
             succession::Step::Complete(promoted) => {
-                return self.complete(promoted.name, promoted.status);
+                return self.complete(handover, promoted.name, promoted.status);
             }
             succession::Step::GiveUp => return,
             succession::Step::Promote(best) => best,
@@ -209,7 +258,10 @@
         if !self.record.has_candidate(best.name, self.order.as_ref()) {
             let reported = candidates.iter().map(|c| c.status.term).max().unwrap();
             let order = self.order.as_ref();
-            let next = self.record.with_candidate(best, reported, order);
+            let requirement = progress.requirement;
+            let next = self
+                .record
+                .with_candidate(best, reported, order, requirement);
             let before = std::mem::replace(&mut self.record, next).leadership;
             if self.disabled == Disabled::Reported && before.candidate.is_some() {
                 self.record.leadership.term = before.term.next().max(reported);
@@ -239,6 +291,41 @@
         self.handover = Some(handover);
     }
 
+    fn leaving(&self) -> Vec<name::MemberName> {
+        let members = self.members.iter().enumerate();
+        let leaving = members.filter(|(_, member)| member.is_leaving);
+        leaving.map(|(index, _)| member_name(index)).collect()
+    }
+
+    /// All members: one that is replaced has a successor with its log at its address.
+    fn holders(&self) -> Vec<durability::Holder> {
+        let address = |index: usize| net::SocketAddr::from(([127, 0, 0, 1], index as u16 + 1));
+        let members = 0..self.members.len();
+        let holders = members.map(|index| durability::Holder {
+            member: member_name(index),
+            address: address(index),
+        });
+        holders.collect()
+    }
+
+    fn requirement(
+        &self,
+        answers: &collections::BTreeMap<name::MemberName, candidate::Status>,
+    ) -> durability::Requirement {
+        if self.disabled == Disabled::Durability {
+            return durability::Requirement::Nothing;
+        }
+        let answers: Vec<_> = answers
+            .iter()
+            .map(|(name, status)| candidate::Candidate {
+                name,
+                status: *status,
+            })
+            .collect();
+        let shown = self.record.answers(&answers);
+        shown.requirement(&self.record.durability)
+    }
+
     /// The member with the newest position is promoted, and leads whatever it holds.
     fn step_without_rule<'a>(
         &self,
@@ -291,10 +378,11 @@
 
     /// Whether an operator has to decide: the platform has given the lead to a member with abandoned
     /// commits, as it received them after its choice or was promoted late, and the others follow
-    /// it. With terms of members in the positions nobody can tell.
+    /// it. Or commits were acknowledged at the old primary after that. With terms of members in the positions nobody can tell.
     pub fn needs_order(&self) -> bool {
         let log = &self.members[self.leader()].log;
-        self.has_member_terms || log.iter().any(|(_, id)| self.abandoned.contains(id))
+        let holds_abandoned = log.iter().any(|(_, id)| self.abandoned.contains(id));
+        self.has_member_terms || holds_abandoned || self.lacks_acked(self.leader()) > 0
     }
 
     /// Runs a history; returns whether the group has a primary in the end.
@@ -304,6 +392,7 @@
         }
         for member in &mut self.members {
             (member.is_down, member.is_cut, member.is_deaf) = (false, false, false);
+            member.is_leaving = false;
         }
         for _ in 0..STEPS {
             self.step(false);
