attempt.rs and relay/owner.rs are split by job

The session's state on a connection and the confirmation of a primary's answer are modules of attempt; accepting connections and running one command are modules of relay::owner. Moves only: the functions are as they were, and the tests of cardamomhold_entry pass.

--- a/crates/cardamomhold_entry/src/attempt.rs
+++ b/crates/cardamomhold_entry/src/attempt.rs
@@ -1,7 +1,6 @@
 //! Runs one statement at a member: acquires a connection, prepares the session's state on it
 //! and retries where that is safe.
 
-use std::io;
 use std::sync;
 use std::time;
 
@@ -28,10 +27,13 @@
 use crate::view;
 
 mod awaited;
+mod confirm;
 mod failure;
+mod prepare;
 mod retry;
 
 pub use failure::Failure;
+pub use prepare::prepare;
 
 /// Maximum number of attempts for one statement.
 const MAX_ATTEMPTS: u32 = 6;
@@ -191,97 +193,6 @@
         .map_err(failure::refusal)
 }
 
-/// Applies the session's state to the connection; `begin` is the read-only flag of the
-/// transaction to begin, if there is one.
-///
-/// # Errors
-/// [`link::LinkError`]; the connection is closed, unless its owner refused the request.
-pub async fn prepare<L: link::Link>(
-    context: &Context<L>,
-    group: &name::GroupName,
-    checkout: &mut checkout::Checkout<L>,
-    session: &session::Session,
-    begin: Option<bool>,
-    call: &call::Call<'_>,
-) -> Result<(), link::LinkError> {
-    checkout.resume();
-    let awaited = awaited::Awaited {
-        group,
-        member: &checkout.member.clone(),
-        deadline: call.deadline,
-        owner: Some(checkout.owner_watch()),
-    };
-    let Some(connection) = &mut checkout.connection else {
-        return Err(link::LinkError::Garbled);
-    };
-    let needed = call.prepared();
-    let difference = session.difference(&connection.applied, needed);
-    if difference.is_empty() && begin.is_none() {
-        return Ok(());
-    }
-    let mut commands = Vec::new();
-    if difference.needs_reset {
-        commands.push(link::Command::Reset);
-    }
-    for (name, value) in &difference.values {
-        commands.push(link::Command::Set { name, value });
-    }
-    if let Some(prepared) = difference.prepared {
-        commands.push(link::Command::Prepare {
-            name: &prepared.shared_name,
-            access: prepared.access,
-            shape: &prepared.shape,
-        });
-    }
-    if let Some(read_only) = begin {
-        let after = checkout.after;
-        commands.push(link::Command::Begin { read_only, after });
-    }
-    connection.link.set_deadline(call.target, call.deadline);
-    if begin.is_some() {
-        checkout.permit.mark_sent();
-    }
-    let preparing = connection.link.prepare(&commands);
-    let prepared = match awaited::answer(context, awaited, preparing).await {
-        Ok(prepared) => prepared,
-        Err(awaited::Unanswered::Late) => {
-            Err(link::LinkError::Broken(io::ErrorKind::TimedOut.into()))
-        }
-        Err(awaited::Unanswered::OwnerSilent) => {
-            Err(link::LinkError::OwnerLost(io::ErrorKind::TimedOut.into()))
-        }
-    };
-    checkout.permit.record(link::may_have_run(&prepared));
-    if let Err(error) = prepared {
-        if error.is_owner_refusal() {
-            checkout.completion = pool::Completion::Unused;
-            return Err(error);
-        }
-        // To close the connection for a refusal and open another would take a slot more. Where a
-        // transaction may be open, the connection is closed.
-        let is_idle = begin.is_none() && session.transaction == session::Transaction::None;
-        if let link::LinkError::Refused(answer::Code::Busy) = error
-            && is_idle
-        {
-            connection.applied.mark_unknown();
-            checkout.completion = pool::Completion::NoSlot;
-            return Err(error);
-        }
-        checkout.close(match &error {
-            link::LinkError::Refused(_) => pool::Completion::Unused,
-            link::LinkError::OwnerLost(_) => pool::Completion::OwnerLost,
-            link::LinkError::Unreachable(_) => pool::Completion::Unserved,
-            link::LinkError::Broken(error) if error.kind() == io::ErrorKind::TimedOut => {
-                pool::Completion::TimedOut
-            }
-            _ => pool::Completion::Failed,
-        });
-        return Err(error);
-    }
-    connection.applied.record(session, needed);
-    Ok(())
-}
-
 /// Runs a further statement of a transaction; retries while the member is busy.
 ///
 /// # Errors
@@ -331,7 +242,8 @@
 ) -> Result<answer::Answer, Failure> {
     let sent = clock::now();
     // The order matters: a lease that is read first covers the view that is read after it.
-    let is_leased = context.lease.borrow().is_valid(sent) && is_current(context, group, checkout);
+    let is_leased =
+        context.lease.borrow().is_valid(sent) && confirm::is_current(context, group, checkout);
     if call.may_commit && checkout.is_primary() && !is_leased {
         checkout.close(pool::Completion::Unused);
         return Err(failure::failed(
@@ -372,7 +284,7 @@
             if answer.state == answer::State::Open {
                 checkout.pause();
             }
-            confirm_answer(context, group, checkout, call, answer).await
+            confirm::confirm_answer(context, group, checkout, call, answer).await
         }
         Ok(Err(link::LinkError::Refused(code))) if code.allows_retry() => {
             checkout.completion = pool::Completion::NoSlot;
@@ -409,7 +321,7 @@
             });
             let cause = "the connection to the member broke";
             Err(failure::failed(
-                unanswered_code(call, answer::Code::Aborted),
+                confirm::unanswered_code(call, answer::Code::Aborted),
                 cause,
             ))
         }
@@ -417,7 +329,7 @@
             checkout.close(pool::Completion::OwnerLost);
             let cause = "the owner of the connections does not answer";
             Err(failure::failed(
-                unanswered_code(call, answer::Code::Aborted),
+                confirm::unanswered_code(call, answer::Code::Aborted),
                 cause,
             ))
         }
@@ -429,57 +341,7 @@
             } else {
                 answer::Code::Timeout
             };
-            Err(failure::failed(unanswered_code(call, code), cause))
-        }
-    }
-}
-
-/// Code for a statement without an answer: a write that may have committed is in doubt.
-fn unanswered_code(call: &call::Call<'_>, otherwise: answer::Code) -> answer::Code {
-    if call.may_commit && call.access == statement::Access::Write {
-        answer::Code::InDoubt
-    } else {
-        otherwise
-    }
-}
-
-/// Whether the leadership under which the connection was granted is still the newest known.
-fn is_current<L>(
-    context: &Context<L>,
-    group: &name::GroupName,
-    checkout: &checkout::Checkout<L>,
-) -> bool {
-    let view = context.views.borrow();
-    let record = view.leaderships.get(group.as_str());
-    checkout.change.is_none() || record.map(|r| r.change) == checkout.change
-}
-
-/// Returns a primary's successful answer only if the primary was not replaced meanwhile;
-/// waits for a valid lease if there is none.
-async fn confirm_answer<L: link::Link>(
-    context: &Context<L>,
-    group: &name::GroupName,
-    checkout: &mut checkout::Checkout<L>,
-    call: &call::Call<'_>,
-    answer: answer::Answer,
-) -> Result<answer::Answer, Failure> {
-    if !call.may_commit || !checkout.is_primary() || answer.code().is_some() {
-        return Ok(answer);
-    }
-    let mut lease = context.lease.clone();
-    loop {
-        if !is_current(context, group, checkout) {
-            break;
-        }
-        if lease.borrow_and_update().is_valid(clock::now()) {
-            return Ok(answer);
-        }
-        let changed = tokio::time::timeout_at(clock::instant(call.deadline), lease.changed());
-        if !matches!(changed.await, Ok(Ok(()))) {
-            break;
+            Err(failure::failed(confirm::unanswered_code(call, code), cause))
         }
     }
-    checkout.close(pool::Completion::Unused);
-    let code = unanswered_code(call, answer::Code::Aborted);
-    Err(failure::failed(code, "the primary was replaced meanwhile"))
 }
--- a/crates/cardamomhold_entry/src/relay/owner.rs
+++ b/crates/cardamomhold_entry/src/relay/owner.rs
@@ -3,12 +3,8 @@
 use std::net;
 use std::time;
 
-use cardamomhold_budget::accounts;
-use cardamomhold_budget::budget;
 use cardamomhold_core::rank;
-use cardamomhold_pool::sample;
 use cardamomhold_workspace::access;
-use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -21,20 +17,22 @@
 use crate::limits;
 use crate::link;
 use crate::relay::frame;
-use crate::session;
 use crate::stop;
 use crate::traffic;
 use crate::view;
 
+mod accept;
+mod execute;
+
+pub use accept::start;
+pub use accept::start_charged;
+
 /// How long a member's answer is awaited beyond the deadline of the request.
 const ANSWER_GRACE: time::Duration = time::Duration::from_millis(50);
 
 /// Part of a request's time that is reserved for the way of its refusal back.
 const REFUSAL_RESERVE: time::Duration = time::Duration::from_millis(20);
 
-/// Delay after a failed accept, mostly caused by a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
-
 /// Timeout of the rollback for a client that has gone.
 const ROLLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
@@ -72,37 +70,6 @@
     }
 }
 
-/// Serves other instances until the process ends. While this instance leaves, it still serves those
-/// that haven't learnt it; from [`stop::Phase::Ending`] on it only finishes open transactions.
-pub fn start<L: link::Link>(listener: TcpListener, context: Context<L>) {
-    start_charged(listener, context, accounts::Handle::unlimited());
-}
-
-/// As [`start`], with the connections and their frames charged to `accounts`.
-pub fn start_charged<L: link::Link>(
-    listener: TcpListener,
-    context: Context<L>,
-    accounts: accounts::Handle,
-) {
-    tokio::task::spawn_local(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, from)) => {
-                    // Without an account, the connection is closed.
-                    if let Some(account) = accounts.open(budget::Kind::Peer).await {
-                        let frames = frame::Frames::charged(stream, account);
-                        tokio::task::spawn_local(serve(frames, from, context.clone()));
-                    }
-                }
-                Err(error) => {
-                    log::warn!("event=relay_accept_failed error=\"{error}\"");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-    });
-}
-
 async fn serve<L: link::Link>(
     mut frames: frame::Frames,
     from: net::SocketAddr,
@@ -229,13 +196,14 @@
         if request.body.starts_operation() {
             if let Err(after) = work.permit.renew().await {
                 work.job.finish(None, Some(work.connection));
-                return Err(limited(after));
+                return Err(execute::limited(after));
             }
             work.permit.mark_sent();
         }
-        let executed = tokio::time::timeout_at(limit, execute(&mut work, &request.body)).await;
+        let executed =
+            tokio::time::timeout_at(limit, execute::execute(&mut work, &request.body)).await;
         let executed = executed.unwrap_or(Err(frame::Failure::Broken));
-        work.permit.record(has_run(&executed));
+        work.permit.record(execute::has_run(&executed));
         self.last_report.load = work.job.load();
         match executed {
             Ok((outcome, Next::Hold)) => {
@@ -248,7 +216,7 @@
                 Ok(outcome)
             }
             Err(frame::Failure::Refused(answer::Code::Busy))
-                if is_first && is_reusable(&request.body) =>
+                if is_first && execute::is_reusable(&request.body) =>
             {
                 work.connection.applied.mark_unknown();
                 work.job.finish(None, Some(work.connection));
@@ -330,7 +298,7 @@
         let deadline = now.after(remaining.saturating_sub(REFUSAL_RESERVE));
         let limits = &self.context.limits;
         let permit = limits.acquire(workspace, target, deadline).await;
-        let permit = permit.map_err(limited)?;
+        let permit = permit.map_err(execute::limited)?;
         let work = admission::Request {
             rank: to_rank(header.rank),
             caller: header.caller.clone(),
@@ -373,7 +341,7 @@
             permit,
             _user: user,
         };
-        if let Err(failure) = clear_state(&mut work.connection, limit).await {
+        if let Err(failure) = execute::clear_state(&mut work.connection, limit).await {
             match failure {
                 frame::Failure::Refused(_) => work.job.finish(None, Some(work.connection)),
                 _ => work.job.finish(Some(false), None),
@@ -398,99 +366,8 @@
     }
 }
 
-/// The failure of a request whose workspace is over its limit.
-fn limited(after: time::Duration) -> frame::Failure {
-    frame::Failure::Limited {
-        after_ms: after.as_millis() as u32,
-    }
-}
-
-/// Whether the member may have run something of a request.
-fn has_run(executed: &Result<(frame::Outcome, Next), frame::Failure>) -> bool {
-    match executed {
-        Ok((frame::Outcome::Answered(answer), _)) => !answer.is_not_run(),
-        Ok(_) => true,
-        Err(frame::Failure::Refused(code)) => !code.allows_retry(),
-        Err(_) => true,
-    }
-}
-
-/// Whether a connection can be used again after the member has refused a command of the first body
-/// that it ran for a client: no transaction can be open.
-fn is_reusable(body: &frame::Body<'_>) -> bool {
-    match body {
-        frame::Body::Prepare(commands) => !commands
-            .iter()
-            .any(|c| matches!(c, link::Command::Begin { .. })),
-        frame::Body::Call(_) | frame::Body::Ping { .. } => false,
-    }
-}
-
 /// Rank of a route's priority in an owner's queue.
 pub fn to_rank(priority: u8) -> rank::Rank {
     let index = usize::from(priority).min(rank::Rank::ALL.len() - 1);
     rank::Rank::ALL[index]
 }
-
-/// Clears the session state on a connection, if there may be any. Nothing of the request has been
-/// sent when this fails.
-async fn clear_state<L: link::Link>(
-    connection: &mut checkout::Connection<L>,
-    limit: tokio::time::Instant,
-) -> Result<(), frame::Failure> {
-    if connection.applied.is_empty() {
-        return Ok(());
-    }
-    let reset = connection.link.prepare(&[link::Command::Reset]);
-    match tokio::time::timeout_at(limit, reset).await {
-        Ok(Ok(_)) => {
-            connection.applied = session::Applied::default();
-            Ok(())
-        }
-        Ok(Err(link::LinkError::Refused(answer::Code::Busy))) => {
-            Err(frame::Failure::Refused(answer::Code::Busy))
-        }
-        Ok(Err(_)) | Err(_) => Err(frame::Failure::Unreachable),
-    }
-}
-
-async fn execute<L: link::Link>(
-    work: &mut Work<L>,
-    body: &frame::Body<'_>,
-) -> Result<(frame::Outcome, Next), frame::Failure> {
-    let connection = &mut work.connection;
-    match body {
-        frame::Body::Ping { .. } => Ok((frame::Outcome::Pong { is_answering: true }, Next::Hold)),
-        frame::Body::Prepare(commands) => {
-            let prepared = connection.link.prepare(commands).await;
-            let position = prepared.map_err(|error| frame::Failure::from(&error))?;
-            connection.applied.mark_unknown();
-            let next = match commands.contains(&link::Command::Rollback) {
-                true => Next::Release(Some(true)),
-                false => Next::Hold,
-            };
-            Ok((frame::Outcome::Prepared(position), next))
-        }
-        frame::Body::Call(command) => {
-            let sent = clock::now();
-            let called = connection.link.call(*command).await;
-            let answer = called.map_err(|error| frame::Failure::from(&error))?;
-            if let Some(position) = answer.position {
-                // The receiver is gone when the group's task has ended.
-                let _ = work.group.send(group::Message::Sampled {
-                    member: work.header.member.clone(),
-                    sample: sample::Sample { sent, position },
-                });
-            }
-            let is_answered = match answer.code() {
-                Some(answer::Code::Busy | answer::Code::Behind) => None,
-                Some(_) | None => Some(true),
-            };
-            let next = match answer.state {
-                answer::State::Idle => Next::Release(is_answered),
-                answer::State::Open | answer::State::Failed => Next::Hold,
-            };
-            Ok((frame::Outcome::Answered(answer), next))
-        }
-    }
-}
