--- a/crates/cardamomhold_entry/src/coordinator/versions.rs
+++ b/crates/cardamomhold_entry/src/coordinator/versions.rs
@@ -26,7 +26,7 @@
     pub(super) fn tell(&self, command: follow::Command) {
         let kind = match &command {
             follow::Command::Received(_, message) => message.objects(),
-            follow::Command::Newer(..) | follow::Command::Revision(_) => return,
+            follow::Command::Newer(..) | follow::Command::Revision(..) => return,
         };
         self.tell_kind(kind, command);
     }
@@ -85,10 +85,8 @@
     pub(super) fn record_revision(&mut self, sent: Timestamp, revision: u64) {
         self.currency.record_control(sent, revision);
         for kind in Kind::ALL {
-            if self.currency.is_behind(kind, revision) {
-                let newer = follow::Command::Revision(revision);
-                self.published.tell_kind(kind, newer);
-            }
+            let answered = follow::Command::Revision(sent, revision);
+            self.published.tell_kind(kind, answered);
         }
     }
 
--- a/crates/cardamomhold_entry/src/follow.rs
+++ b/crates/cardamomhold_entry/src/follow.rs
@@ -18,27 +18,14 @@
 
 pub use crate::contents::Documents;
 
+mod backoff;
 mod command;
+mod follower;
 
-/// Wait time of one long-polling watch whose silence would be noticed otherwise.
-const WATCH_WAIT: time::Duration = time::Duration::from_millis(30_000);
-
-/// Time beyond this wait after which a watch is considered lost.
-const WATCH_GRACE: time::Duration = time::Duration::from_millis(1_000);
-
-/// Wait time of a watch that asks whether there were changes.
-const CHECK_WAIT: time::Duration = time::Duration::from_millis(1);
-
-/// Timeout of a listing.
-const LIST_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
-/// Pause before a retry after a failure; four times as long with each further one, as the store charges for
-/// calls that it refuses.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
-
-/// Longest pause before a retry. The end of an outage is noticed by the reads of the control
-/// objects, which then end the pause.
-const MAX_RETRY_PAUSE: time::Duration = time::Duration::from_millis(3_200);
+pub use backoff::Backoff;
+pub use follower::Answer;
+pub use follower::Call;
+pub use follower::Follower;
 
 /// A kind of objects to follow.
 #[derive(Debug, Clone, Copy)]
@@ -66,8 +53,9 @@
 pub enum Command {
     /// The instance at this address has changes up to this revision.
     Newer(net::SocketAddr, u64),
-    /// The store has this revision. A watch that doesn't lead there soon may have failed silently.
-    Revision(u64),
+    /// The store has answered a call that was sent at this time, and had this revision. A watch that
+    /// doesn't lead there soon may have failed silently.
+    Revision(Timestamp, u64),
     /// A datagram of another instance.
     Received(net::SocketAddr, contents::Message),
 }
@@ -115,40 +103,8 @@
     Send(net::SocketAddr, contents::Message),
 }
 
-/// Result of a call of the store.
-enum Answer {
-    Listed(Result<store::Listing, store::StoreError>),
-    Watched(Result<(Vec<store::Change>, u64), store::StoreError>),
-    TimedOut(&'static str),
-}
-
 /// A running call of the store.
-struct Call {
-    sent: Timestamp,
-    is_listing: bool,
-    is_long: bool,
-    answer: pin::Pin<Box<dyn Future<Output = Answer>>>,
-}
-
-struct Follower<S, F> {
-    store: S,
-    watched: Watched,
-    on_progress: F,
-    replica: contents::Replica,
-    fetch: Option<contents::Fetch>,
-    mode: Mode,
-    call: Option<Call>,
-    /// Whether the store is to be listed, even if another instance vouches for the copy.
-    is_listing_due: bool,
-    /// When the next call of the store may begin.
-    due: Timestamp,
-    pause: time::Duration,
-    last_problem: String,
-    /// When to ask the store for changes, as the running watch may have failed silently.
-    check_due: Option<Timestamp>,
-    /// Whether the next watch only asks for changes.
-    is_check: bool,
-}
+type Running = pin::Pin<Box<dyn Future<Output = Answer>>>;
 
 /// Follows a kind until the sender of `control.restart` is dropped; calls `on_progress` with all its
 /// objects after each change. A change of `restart` lists the store again: watches from before a
@@ -160,209 +116,59 @@
     on_progress: impl FnMut(Progress<'_>) + 'static,
 ) -> task::JoinHandle<()> {
     let mode = *control.mode.borrow_and_update();
-    let mut follower = Follower {
-        store,
-        watched,
-        on_progress,
-        replica: contents::Replica::default(),
-        fetch: None,
-        mode,
-        call: None,
-        is_listing_due: watched.lists_first,
-        due: clock::now(),
-        pause: RETRY_PAUSE,
-        last_problem: String::new(),
-        check_due: None,
-        is_check: false,
-    };
+    let mut follower = Follower::new(watched, mode, on_progress);
     task::spawn_local(async move {
+        let mut running: Option<Running> = None;
         loop {
             let now = clock::now();
-            follower.start_call(now);
-            let wake = follower.next_wake();
-            let wait = wake.map_or(MAX_RETRY_PAUSE, |at| at.since(now));
+            if let Some(call) = follower.next_call(now) {
+                running = Some(Box::pin(perform(store.clone(), watched.kind, call)));
+            }
+            running = running.filter(|_| follower.is_calling());
+            let wake = follower.next_wake(now);
+            let wait = wake.map_or(backoff::MAX_PAUSE, |at| at.since(now));
             tokio::select! {
-                answer = answer(&mut follower.call) => follower.finish(answer),
+                answer = answer(&mut running) => follower.finish(clock::now(), answer),
                 changed = control.restart.changed() => match changed {
-                    Ok(()) => follower.restart(),
+                    Ok(()) => follower.restart(clock::now()),
                     Err(_) => return,
                 },
                 Ok(()) = control.mode.changed() => {
                     let mode = *control.mode.borrow_and_update();
                     follower.set_mode(mode);
                 }
-                Some(command) = control.commands.recv() => follower.handle(command),
-                () = tokio::time::sleep(wait) => follower.check(),
+                Some(command) = control.commands.recv() => follower.handle(clock::now(), command),
+                () = tokio::time::sleep(wait) => follower.check(clock::now()),
             }
         }
     })
 }
 
-/// Waits for the answer of the running call, forever without one.
-async fn answer(call: &mut Option<Call>) -> Answer {
+/// Performs a call of the store.
+async fn perform<S: store::Store>(store: S, kind: &'static str, call: Call) -> Answer {
     match call {
-        Some(call) => call.answer.as_mut().await,
-        None => std::future::pending().await,
-    }
-}
-
-impl<S: store::Store, F: FnMut(Progress<'_>)> Follower<S, F> {
-    /// Starts the next call of the store if one is due.
-    fn start_call(&mut self, now: Timestamp) {
-        if self.call.is_some() || now < self.due {
-            return;
-        }
-        let revision = self.replica.revision();
-        match (self.is_listing_due, self.mode, revision) {
-            (true, _, _) | (_, Mode::Long | Mode::Short, None) => self.start_listing(now),
-            (_, Mode::Idle, _) => {}
-            (_, mode, Some(revision)) => {
-                let (wait, grace) = match mode {
-                    _ if std::mem::take(&mut self.is_check) => {
-                        (CHECK_WAIT, self.watched.silence / 2)
-                    }
-                    Mode::Long => (WATCH_WAIT, WATCH_GRACE),
-                    Mode::Idle | Mode::Short => {
-                        (self.watched.silence / 2, self.watched.silence / 2)
-                    }
-                };
-                self.start_watch(now, revision, wait, grace);
-            }
-        }
-    }
-
-    fn start_listing(&mut self, now: Timestamp) {
-        let (store, kind) = (self.store.clone(), self.watched.kind);
-        let listing = async move {
+        Call::List { timeout } => {
             let listing = store.list(kind, store::Freshness::Latest);
-            let listed = tokio::time::timeout(LIST_TIMEOUT, listing).await;
-            listed.map_or(Answer::TimedOut("listing timed out"), Answer::Listed)
-        };
-        self.call = Some(Call {
-            sent: now,
-            is_listing: true,
-            is_long: false,
-            answer: Box::pin(listing),
-        });
-    }
-
-    fn start_watch(
-        &mut self,
-        now: Timestamp,
-        revision: u64,
-        wait: time::Duration,
-        grace: time::Duration,
-    ) {
-        let (store, watched) = (self.store.clone(), self.watched);
-        let watching = async move {
-            let watching = store.watch(watched.kind, watched.freshness, revision, wait);
-            let answer = tokio::time::timeout(wait + grace, watching).await;
-            answer.map_or(Answer::TimedOut("watch timed out"), Answer::Watched)
-        };
-        self.call = Some(Call {
-            sent: now,
-            is_listing: false,
-            is_long: wait == WATCH_WAIT,
-            answer: Box::pin(watching),
-        });
-    }
-
-    /// When [`Follower::check`] has something to do.
-    fn next_wake(&self) -> Option<Timestamp> {
-        let call = (self.call.is_none() && self.due > clock::now()).then_some(self.due);
-        let fetch = self.fetch.as_ref().map(contents::Fetch::due);
-        [call, fetch, self.check_due].into_iter().flatten().min()
-    }
-
-    fn check(&mut self) {
-        let now = clock::now();
-        if self.check_due.is_some_and(|at| now >= at) {
-            self.check_due = None;
-            if self.call.as_ref().is_some_and(|c| c.is_long) {
-                self.call = None;
-                self.is_check = true;
-            }
-        }
-        if let Some(fetch) = &mut self.fetch {
-            let step = fetch.check(now);
-            self.handle_step(step);
-        }
-    }
-
-    fn finish(&mut self, answer: Answer) {
-        let Some(Call { sent, .. }) = self.call.take() else {
-            return;
-        };
-        let now = clock::now();
-        let problem = match answer {
-            Answer::Listed(Ok(listing)) => {
-                self.is_listing_due = false;
-                self.fetch = None;
-                if self.mode == Mode::Idle {
-                    self.pause = RETRY_PAUSE;
-                }
-                self.replica.list(listing);
-                self.publish(true, Some(sent));
-                return;
-            }
-            Answer::Watched(Ok((changes, next))) => {
-                self.pause = RETRY_PAUSE;
-                let is_changed = !changes.is_empty();
-                self.replica.apply(changes, next);
-                self.publish(is_changed, Some(sent));
-                if is_changed {
-                    self.due = now.after(self.watched.pause);
-                }
-                return;
-            }
-            Answer::Listed(Err(error)) | Answer::Watched(Err(error)) => error.to_string(),
-            Answer::TimedOut(problem) => problem.to_owned(),
-        };
-        if self.last_problem != problem {
-            let kind = self.watched.kind;
-            log::info!("event=follow_lost kind={kind} problem=\"{problem}\"");
-            self.last_problem = problem;
+            let listed = tokio::time::timeout(timeout, listing).await;
+            listed.map_or(Answer::TimedOut, Answer::Listed)
         }
-        // A call that failed after a long time followed others that succeeded.
-        if now.since(sent) > MAX_RETRY_PAUSE {
-            self.pause = RETRY_PAUSE;
-        }
-        self.is_listing_due = self.is_listing_due || self.mode != Mode::Idle;
-        self.due = now.after(self.pause);
-        self.pause = (self.pause * 4).min(MAX_RETRY_PAUSE);
-    }
-
-    fn publish(&mut self, is_changed: bool, checked: Option<Timestamp>) {
-        if is_changed {
-            (self.on_progress)(Progress::Changed(self.replica.documents()));
+        Call::Watch {
+            freshness,
+            revision,
+            wait,
+            timeout,
+        } => {
+            let watching = store.watch(kind, freshness, revision, wait);
+            let watched = tokio::time::timeout(timeout, watching).await;
+            watched.map_or(Answer::TimedOut, Answer::Watched)
         }
-        (self.on_progress)(Progress::Held(currency::Held {
-            revision: self.replica.revision(),
-            head: self.replica.head(),
-            checked,
-        }));
-    }
-
-    /// Lists the store, whatever other instances say.
-    fn restart(&mut self) {
-        self.call = None;
-        self.fetch = None;
-        self.is_listing_due = true;
-        self.pause = RETRY_PAUSE;
-        self.due = clock::now();
     }
+}
 
-    fn set_mode(&mut self, mode: Mode) {
-        let is_dropped = |call: &Call| match mode {
-            Mode::Idle => !call.is_listing,
-            // A watch with a long wait can't be relied on.
-            Mode::Short => call.is_long,
-            Mode::Long => false,
-        };
-        self.call = self.call.take().filter(|call| !is_dropped(call));
-        if mode == Mode::Idle && self.replica.revision().is_some() {
-            self.is_listing_due = false;
-        }
-        self.mode = mode;
+/// Waits for the answer of the running call, forever without one.
+async fn answer(running: &mut Option<Running>) -> Answer {
+    match running {
+        Some(running) => running.as_mut().await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/cardamomhold_entry/src/follow/command.rs
+++ b/crates/cardamomhold_entry/src/follow/command.rs
@@ -2,16 +2,16 @@
 
 use std::net;
 
-use crate::clock;
+use cardamomhold_core::time::Timestamp;
+
 use crate::contents;
 use crate::follow::Command;
 use crate::follow::Follower;
 use crate::follow::Progress;
-use crate::store;
 
-impl<S: store::Store, F: FnMut(Progress<'_>)> Follower<S, F> {
-    pub(super) fn handle(&mut self, command: Command) {
-        let now = clock::now();
+impl<F: FnMut(Progress<'_>)> Follower<F> {
+    /// Handles a command of the coordinator.
+    pub fn handle(&mut self, now: Timestamp, command: Command) {
         match command {
             Command::Newer(source, head) => {
                 let revision = self.replica.revision();
@@ -23,11 +23,10 @@
                 self.fetch = Some(fetch);
                 self.send(source, contents::Message::Request(request));
             }
-            Command::Revision(revision) => {
-                let is_older = self.replica.revision().is_some_and(|r| r < revision);
-                if is_older && self.call.as_ref().is_some_and(|c| c.is_long) {
-                    let due = now.after(self.watched.silence / 4);
-                    self.check_due.get_or_insert(due);
+            Command::Revision(sent, revision) => {
+                self.backoff.record_answer(sent);
+                if self.replica.revision().is_some_and(|r| r < revision) {
+                    self.plan_check(now, self.watched.silence / 4);
                 }
             }
             Command::Received(from, contents::Message::Request(request)) => {
@@ -79,8 +78,7 @@
             contents::Step::Done(update) => {
                 self.fetch = None;
                 if self.replica.update(update) {
-                    self.is_listing_due = false;
-                    self.call = self.call.take().filter(|call| !call.is_listing);
+                    self.drop_listing();
                     self.publish(true, None);
                 }
             }
--- a/crates/cardamomhold_entry/tests/silent_watches.rs
+++ b/crates/cardamomhold_entry/tests/silent_watches.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use cardamomhold_core::time::Timestamp;
+use cardamomhold_entry::clock;
 use cardamomhold_entry::contents;
 use cardamomhold_entry::currency;
 use cardamomhold_entry::follow;
@@ -124,7 +125,10 @@
         let store = Store::default();
         let (_epoch, handle) = follow(&store, currency::Mode::Long);
         sleep(50).await;
-        handle.commands.send(follow::Command::Revision(7)).unwrap();
+        handle
+            .commands
+            .send(follow::Command::Revision(clock::now(), 7))
+            .unwrap();
         sleep(700).await;
         assert!(store.waits.borrow().len() >= 2);
         assert!(store.listings.get() >= 2);
