A vouch states the age of each kind of copies

What callers could see: a member that has been leaving for longer than drainMs is still used, when readers of the store are lost in turn.

Cause: a vouch had one age, that of the configuration's comparison, and its receivers took it for that of the members and instances too. A reader that takes over compares the configuration first, so that each further lost reader made the members seem younger than they were.

Change: an age for each kind; what other instances vouched for is merged kind by kind.

Result: members_age_by_themselves failed before (three readers lost 1.7 s apart, the members watched by nobody after half of drainMs) and passes. message_sizes and reader_bytes keep their bounds.

--- a/crates/cardamomhold_core/src/time.rs
+++ b/crates/cardamomhold_core/src/time.rs
@@ -17,6 +17,11 @@
         time::Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the timestamp `us` microseconds earlier, the start at the earliest.
+    pub fn before_us(self, us: u64) -> Self {
+        Self(self.0.saturating_sub(us))
+    }
+
     /// Returns the timestamp `span` later.
     pub fn after(self, span: time::Duration) -> Self {
         Self(self.0.saturating_add(span.as_micros() as u64))
--- a/crates/cardamomhold_entry/src/coordinator/versions.rs
+++ b/crates/cardamomhold_entry/src/coordinator/versions.rs
@@ -58,8 +58,7 @@
         from: net::SocketAddr,
         vouch: &currency::Vouch,
     ) {
-        let at = Timestamp(answered.0.saturating_sub(vouch.age_us));
-        self.currency.record_vouch(&self.own, at, vouch);
+        self.currency.record_vouch(&self.own, answered, vouch);
         for (kind, head) in Kind::ALL.into_iter().zip(vouch.heads) {
             if self.currency.is_behind(kind, head) {
                 let newer = follow::Command::Newer(from, head);
--- a/crates/cardamomhold_entry/src/currency.rs
+++ b/crates/cardamomhold_entry/src/currency.rs
@@ -54,10 +54,10 @@
 /// States that the sender's copies are complete.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Vouch {
-    /// The instance that has compared its copies with the store.
+    /// The instance that has compared its configuration with the store.
     pub origin: name::InstanceName,
-    /// Age of that comparison, in microseconds.
-    pub age_us: u64,
+    /// Age of the last comparison of each kind, in microseconds.
+    pub ages_us: [u64; 3],
     /// Revision by which the last change of each kind was known.
     pub heads: [u64; 3],
 }
@@ -105,14 +105,29 @@
     pub checked: Option<Timestamp>,
 }
 
-/// Another instance's vouch, which held at the time `at`.
+/// What other instances have vouched for.
 #[derive(Debug, Clone)]
 struct Report {
+    /// The instance that has compared its configuration with the store.
     origin: name::InstanceName,
-    at: Timestamp,
+    /// When each kind was last compared.
+    at: [Timestamp; 3],
     heads: [u64; 3],
 }
 
+impl Report {
+    fn config(&self) -> Timestamp {
+        self.at[Kind::Config as usize]
+    }
+
+    /// Takes over what a report with a newer comparison of the configuration states. The kinds are
+    /// compared by different instances, so that another kind may be older in it.
+    fn update(&mut self, newer: Self) {
+        let at = std::array::from_fn(|kind| self.at[kind].max(newer.at[kind]));
+        *self = Self { at, ..newer };
+    }
+}
+
 /// How recent this instance's copies are.
 #[derive(Debug)]
 pub struct Currency {
@@ -121,7 +136,7 @@
     held: [Held; 3],
     /// When the last read of the control objects was sent that the store has answered.
     control: Option<Timestamp>,
-    /// The newest vouch of which this instance lacks nothing.
+    /// The vouches of which this instance lacks nothing.
     report: Option<Report>,
     /// Vouches of which it lacks something, the newest last.
     pending: collections::VecDeque<Report>,
@@ -151,7 +166,16 @@
         let checked = known.checked.max(held.checked);
         *known = Held { checked, ..held };
         while let Some(index) = self.pending.iter().rposition(|r| !self.lacks(&r.heads)) {
-            self.report = self.pending.drain(..=index).next_back();
+            let complete = self.pending.drain(..=index).next_back();
+            self.accept(complete);
+        }
+    }
+
+    fn accept(&mut self, report: Option<Report>) {
+        match (&mut self.report, report) {
+            (Some(known), Some(report)) => known.update(report),
+            (None, report) => self.report = report,
+            (Some(_), None) => {}
         }
     }
 
@@ -166,19 +190,20 @@
         }
     }
 
-    /// Records the vouch of another instance, which held at the time `at`.
-    pub fn record_vouch(&mut self, own: &name::InstanceName, at: Timestamp, vouch: &Vouch) {
-        let is_newer = self.report.as_ref().is_none_or(|r| r.at < at);
-        if vouch.origin == *own || !is_newer {
-            return;
-        }
+    /// Records the vouch of another instance, which was given at the time `given`.
+    pub fn record_vouch(&mut self, own: &name::InstanceName, given: Timestamp, vouch: &Vouch) {
         let report = Report {
             origin: vouch.origin.clone(),
-            at,
+            at: vouch.ages_us.map(|age| given.before_us(age)),
             heads: vouch.heads,
         };
+        let known = self.report.as_ref();
+        let is_newer = known.is_none_or(|r| r.config() < report.config());
+        if vouch.origin == *own || !is_newer {
+            return;
+        }
         if !self.lacks(&report.heads) {
-            self.report = Some(report);
+            self.accept(Some(report));
             self.pending.clear();
             return;
         }
@@ -199,31 +224,31 @@
         kinds.any(|(kind, head)| self.is_behind(kind, *head))
     }
 
-    /// When this instance's configuration was last compared with the store by its own calls; none if
-    /// any copy may be old. The others are watched later than the configuration when nobody vouches,
-    /// as their changes have more time.
-    fn checked(&self, now: Timestamp) -> Option<Timestamp> {
-        let reported = self.report.as_ref().map(|r| r.at);
-        let is_recent = |kind: Kind| {
-            let last = self.held[kind as usize].checked.max(reported);
-            last.is_some_and(|at| now.since(at) < self.bounds.of(kind) / 2)
-        };
-        let is_complete = Kind::ALL.into_iter().all(is_recent);
-        self.held[Kind::Config as usize]
-            .checked
-            .filter(|_| is_complete)
+    /// When this instance's copy of each kind was last compared with the store, by itself or by those
+    /// that vouch for it.
+    fn compared(&self) -> [Option<Timestamp>; 3] {
+        Kind::ALL.map(|kind| {
+            let reported = self.report.as_ref().map(|r| r.at[kind as usize]);
+            self.held[kind as usize].checked.max(reported)
+        })
     }
 
-    /// What this instance tells those that ask it; none if its copies may lack changes.
+    /// What this instance tells those that ask it; none if its copies may lack changes. The others are
+    /// watched later than the configuration when nobody vouches, as their changes have more time.
     pub fn vouch(&self, now: Timestamp, own: &name::InstanceName) -> Option<Vouch> {
-        let checked = self.checked(now).map(|at| (at, own));
-        let report = self.report.as_ref().map(|r| (r.at, &r.origin));
-        let newest = checked.into_iter().chain(report).max_by_key(|(at, _)| *at);
-        let (at, origin) = newest?;
-        let age = now.since(at);
-        (age < self.bounds.config / 2).then(|| Vouch {
-            origin: origin.clone(),
-            age_us: age.as_micros() as u64,
+        let mut ages_us = [0; 3];
+        for (kind, at) in Kind::ALL.into_iter().zip(self.compared()) {
+            let age = now.since(at?);
+            if age >= self.bounds.of(kind) / 2 {
+                return None;
+            }
+            ages_us[kind as usize] = age.as_micros() as u64;
+        }
+        let checked = self.held[Kind::Config as usize].checked;
+        let reported = self.report.as_ref().filter(|r| Some(r.config()) > checked);
+        Some(Vouch {
+            origin: reported.map_or(own, |r| &r.origin).clone(),
+            ages_us,
             heads: self.held.map(|h| h.head),
         })
     }
@@ -232,9 +257,8 @@
     /// nothing. The readers of the zones do so on each tick, as others wait for them. It begins at half
     /// the age at which the instance would watch.
     pub fn next_request(&mut self, now: Timestamp, rank: u32) -> Option<u32> {
-        let checked = self.held[Kind::Config as usize].checked;
-        let reported = self.report.as_ref().map(|r| r.at);
-        let last = self.started.max(checked.max(reported).unwrap_or_default());
+        let compared = self.compared()[Kind::Config as usize];
+        let last = self.started.max(compared.unwrap_or_default());
         let is_due = self
             .requested
             .is_none_or(|at| rank < EARLY_RANKS || now.since(at) >= REQUEST_INTERVAL);
@@ -263,7 +287,10 @@
             false => u32::MAX,
         };
         let report = self.report.as_ref();
-        let last = report.map_or(self.started, |r| r.at.max(self.started));
+        let last = |kind: Kind| {
+            let at = report.map_or(self.started, |r| r.at[kind as usize]);
+            at.max(self.started)
+        };
         // Of two that watch, the first by rank goes on. Otherwise each might stop for the other.
         let is_preceded = report.is_none_or(|r| rank_of(&r.origin) < rank);
         let read_age = self.control.map(|at| now.since(at));
@@ -272,7 +299,7 @@
             // An instance that isn't listed yet has no reader to ask.
             let is_unlisted = kind == Kind::Instances && knows_instances && rank == u32::MAX;
             let is_recent = match self.held[kind as usize].revision {
-                Some(_) => now.since(last) < self.bounds.max_age(kind, rank),
+                Some(_) => now.since(last(kind)) < self.bounds.max_age(kind, rank),
                 // Nothing is served without a copy.
                 None => rank >= LISTING_RANKS && now.since(self.started) < FIRST_COPY_TIME,
             };
--- a/crates/cardamomhold_entry/tests/message_sizes.rs
+++ b/crates/cardamomhold_entry/tests/message_sizes.rs
@@ -102,7 +102,7 @@
         samples: samples.answer(Timestamp::from_millis(4_000_100)),
         vouch: Some(currency::Vouch {
             origin: instance(),
-            age_us: 400_000,
+            ages_us: [400_000; 3],
             heads: [90_000; 3],
         }),
     })
--- a/crates/cardamomhold_entry/tests/reader_bytes.rs
+++ b/crates/cardamomhold_entry/tests/reader_bytes.rs
@@ -134,7 +134,7 @@
                 samples: answer.clone(),
                 vouch: Some(currency::Vouch {
                     origin: reader.clone(),
-                    age_us: 400_000,
+                    ages_us: [400_000; 3],
                     heads: [90_000; 3],
                 }),
             };
--- a/crates/cardamomhold_entry/tests/vouched_copies.rs
+++ b/crates/cardamomhold_entry/tests/vouched_copies.rs
@@ -51,7 +51,7 @@
 fn vouch(origin: u32, head: u64) -> currency::Vouch {
     currency::Vouch {
         origin: instance(origin),
-        age_us: 0,
+        ages_us: [0; 3],
         heads: [head; 3],
     }
 }
@@ -68,7 +68,7 @@
     assert_eq!(currency.vouch(at(1_000), &own), None);
     let currency = instance_at(Some(1_000));
     let given = currency.vouch(at(1_400), &own).unwrap();
-    assert_eq!((given.origin, given.age_us), (own.clone(), 400_000));
+    assert_eq!((given.origin, given.ages_us[0]), (own.clone(), 400_000));
     assert_eq!(currency.vouch(at(2_500), &own), None);
 }
 
@@ -80,9 +80,9 @@
     let mut currency = instance_at(None);
     currency.record_vouch(&own, at(2_000), &vouch(0, 10));
     let given = currency.vouch(at(2_300), &own).unwrap();
-    assert_eq!((given.origin, given.age_us), (origin, 300_000));
+    assert_eq!((given.origin, given.ages_us[0]), (origin, 300_000));
     currency.record_vouch(&own, at(1_900), &vouch(0, 10));
-    assert_eq!(currency.vouch(at(2_300), &own).unwrap().age_us, 300_000);
+    assert_eq!(currency.vouch(at(2_300), &own).unwrap().ages_us[0], 300_000);
     assert_eq!(currency.vouch(at(3_500), &own), None);
 }
 
@@ -105,7 +105,7 @@
     assert!(currency.is_behind(Kind::Config, 12));
     assert_eq!(currency.vouch(at(2_000), &own), None);
     hold(&mut currency, 12, None);
-    assert_eq!(currency.vouch(at(2_400), &own).unwrap().age_us, 400_000);
+    assert_eq!(currency.vouch(at(2_400), &own).unwrap().ages_us[0], 400_000);
 }
 
 /// A read of the control objects shows the store's revision: copies of that revision are complete,
@@ -115,9 +115,9 @@
     let own = instance(0);
     let mut currency = instance_at(Some(1_000));
     currency.record_control(at(2_000), 10);
-    assert_eq!(currency.vouch(at(2_000), &own).unwrap().age_us, 0);
+    assert_eq!(currency.vouch(at(2_000), &own).unwrap().ages_us[0], 0);
     currency.record_control(at(2_300), 11);
-    assert_eq!(currency.vouch(at(2_300), &own).unwrap().age_us, 300_000);
+    assert_eq!(currency.vouch(at(2_300), &own).unwrap().ages_us[0], 300_000);
     assert_eq!(modes(&currency, 2_300, 0, IDLE), [Mode::Long; 3]);
     assert_eq!(modes(&currency, 3_300, 0, IDLE), [Mode::Short; 3]);
 }
@@ -161,7 +161,7 @@
     first.record_vouch(&instance(0), at(2_500), &vouch(1, 10));
     assert_eq!(first.next_request(at(2_600), 0), None);
     let given = first.vouch(at(2_600), &instance(0)).unwrap();
-    assert_eq!((given.origin, given.age_us), (instance(1), 100_000));
+    assert_eq!((given.origin, given.ages_us[0]), (instance(1), 100_000));
     let mut other = instance_at(Some(2_000));
     assert_eq!(other.next_request(at(2_700), 50), None);
     assert!(other.next_request(at(2_800), 50).is_some());
@@ -203,3 +203,42 @@
     assert_eq!(modes(&currency, 1_500, 50, IDLE), IDLE);
     assert_eq!(modes(&currency, 1_600, 50, IDLE), expected);
 }
+
+/// A vouch states the age of each kind. Guards against members that nobody has compared for longer than
+/// `drainMs`, because readers that were lost one after the other had vouched for the configuration.
+#[test]
+fn members_age_by_themselves() {
+    let (own, mut ms) = (instance(50), 2_000);
+    let mut instances = [instance_at(None), instance_at(None), instance_at(None)];
+    let mut last = instance_at(None);
+    let first = currency::Vouch {
+        origin: instance(9),
+        ages_us: [0; 3],
+        heads: [10; 3],
+    };
+    for currency in instances.iter_mut().chain([&mut last]) {
+        currency.record_vouch(&own, at(ms), &first);
+    }
+    // Each reader takes over the configuration, vouches, and is lost before the members are due.
+    for reader in 0..3 {
+        ms += 1_700;
+        let held = currency::Held {
+            revision: Some(10),
+            head: 10,
+            checked: Some(at(ms)),
+        };
+        instances[reader].record_held(Kind::Config, held);
+        let name = instance(reader as u32);
+        let Some(vouch) = instances[reader].vouch(at(ms), &name) else {
+            continue;
+        };
+        for currency in instances.iter_mut().chain([&mut last]) {
+            currency.record_vouch(&own, at(ms), &vouch);
+        }
+    }
+    // The members were compared at 2,000 ms. All must watch them after half of 7,000 ms.
+    assert_ne!(
+        modes(&last, 5_600, 50, IDLE)[Kind::Members as usize],
+        Mode::Idle
+    );
+}
