An answer of the store's cache shows no complete copy

What callers could see: a member that has left is used for longer, by the age of the cache.

Cause: the members are watched with allowStale, and each answer counted as a comparison with the store as of its sending, although it may be seconds old. The instance vouched for the copy with that age.

Change: only the latest answers count. A long watch is still cached, as the reads of the control objects show the store's revision beside it; a watch with short waits and a check ask for the latest.

Result: cached_answer_shows_nothing failed before and passes. Not seen with processes.

--- a/crates/cardamomhold_entry/src/follow/follower.rs
+++ b/crates/cardamomhold_entry/src/follow/follower.rs
@@ -75,6 +75,15 @@
     fn is_long(&self) -> bool {
         matches!(self.call, Call::Watch { wait, .. } if wait == WATCH_WAIT)
     }
+
+    /// Whether the answer shows that the copy is complete as of the call. The store's cache may be
+    /// seconds old.
+    fn is_latest(&self) -> bool {
+        match self.call {
+            Call::List { .. } => true,
+            Call::Watch { freshness, .. } => freshness == store::Freshness::Latest,
+        }
+    }
 }
 
 /// Keeps the copy of a kind: decides when the store is called and what its answers, the coordinator's
@@ -155,12 +164,14 @@
         Call::List { timeout }
     }
 
+    /// A long watch may be answered by the store's cache: the reads of the control objects show
+    /// whether the copy is complete.
     fn watch(&mut self, revision: u64) -> Call {
         let half = self.watched.silence / 2;
         let (freshness, wait, grace) = match self.mode {
             _ if std::mem::take(&mut self.is_check) => (store::Freshness::Latest, CHECK_WAIT, half),
             Mode::Long => (self.watched.freshness, WATCH_WAIT, WATCH_GRACE),
-            Mode::Idle | Mode::Short => (self.watched.freshness, half, half),
+            Mode::Idle | Mode::Short => (store::Freshness::Latest, half, half),
         };
         Call::Watch {
             freshness,
@@ -198,7 +209,7 @@
             return;
         };
         let sent = running.sent;
-        let checked = Some(sent);
+        let checked = running.is_latest().then_some(sent);
         match answer {
             Answer::Listed(Ok(listing)) => {
                 self.backoff.record_answer(sent);
--- a/crates/cardamomhold_entry/tests/taken_watches.rs
+++ b/crates/cardamomhold_entry/tests/taken_watches.rs
@@ -190,3 +190,25 @@
     };
     assert!(second > timeout, "a slow store must be able to answer");
 }
+
+/// An answer of the store's cache may be seconds old: it doesn't show that a copy is complete. Guards
+/// against a member that has left and is used, because an old answer was vouched for as a new one.
+#[test]
+fn cached_answer_shows_nothing() {
+    let mut world = World::new(Mode::Long);
+    world.follower.next_call(at(1_000)).unwrap();
+    world.follower.finish(at(1_010), listed(10));
+    let Some(Call::Watch { freshness, .. }) = world.follower.next_call(at(1_010)) else {
+        panic!("no watch");
+    };
+    assert_eq!(freshness, Freshness::Cached);
+    let cached = Answer::Watched(Ok((Vec::new(), 10)));
+    world.follower.finish(at(9_000), cached);
+    assert_eq!(world.seen.borrow().checked, Some(at(1_000)));
+    // Without reads of the control objects, nothing but the answers shows it.
+    world.follower.set_mode(Mode::Short);
+    let Some(Call::Watch { freshness, .. }) = world.follower.next_call(at(9_010)) else {
+        panic!("no watch");
+    };
+    assert_eq!(freshness, Freshness::Latest);
+}
