A silent source of a copy is replaced by the next one that has it

Cause: while an instance collected a copy from another one, it ignored all others that had the same or a newer one. If the source was lost on the way, it asked it three times and listed the store 0.6 s later, as each instance did that had asked the same source.

Change: once a request has remained without an answer for 150 ms, the next instance that has newer objects is asked instead.

Result: silent_source_is_replaced failed before and passes.

--- a/crates/cardamomhold_entry/src/contents/fetch.rs
+++ b/crates/cardamomhold_entry/src/contents/fetch.rs
@@ -124,6 +124,11 @@
         self.active.after(PAGE_TIMEOUT)
     }
 
+    /// Whether a request has remained without an answer.
+    pub fn is_silent(&self) -> bool {
+        self.tries > 1
+    }
+
     /// Handles a page. Those of an older copy or of another instance are ignored, as two instances
     /// may encode the same revision differently; a newer copy starts the collection again.
     pub fn receive(&mut self, now: Timestamp, from: net::SocketAddr, page: Page) -> Step {
--- a/crates/cardamomhold_entry/src/follow/command.rs
+++ b/crates/cardamomhold_entry/src/follow/command.rs
@@ -15,7 +15,8 @@
         match command {
             Command::Newer(source, head) => {
                 let revision = self.replica.revision();
-                if self.fetch.is_some() || revision.is_some_and(|r| r >= head) {
+                let is_fetching = self.fetch.as_ref().is_some_and(|f| !f.is_silent());
+                if is_fetching || revision.is_some_and(|r| r >= head) {
                     return;
                 }
                 let (fetch, request) =
--- a/crates/cardamomhold_entry/tests/taken_watches.rs
+++ b/crates/cardamomhold_entry/tests/taken_watches.rs
@@ -212,3 +212,17 @@
     };
     assert_eq!(freshness, Freshness::Latest);
 }
+
+/// An instance that is lost while it passes on what it has doesn't keep another one from doing so.
+#[test]
+fn silent_source_is_replaced() {
+    let mut world = World::idle();
+    let [first, second] = [7, 8].map(|port| net::SocketAddr::from(([127, 0, 0, 1], port)));
+    let newer = |source| follow::Command::Newer(source, 12);
+    world.follower.handle(at(5_000), newer(first));
+    world.follower.handle(at(5_100), newer(second));
+    assert_eq!(world.seen.borrow().asked, [first]);
+    world.follower.check(at(5_150));
+    world.follower.handle(at(5_160), newer(second));
+    assert_eq!(world.seen.borrow().asked, [first, first, second]);
+}
