--- a/crates/cardamomhold_core/src/lib.rs
+++ b/crates/cardamomhold_core/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert_eq!(token.position("bookings"), Some(written));
 //! ```
 
+pub mod backoff;
 pub mod key;
 pub mod log_line;
 pub mod name;
--- a/crates/cardamomhold_entry/src/follow.rs
+++ b/crates/cardamomhold_entry/src/follow.rs
@@ -18,14 +18,16 @@
 
 pub use crate::contents::Documents;
 
-mod backoff;
 mod command;
 mod follower;
 
-pub use backoff::Backoff;
 pub use follower::Answer;
 pub use follower::Call;
 pub use follower::Follower;
+pub use follower::STORE_PAUSES;
+
+/// Longest time without a look at what is due.
+const MAX_SLEEP: time::Duration = time::Duration::from_millis(3_200);
 
 /// A kind of objects to follow.
 #[derive(Debug, Clone, Copy)]
@@ -126,7 +128,7 @@
             }
             running = running.filter(|_| follower.is_calling());
             let wake = follower.next_wake(now);
-            let wait = wake.map_or(backoff::MAX_PAUSE, |at| at.since(now));
+            let wait = wake.map_or(MAX_SLEEP, |at| at.since(now));
             tokio::select! {
                 answer = answer(&mut running) => follower.finish(clock::now(), answer),
                 changed = control.restart.changed() => match changed {
--- a/crates/cardamomhold_entry/src/follow/command.rs
+++ b/crates/cardamomhold_entry/src/follow/command.rs
@@ -25,7 +25,7 @@
                 self.send(source, contents::Message::Request(request));
             }
             Command::Revision(sent, revision) => {
-                self.backoff.record_answer(sent);
+                self.backoff.record_success(sent);
                 if self.replica.revision().is_some_and(|r| r < revision) {
                     self.plan_check(now, self.watched.silence / 4);
                 }
--- a/crates/cardamomhold_entry/src/follow/follower.rs
+++ b/crates/cardamomhold_entry/src/follow/follower.rs
@@ -2,12 +2,12 @@
 
 use std::time;
 
+use cardamomhold_core::backoff;
 use cardamomhold_core::time::Timestamp;
 
 use crate::contents;
 use crate::currency;
 use crate::currency::Mode;
-use crate::follow::Backoff;
 use crate::follow::Progress;
 use crate::follow::Watched;
 use crate::store;
@@ -28,6 +28,16 @@
 /// it again and again.
 const MIN_LIST_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Pauses between calls of a store that fails them. They grow fast, as the store charges for calls that
+/// it refuses. The longest one is shorter than the time after an outage from which changes must be in
+/// force again, 4 s.
+pub const STORE_PAUSES: backoff::Schedule = backoff::Schedule {
+    first: time::Duration::from_millis(200),
+    max: time::Duration::from_millis(3_200),
+    factor: 4,
+    gap: time::Duration::from_millis(5_000),
+};
+
 /// A call of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Call {
@@ -100,7 +110,7 @@
     pub(super) is_listing_due: bool,
     /// When the next call of the store may begin, if no earlier one has failed.
     due: Timestamp,
-    pub(super) backoff: Backoff,
+    pub(super) backoff: backoff::Backoff,
     /// When the last listing began.
     listed: Option<Timestamp>,
     last_problem: String,
@@ -122,7 +132,7 @@
             running: None,
             is_listing_due: watched.lists_first,
             due: Timestamp::default(),
-            backoff: Backoff::default(),
+            backoff: backoff::Backoff::new(STORE_PAUSES),
             listed: None,
             last_problem: String::new(),
             check_due: None,
@@ -157,9 +167,9 @@
     fn listing(&mut self, now: Timestamp) -> Call {
         self.listed = Some(now);
         self.is_check = false;
-        let timeout = match self.backoff.is_failing(now) {
-            true => MAX_LIST_TIMEOUT,
-            false => MAX_LIST_TIMEOUT.min(self.watched.silence * 3 / 4),
+        let timeout = match self.backoff.failures(now) {
+            0 => MAX_LIST_TIMEOUT.min(self.watched.silence * 3 / 4),
+            _ => MAX_LIST_TIMEOUT,
         };
         Call::List { timeout }
     }
@@ -212,14 +222,14 @@
         let checked = running.is_latest().then_some(sent);
         match answer {
             Answer::Listed(Ok(listing)) => {
-                self.backoff.record_answer(sent);
+                self.backoff.record_success(sent);
                 self.is_listing_due = false;
                 self.fetch = None;
                 self.replica.list(listing);
                 self.publish(true, checked);
             }
             Answer::Watched(Ok((changes, next))) => {
-                self.backoff.record_answer(sent);
+                self.backoff.record_success(sent);
                 let is_changed = !changes.is_empty();
                 self.replica.apply(changes, next);
                 self.publish(is_changed, checked);
@@ -228,36 +238,36 @@
                 }
             }
             Answer::Listed(Err(error)) | Answer::Watched(Err(error)) => {
-                self.handle_error(now, sent, &error)
+                self.handle_error(sent, &error)
             }
             Answer::TimedOut => {
                 let problem = match running.is_listing() {
                     true => "listing timed out",
                     false => "watch timed out",
                 };
-                self.record_failure(now, problem);
+                self.record_failure(sent, problem);
             }
         }
     }
 
     /// A forgotten history is no failure of the store: it has answered, and can be listed.
-    fn handle_error(&mut self, now: Timestamp, sent: Timestamp, error: &store::StoreError) {
+    fn handle_error(&mut self, sent: Timestamp, error: &store::StoreError) {
         if *error != store::StoreError::Compacted {
-            self.record_failure(now, &error.to_string());
+            self.record_failure(sent, &error.to_string());
             return;
         }
         self.log_problem(&error.to_string());
-        self.backoff.record_answer(sent);
+        self.backoff.record_success(sent);
         self.is_listing_due = true;
         if let Some(listed) = self.listed {
             self.due = self.due.max(listed.after(MIN_LIST_INTERVAL));
         }
     }
 
-    fn record_failure(&mut self, now: Timestamp, problem: &str) {
+    fn record_failure(&mut self, sent: Timestamp, problem: &str) {
         self.log_problem(problem);
         self.is_listing_due = self.is_listing_due || self.mode != Mode::Idle;
-        self.backoff.record_failure(now);
+        self.backoff.record_failure(sent);
     }
 
     fn log_problem(&mut self, problem: &str) {
