An owner forgets failed attempts of an earlier time

What callers could see: the owner of a member's connections answers all statements that wait with "unreachable" at one refused attempt, and leaves the member alone for 640 ms in place of 20 ms.

Cause: the count of failed attempts ended with an opened connection only. With none needed in between, it stood for as long as the process.

Change: cardamomhold_core::backoff, as for the store's calls: a failure 5 s after the last pause begins a new series.

Result: earlier_failures_are_forgotten failed before and passes; the crate's other tests are unchanged and pass.

--- a/crates/cardamomhold_pool/src/connections.rs
+++ b/crates/cardamomhold_pool/src/connections.rs
@@ -9,6 +9,7 @@
 use std::collections;
 use std::time;
 
+use cardamomhold_core::backoff;
 use cardamomhold_core::name;
 use cardamomhold_core::time::Timestamp;
 
@@ -18,14 +19,13 @@
 /// Maximum number of connections that are being opened at once.
 const MAX_OPENING: usize = 2;
 
-/// Pause after a failed attempt to open a connection; doubled with each further one.
-const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(20);
-
-/// Longest pause after failed attempts.
-const MAX_FAILURE_PAUSE: time::Duration = time::Duration::from_millis(640);
-
-/// Doublings of the pause, which reach the maximum.
-const MAX_DOUBLINGS: u32 = 5;
+/// Pauses after failed attempts to open a connection.
+const FAILURE_PAUSES: backoff::Schedule = backoff::Schedule {
+    first: time::Duration::from_millis(20),
+    max: time::Duration::from_millis(640),
+    factor: 2,
+    gap: time::Duration::from_millis(5_000),
+};
 
 /// Consecutive failed attempts after which an owner without connections gives up for now.
 const HOPELESS_FAILURES: u32 = 4;
@@ -105,9 +105,10 @@
     max: usize,
     idle_timeout: time::Duration,
     parts: collections::BTreeMap<Key, Part<L>>,
-    /// Consecutive failed attempts.
+    /// The pause after failed attempts.
+    backoff: backoff::Backoff,
+    /// Consecutive failed attempts, as of the last one.
     failures: u32,
-    paused_until: Timestamp,
     /// Open connections when the member last refused another one, and until when that counts.
     ceiling: Option<(usize, Timestamp)>,
     /// When a connection may be evicted next.
@@ -123,8 +124,8 @@
             max,
             idle_timeout: IDLE_TIMEOUT,
             parts: collections::BTreeMap::new(),
+            backoff: backoff::Backoff::new(FAILURE_PAUSES),
             failures: 0,
-            paused_until: Timestamp(0),
             ceiling: None,
             next_eviction: Timestamp(0),
             last: None,
@@ -198,7 +199,7 @@
         // former is refused whenever the latter is.
         let mut is_refused = [false; 2];
         for Wanted { key, count } in wanted {
-            if self.opening() >= MAX_OPENING || now < self.paused_until {
+            if self.opening() >= MAX_OPENING || self.is_paused(now) {
                 return None;
             }
             let part = self.parts.get(key);
@@ -232,7 +233,7 @@
     /// counts as being opened from then on.
     pub fn start_check(&mut self, now: Timestamp) -> Option<Key> {
         let has_room = self.open() + self.opening() < self.max;
-        if self.opening() > 0 || !has_room || now < self.paused_until {
+        if self.opening() > 0 || !has_room || self.is_paused(now) {
             return None;
         }
         let key = self.last.clone();
@@ -240,6 +241,10 @@
         Some(key)
     }
 
+    fn is_paused(&self, now: Timestamp) -> bool {
+        self.backoff.due().is_some_and(|at| now < at)
+    }
+
     fn opening(&self) -> usize {
         self.parts.values().map(|p| p.opening).sum()
     }
@@ -268,6 +273,7 @@
             since: now,
             is_unused: true,
         });
+        self.backoff.reset();
         self.failures = 0;
     }
 
@@ -277,9 +283,8 @@
         if let Some(part) = self.parts.get_mut(key) {
             part.opening = part.opening.saturating_sub(1);
         }
-        let pause = FAILURE_PAUSE * 2u32.pow(self.failures.min(MAX_DOUBLINGS));
-        self.failures += 1;
-        self.paused_until = now.after(pause.min(MAX_FAILURE_PAUSE));
+        self.backoff.record_failure(now);
+        self.failures = self.backoff.failures(now);
         if is_full {
             self.ceiling = Some((self.open(), now.after(CEILING_TIME)));
         }
@@ -303,7 +308,7 @@
     pub fn next_wakeup(&self, now: Timestamp, is_needed: bool) -> Option<Timestamp> {
         let idle = self.parts.values().flat_map(|p| &p.idle);
         let expiry = idle.map(|i| i.since.after(self.idle_timeout)).min();
-        let pause_end = Some(self.paused_until).filter(|at| is_needed && *at > now);
+        let pause_end = self.backoff.due().filter(|at| is_needed && *at > now);
         let eviction = is_needed.then(|| self.eviction_wakeup(now)).flatten();
         expiry.into_iter().chain(pause_end).chain(eviction).min()
     }
--- a/crates/cardamomhold_pool/tests/connection_reuse.rs
+++ b/crates/cardamomhold_pool/tests/connection_reuse.rs
@@ -152,3 +152,23 @@
     connections.record_closed(&None);
     assert_eq!(connections.open(), 0);
 }
+
+/// Failed attempts of an earlier time count for nothing. Guards against an owner that gives up all
+/// statements at one refusal, and pauses for long, because it had been refused often before.
+#[test]
+fn earlier_failures_are_forgotten() {
+    let mut connections = Connections::new(5);
+    let mut now = at(0);
+    for _ in 0..6 {
+        assert!(connections.next_opening(now, &wanted(&["a"])).is_some());
+        connections.record_failed(now, &key("a"), false);
+        now = now.after(time::Duration::from_millis(640));
+    }
+    assert!(connections.is_hopeless());
+    let later = now.after(time::Duration::from_secs(60));
+    assert!(connections.next_opening(later, &wanted(&["a"])).is_some());
+    connections.record_failed(later, &key("a"), true);
+    assert!(!connections.is_hopeless());
+    let resumed = later.after(time::Duration::from_millis(20));
+    assert_eq!(connections.next_wakeup(later, true), Some(resumed));
+}
