An instance forgets refused connections of an earlier time

What callers could see: a member without an owner that had refused many connections, as in a crowd after a start, is left alone for up to 2 s after a single refusal much later (10 ms is the first pause).

Cause: the count of refusals ended with an opened connection only.

Change: cardamomhold_core::backoff, as for the store's calls.

--- a/crates/cardamomhold_pool/src/member.rs
+++ b/crates/cardamomhold_pool/src/member.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use cardamomhold_core::backoff;
 use cardamomhold_core::name;
 use cardamomhold_core::position;
 use cardamomhold_core::time::Timestamp;
@@ -49,15 +50,16 @@
 /// Doublings of the delay before a probe, which reach the maximum.
 const MAX_DOUBLINGS: u32 = 7;
 
-/// Pause after the member refused a request because it had no free slot or connection; doubled
-/// with each further refusal for lack of a connection.
+/// Pause after the member refused a request because it had no free slot.
 const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(10);
 
-/// Maximum pause after the member had no free connection.
-const MAX_NO_CONNECTION_PAUSE: time::Duration = time::Duration::from_millis(2_000);
-
-/// Doublings of the pause after refused connections, which reach the maximum.
-const MAX_PAUSE_DOUBLINGS: u32 = 8;
+/// Pauses after the member had no free connection.
+const NO_CONNECTION_PAUSES: backoff::Schedule = backoff::Schedule {
+    first: REFUSAL_PAUSE,
+    max: time::Duration::from_millis(2_000),
+    factor: 2,
+    gap: time::Duration::from_millis(5_000),
+};
 
 /// Added cost of opening a connection, in microseconds.
 const CONNECT_COST_US: f64 = 15_000.0;
@@ -96,8 +98,8 @@
     idle_timeout: share::IdleTimeout,
     /// The load that the member's owner reported.
     pub(crate) load: load::Report,
-    /// Refusals for lack of a connection since a connection was last opened.
-    refused_connections: u32,
+    /// The pause after refusals for lack of a connection.
+    no_connection: backoff::Backoff,
     /// Connections that are in use or being opened.
     pub(crate) in_use: usize,
     service_us: f64,
@@ -125,7 +127,7 @@
             share: info.share,
             idle_timeout: share::IdleTimeout::new(info.is_near),
             load: load::Report::default(),
-            refused_connections: 0,
+            no_connection: backoff::Backoff::new(NO_CONNECTION_PAUSES),
             in_use: 0,
             service_us: INITIAL_SERVICE_US,
             position: None,
@@ -291,16 +293,14 @@
 
     /// Records that the member had no free connection.
     pub(crate) fn record_no_connection(&mut self, now: Timestamp) {
-        let doublings = self.refused_connections.min(MAX_PAUSE_DOUBLINGS);
-        let pause = (REFUSAL_PAUSE * 2u32.pow(doublings)).min(MAX_NO_CONNECTION_PAUSE);
-        self.refused_connections += 1;
+        let pause = self.no_connection.record_failure(now);
         self.idle_timeout.record_no_connection();
         self.paused_until = now.after(jitter(now, pause));
     }
 
     /// Records that a connection was opened.
     pub(crate) fn record_opened(&mut self) {
-        self.refused_connections = 0;
+        self.no_connection.reset();
         self.idle_timeout.record_opened();
     }
 
