--- a/crates/cardamomhold_entry/tests/fleet/instance.rs
+++ b/crates/cardamomhold_entry/tests/fleet/instance.rs
@@ -1,24 +1,21 @@
 //! One instance: its copies, its lease, and whom it asks.
 
 use std::cell;
-use std::net;
 use std::rc;
 
-use cardamomhold_entry::contents;
 use cardamomhold_entry::contents::Kind;
-use cardamomhold_entry::currency;
 use cardamomhold_entry::currency::Mode;
 use cardamomhold_entry::follow;
-use cardamomhold_entry::follow::Progress;
 use cardamomhold_entry::registry;
-use cardamomhold_entry::restarts;
-use cardamomhold_entry::store::Freshness;
-use cardamomhold_lead::lease;
 use cardamomhold_lead::renewal;
 
 use super::Disabled;
 use super::How;
 use super::name_of;
+use super::peers::Message;
+use super::process::Asked;
+use super::process::Process;
+use super::process::Report;
 use super::store;
 use super::store::at;
 
@@ -31,81 +28,12 @@
 /// Time after an outage within which the other instances wait for the first one's listing.
 const RESTART_DELAY: std::time::Duration = std::time::Duration::from_millis(900);
 
-const BOUNDS: currency::Bounds = currency::Bounds {
-    config: std::time::Duration::from_millis(super::CONFIG_MS),
-    members: std::time::Duration::from_millis(super::MEMBERS_MS),
-};
-
-type OnProgress = Box<dyn FnMut(Progress<'_>)>;
-
-/// What a follower reports, with its kind.
-#[derive(Debug)]
-enum Report {
-    Changed(u64),
-    Held(currency::Held),
-    Send(net::SocketAddr, contents::Message),
-}
-
-/// A datagram.
-#[derive(Debug, Clone)]
-pub enum Message {
-    Renewal {
-        number: u64,
-    },
-    Renewed {
-        number: u64,
-        held_us: u64,
-        age_us: u64,
-        vouch: Option<currency::Vouch>,
-    },
-    VouchRequest {
-        sent: u64,
-    },
-    VouchReply {
-        sent: u64,
-        vouch: Option<currency::Vouch>,
-    },
-    Contents(contents::Message),
-}
-
-/// A request for a renewal that this instance has sent.
-#[derive(Debug, Clone, Copy)]
-struct Asked {
-    number: u64,
-    sent: u64,
-    level: renewal::Level,
-}
-
-/// The pauses as they were before they ended with their outage.
-#[derive(Debug, Clone, Copy)]
-struct FormerPause {
-    due: u64,
-    pause: u64,
-}
-
-/// What is lost when the process ends.
-struct Process {
-    currency: currency::Currency,
-    followers: [follow::Follower<OnProgress>; 3],
-    modes: [Mode; 3],
-    instances: registry::Instances,
-    lease: lease::Lease,
-    renewal: renewal::Renewal,
-    asked: Vec<Asked>,
-    /// Renewals to answer with the next confirmation: the sender, the number and the arrival.
-    held: Vec<(usize, u64, u64)>,
-    is_disconnected: bool,
-    regained: Option<u64>,
-    restarts: restarts::Restarts,
-    former: [FormerPause; 3],
-}
-
 pub struct Instance {
-    index: usize,
+    pub(super) index: usize,
     registered: registry::Instances,
     is_passed: bool,
-    disabled: Disabled,
-    process: Process,
+    pub(super) disabled: Disabled,
+    pub(super) process: Process,
     reports: rc::Rc<cell::RefCell<Vec<(Kind, Report)>>>,
     running: Vec<store::Running>,
     number: u64,
@@ -121,65 +49,6 @@
     is_killed: bool,
 }
 
-fn watched(kind: Kind, is_passed: bool) -> follow::Watched {
-    let (bound, pause, freshness) = match kind {
-        Kind::Config => (super::CONFIG_MS, 200, Freshness::Latest),
-        Kind::Members => (super::MEMBERS_MS, 400, Freshness::Cached),
-        Kind::Instances => (30_000, 1_000, Freshness::Latest),
-    };
-    let is_passed: fn(&_) -> bool = match is_passed || kind != Kind::Config {
-        true => |_| true,
-        false => |_| false,
-    };
-    follow::Watched {
-        id: kind,
-        kind: "objects",
-        pause: std::time::Duration::from_millis(pause),
-        freshness,
-        silence: std::time::Duration::from_millis(bound / 3),
-        lists_first: kind == Kind::Instances,
-        is_passed,
-    }
-}
-
-impl Process {
-    fn start(
-        now: u64,
-        is_passed: bool,
-        reports: &rc::Rc<cell::RefCell<Vec<(Kind, Report)>>>,
-    ) -> Self {
-        let followers = Kind::ALL.map(|kind| {
-            let reports = reports.clone();
-            let on_progress = move |progress: Progress<'_>| {
-                let report = match progress {
-                    Progress::Changed(documents) => {
-                        Report::Changed(documents.values().map(|d| d.revision).max().unwrap_or(0))
-                    }
-                    Progress::Held(held) => Report::Held(held),
-                    Progress::Send(to, message) => Report::Send(to, message),
-                };
-                reports.borrow_mut().push((kind, report));
-            };
-            let on_progress: OnProgress = Box::new(on_progress);
-            follow::Follower::new(watched(kind, is_passed), Mode::Idle, on_progress)
-        });
-        Self {
-            currency: currency::Currency::new(at(now), BOUNDS),
-            followers,
-            modes: [Mode::Idle; 3],
-            instances: registry::Instances::new(),
-            lease: lease::Lease::new(at(now)),
-            renewal: renewal::Renewal::default(),
-            asked: Vec::new(),
-            held: Vec::new(),
-            is_disconnected: false,
-            regained: None,
-            restarts: restarts::Restarts::default(),
-            former: [FormerPause { due: 0, pause: 200 }; 3],
-        }
-    }
-}
-
 impl Instance {
     pub fn new(
         index: usize,
@@ -310,7 +179,7 @@
         true
     }
 
-    fn confirm(&mut self, now: u64, sent: u64) {
+    pub(super) fn confirm(&mut self, now: u64, sent: u64) {
         let before = self.process.lease.expiry();
         self.process.lease.confirm(at(sent));
         if self.process.lease.expiry() > before {
@@ -346,7 +215,7 @@
         }
     }
 
-    fn publish_modes(&mut self, now: u64) {
+    pub(super) fn publish_modes(&mut self, now: u64) {
         let own = name_of(self.index);
         let process = &mut self.process;
         let rank_of = |name: &_| registry::watcher_rank(&process.instances, name);
@@ -476,93 +345,4 @@
             }
         }
     }
-
-    fn vouch(&self, now: u64) -> Option<currency::Vouch> {
-        let vouch = self.process.currency.vouch(at(now), &name_of(self.index))?;
-        let ages_us = match self.disabled {
-            Disabled::Ages => [vouch.ages_us[0]; 3],
-            Disabled::Nothing | Disabled::Backoff => vouch.ages_us,
-        };
-        Some(currency::Vouch { ages_us, ..vouch })
-    }
-
-    fn answer_renewal(&mut self, now: u64, to: usize, number: u64, since: u64) {
-        let lease = &self.process.lease;
-        let age = lease.age(at(now)).filter(|_| lease.may_confirm_others());
-        if let Some(age) = age {
-            let reply = Message::Renewed {
-                number,
-                held_us: (now - since) * 1_000,
-                age_us: age.as_micros() as u64,
-                vouch: self.vouch(now),
-            };
-            self.sent.push((to, reply));
-        }
-    }
-
-    fn record_vouch(&mut self, now: u64, given: u64, from: usize, vouch: &currency::Vouch) {
-        let process = &mut self.process;
-        process
-            .currency
-            .record_vouch(&name_of(self.index), at(given), vouch);
-        let address = net::SocketAddr::from(([127, 0, 0, 1], from as u16 + 1));
-        for (kind, head) in Kind::ALL.into_iter().zip(vouch.heads) {
-            if process.currency.is_behind(kind, head) {
-                let newer = follow::Command::Newer(address, head);
-                process.followers[kind as usize].handle(at(now), newer);
-            }
-        }
-        self.publish_modes(now);
-    }
-
-    pub fn receive(&mut self, now: u64, from: usize, message: Message) {
-        match message {
-            Message::Renewal { number } => {
-                self.process.renewal.record_request(at(now));
-                let age = self.process.lease.age(at(now));
-                match age.is_some_and(|age| age <= renewal::MAX_FRESH_AGE) {
-                    true => self.answer_renewal(now, from, number, now),
-                    false => self.process.held.push((from, number, now)),
-                }
-            }
-            Message::Renewed {
-                number,
-                held_us,
-                age_us,
-                vouch,
-            } => {
-                let asked = self
-                    .process
-                    .asked
-                    .iter()
-                    .find(|a| a.number == number)
-                    .copied();
-                let Some(asked) = asked else {
-                    return;
-                };
-                self.process.asked.retain(|a| a.number > number);
-                self.process.renewal.record_answer(asked.level);
-                let given = (asked.sent + held_us / 1_000).min(now);
-                if let Some(vouch) = &vouch {
-                    self.record_vouch(now, given, from, vouch);
-                }
-                self.confirm(now, given.saturating_sub(age_us / 1_000));
-            }
-            Message::VouchRequest { sent } => {
-                let vouch = self.vouch(now);
-                self.sent.push((from, Message::VouchReply { sent, vouch }));
-            }
-            Message::VouchReply { sent, vouch } => {
-                if let Some(vouch) = vouch {
-                    self.record_vouch(now, sent, from, &vouch);
-                }
-            }
-            Message::Contents(message) => {
-                let kind = message.objects() as usize;
-                let source = net::SocketAddr::from(([127, 0, 0, 1], from as u16 + 1));
-                let received = follow::Command::Received(source, message);
-                self.process.followers[kind].handle(at(now), received);
-            }
-        }
-    }
 }
--- a/crates/cardamomhold_entry/tests/fleet/mod.rs
+++ b/crates/cardamomhold_entry/tests/fleet/mod.rs
@@ -11,10 +11,12 @@
 use cardamomhold_entry::registry;
 
 pub mod instance;
+pub mod peers;
+pub mod process;
 pub mod store;
 
 use instance::Instance;
-use instance::Message;
+use peers::Message;
 
 /// Length of a step, in ms.
 const STEP_MS: u64 = 5;
