The daemon forgets watches that broke long ago

What callers could see: a configuration in force 2 s later when one watch of the platform breaks, if several had broken much earlier.

Cause: the pause doubled with each broken watch, however long it had lasted, and ended only with a lost election.

Change: cardamomhold_core::backoff in cardamomhold_daemon::follow, for the first read too.

Result: earlier_breaks_are_forgotten failed before (2 s after a watch of 60 s) and passes.

--- a/crates/cardamomhold_daemon/src/follow.rs
+++ b/crates/cardamomhold_daemon/src/follow.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use cardamomhold_config::object;
+use cardamomhold_core::backoff;
 use cardamomhold_fleet::election;
 use cardamomhold_fleet::fleet;
 use cardamomhold_platform::client;
@@ -17,11 +18,13 @@
 use crate::config;
 use crate::fleet as fleet_task;
 
-/// Initial pause before a broken watch is restarted; doubles each time.
-const MIN_RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
-
-/// Maximum pause before a broken watch is restarted.
-const MAX_RETRY_PAUSE: time::Duration = time::Duration::from_secs(2);
+/// Pauses between attempts to read or watch a platform that fails them.
+const RETRY_PAUSES: backoff::Schedule = backoff::Schedule {
+    first: time::Duration::from_millis(250),
+    max: time::Duration::from_secs(2),
+    factor: 2,
+    gap: time::Duration::from_secs(5),
+};
 
 /// Interval of election checks.
 const ELECT_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -56,20 +59,22 @@
     /// Runs until it is aborted.
     pub async fn run(self) {
         self.load_initial().await;
-        let mut retry = MIN_RETRY_PAUSE;
+        let mut backoff = backoff::Backoff::new(RETRY_PAUSES);
         loop {
             if !self.is_elected() {
                 self.report_reachable(self.is_platform_reachable()).await;
                 tokio::time::sleep(ELECT_INTERVAL).await;
                 continue;
             }
+            let begun = self.clock.now();
             match self.watch_platform().await {
-                Ok(()) => retry = MIN_RETRY_PAUSE,
+                Ok(()) => backoff.reset(),
                 Err(error) => {
                     log::warn!("event=platform_lost error={error}");
                     self.report_reachable(false).await;
-                    tokio::time::sleep(retry).await;
-                    retry = (retry * 2).min(MAX_RETRY_PAUSE);
+                    let pause = backoff.record_failure(begun);
+                    let due = self.clock.instant(begun.after(pause));
+                    tokio::time::sleep_until(due).await;
                 }
             }
         }
@@ -83,15 +88,17 @@
             // After the timeout the platform is read.
             let _ = tokio::time::timeout(PEER_CONFIG_TIMEOUT, loaded).await;
         }
-        let mut retry = MIN_RETRY_PAUSE;
+        let mut backoff = backoff::Backoff::new(RETRY_PAUSES);
         while self.config.config.borrow().through() == 0 {
+            let begun = self.clock.now();
             if self.catch_up().await.is_ok() {
                 return;
             }
             let loaded = config.wait_for(|c| c.through() > 0);
+            let pause = backoff.record_failure(begun);
+            let due = self.clock.instant(begun.after(pause));
             // Ends early if peers provide a configuration.
-            let _ = tokio::time::timeout(retry, loaded).await;
-            retry = (retry * 2).min(MAX_RETRY_PAUSE);
+            let _ = tokio::time::timeout_at(due, loaded).await;
         }
     }
 
