Smaller files in the failover trial; one request for the pool's tests

Change: simulation/{drivers,members}.rs, moved only; tests/requests. Comments of tests/fleet without dates and names of the users' platform.

No product code changes.

--- a/benches/src/failover/simulation.rs
+++ b/benches/src/failover/simulation.rs
@@ -19,6 +19,9 @@
 use crate::failover;
 use crate::failover::schedule;
 
+mod drivers;
+mod members;
+
 /// Number of zones, each with one member and one instance.
 const ZONES: usize = 3;
 
@@ -196,43 +199,6 @@
         ));
     }
 
-    fn has_failed(&self, m: usize) -> bool {
-        m == 0 && self.fault_at.is_some() && self.fault != failover::Fault::SwitchedOver
-    }
-
-    /// Returns the time of the last heartbeat that a replica received from the first primary.
-    fn last_heartbeat(&self) -> Timestamp {
-        let until = self
-            .fault_at
-            .filter(|_| self.has_failed(0))
-            .unwrap_or(self.now);
-        let interval = HEARTBEAT_INTERVAL.as_micros() as u64;
-        let intervals = until.0.saturating_sub(self.first_heartbeat.0) / interval;
-        Timestamp(self.first_heartbeat.0 + intervals * interval)
-    }
-
-    fn status(&self, m: usize) -> status::MemberStatus {
-        let member = &self.members[m];
-        let joined = member.joins_at.is_some_and(|at| at <= self.now);
-        let silence = match member.role {
-            status::MemberRole::Primary => time::Duration::ZERO,
-            status::MemberRole::Replica if joined && member.fenced > position::Term(1) => {
-                time::Duration::ZERO
-            }
-            status::MemberRole::Replica => self.now.since(self.last_heartbeat()),
-        };
-        status::MemberStatus {
-            role: member.role,
-            term: if joined { member.fenced } else { member.term },
-            fenced: member.fenced,
-            received: position::LogPosition(1_000),
-            applied: position::LogPosition(1_000),
-            silence,
-            lag: silence,
-            leaving: false,
-        }
-    }
-
     fn handle(&mut self, event: schedule::Event) {
         match event {
             schedule::Event::Fault => self.inject_fault(),
@@ -273,157 +239,6 @@
         }
     }
 
-    /// Ends a poll that was sent [`MAX_STATUS_WAIT`] ago, with a report or with a timeout.
-    fn finish_poll(&mut self, d: usize, m: usize) {
-        if !self.has_failed(m) {
-            let report = schedule::Message::Report(m, self.status(m));
-            self.schedule(latency(d, m), schedule::Event::Message(d, report));
-            self.schedule(
-                MAX_STATUS_WAIT + latency(d, m) * 2,
-                schedule::Event::Poll(d, m),
-            );
-            return;
-        }
-        if self.fault == failover::Fault::Partitioned {
-            let unreachable = schedule::Message::Unreachable(m, detect::Reach::Timeout);
-            self.schedule(STATUS_TIMEOUT, schedule::Event::Message(d, unreachable));
-        }
-        self.schedule(
-            MAX_STATUS_WAIT + RECONNECT_DELAY,
-            schedule::Event::Poll(d, m),
-        );
-    }
-
-    fn deliver(&mut self, d: usize, message: schedule::Message) {
-        let now = self.now;
-        let driver = &mut self.drivers[d];
-        match message {
-            schedule::Message::LeadershipChanged(leadership, version) => {
-                let leadership = &leadership;
-                driver.observe(
-                    now,
-                    event::Event::Leadership {
-                        leadership,
-                        version,
-                    },
-                );
-            }
-            schedule::Message::StoreAnswered(leadership, version) => {
-                let leadership = &leadership;
-                driver.observe(
-                    now,
-                    event::Event::Leadership {
-                        leadership,
-                        version,
-                    },
-                );
-                driver.observe(now, event::Event::StoreAnswered);
-            }
-            schedule::Message::Unreachable(m, reach) => {
-                if let Some(member) = &member_name(m) {
-                    driver.observe(now, event::Event::Unreachable { member, reach });
-                }
-            }
-            schedule::Message::Report(m, status) => self.deliver_report(d, m, status),
-            schedule::Message::CommandEnded(m, status) => {
-                let done = status.is_some();
-                if let Some(status) = status {
-                    self.deliver_report(d, m, status);
-                }
-                if let Some(member) = &member_name(m) {
-                    self.drivers[d].observe(now, event::Event::CommandEnded { member, done });
-                }
-            }
-        }
-    }
-
-    fn deliver_report(&mut self, d: usize, m: usize, status: status::MemberStatus) {
-        if let Some(member) = &member_name(m) {
-            let status = &status;
-            self.drivers[d].observe(self.now, event::Event::Report { member, status });
-        }
-        self.reports[d][m] = Some(status);
-    }
-
-    fn poll_driver(&mut self, d: usize) {
-        for command in self.drivers[d].poll(self.now) {
-            let member = match &command {
-                event::Command::Write { .. } | event::Command::Read => {
-                    if self.change_started_at.is_none() && self.fault_at.is_some() {
-                        self.change_started_at = Some(self.now);
-                    }
-                    self.schedule(ZONE_LATENCY, schedule::Event::Call(d, command));
-                    continue;
-                }
-                event::Command::Fence { member, .. }
-                | event::Command::Promote { member, .. }
-                | event::Command::Follow { member, .. }
-                | event::Command::Probe { member } => member.clone(),
-            };
-            for m in (0..ZONES).filter(|m| member_name(*m).as_ref() == Some(&member)) {
-                let delay = CONNECT_TIME + latency(d, m);
-                self.schedule(delay, schedule::Event::Command(d, m, command.clone()));
-            }
-        }
-        if let Some(at) = self.drivers[d].next_wakeup(self.now) {
-            self.schedule(at.since(self.now), schedule::Event::Wake(d));
-        }
-    }
-
-    fn receive_command(&mut self, d: usize, m: usize, command: &event::Command) {
-        if self.has_failed(m) {
-            let wait = match self.fault {
-                failover::Fault::Partitioned => CONNECT_TIMEOUT,
-                failover::Fault::Killed | failover::Fault::SwitchedOver => latency(d, m),
-            };
-            self.schedule(
-                wait,
-                schedule::Event::Message(d, schedule::Message::CommandEnded(m, None)),
-            );
-            return;
-        }
-        let done = self.apply_command(m, command);
-        let status = done.then(|| self.status(m));
-        self.schedule(
-            latency(d, m),
-            schedule::Event::Message(d, schedule::Message::CommandEnded(m, status)),
-        );
-    }
-
-    /// Applies a command by the members' rules, reduced to what a trial without lost writes needs.
-    /// Returns whether the member accepted the command.
-    fn apply_command(&mut self, m: usize, command: &event::Command) -> bool {
-        let now = self.now;
-        let member = &mut self.members[m];
-        match command {
-            event::Command::Fence { term, .. } if member.term < *term => {
-                member.role = status::MemberRole::Replica;
-                member.fenced = *term;
-                member.joins_at = None;
-                true
-            }
-            event::Command::Fence { .. } => true,
-            event::Command::Promote { term, .. } => {
-                let is_ready = member.fenced == *term;
-                if is_ready {
-                    member.role = status::MemberRole::Primary;
-                    member.term = *term;
-                }
-                is_ready
-            }
-            event::Command::Follow { term, .. } => {
-                member.fenced = *term;
-                if member.joins_at.is_none() {
-                    member.joins_at = Some(now.after(CONNECT_TIME + ZONE_LATENCY * 2));
-                }
-                true
-            }
-            event::Command::Probe { .. } | event::Command::Write { .. } | event::Command::Read => {
-                true
-            }
-        }
-    }
-
     fn call_store(&mut self, d: usize, command: &event::Command) {
         if let event::Command::Write {
             leadership,
--- a/crates/cardamomhold_entry/tests/fleet/mod.rs
+++ b/crates/cardamomhold_entry/tests/fleet/mod.rs
@@ -24,19 +24,21 @@
 /// Time of a datagram, in ms.
 const DATAGRAM_MS: u64 = 5;
 
-/// Time without disturbance after which the bounds hold for an instance, `stableWindowMs`.
+/// Time without disturbance after which the bounds hold for an instance.
 const STABLE_WINDOW_MS: u64 = 4_000;
 
-/// Times in which changes must be in force: `configApplyMs` and `drainMs`.
+/// Time in which a change of the configuration must be in force, in ms.
 pub const CONFIG_MS: u64 = 3_000;
+
+/// Time in which a change of the members must be in force, in ms.
 pub const MEMBERS_MS: u64 = 7_000;
 
-/// A mend that is switched off.
+/// A fix that is switched off, to show that the check reports its fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Disabled {
     Nothing,
-    /// Pauses are kept as on 6 December 2026: they end only with an answered watch, and a forgotten
-    /// history counts as a failure.
+    /// Pauses between calls end only with an answered watch, and a forgotten history counts as a
+    /// failure.
     Backoff,
     /// A vouch has the age of the configuration for all kinds.
     Ages,
--- a/crates/cardamomhold_entry/tests/fleet/process.rs
+++ b/crates/cardamomhold_entry/tests/fleet/process.rs
@@ -41,7 +41,7 @@
     pub level: renewal::Level,
 }
 
-/// The pauses as they were before they ended with their outage.
+/// The pause of [`super::Disabled::Backoff`].
 #[derive(Debug, Clone, Copy)]
 pub struct FormerPause {
     pub due: u64,
--- a/crates/cardamomhold_entry/tests/reader_losses.rs
+++ b/crates/cardamomhold_entry/tests/reader_losses.rs
@@ -160,7 +160,7 @@
     println!("longest {:?}", world.longest);
 }
 
-/// The check reports members that nobody compares in time, when a vouch has one age for all kinds.
+/// The check reports members that nobody compares in time when a vouch has one age for all kinds.
 #[test]
 fn detects_shared_ages() {
     let losses = [(31_000, 0), (32_400, 1), (33_900, 2)];
@@ -183,8 +183,8 @@
     assert!(world.late.is_empty(), "{:?}", world.late.first());
 }
 
-/// An instance whose copy nobody passes on lists the store soon after a silent outage. Found by
-/// `changes_are_in_force`: the pause began when the last lost call had timed out.
+/// An instance whose copy nobody passes on lists the store soon after a silent outage. Guards against a
+/// pause that begins when the last lost call has timed out.
 #[test]
 fn silent_outage_ends() {
     let restart = |at| Fault {
--- a/crates/cardamomhold_pool/tests/lagging_replicas.rs
+++ b/crates/cardamomhold_pool/tests/lagging_replicas.rs
@@ -3,6 +3,8 @@
 // `clippy.toml` allows `unwrap` in tests only, not in their helpers.
 #![allow(clippy::unwrap_used)]
 
+mod requests;
+
 use std::time;
 
 use cardamomhold_core::name;
@@ -45,20 +47,12 @@
         sent: now,
         position: needed(),
     });
-    pool.request(wait_queue::Request {
-        id: now.0,
-        rank: 1,
-        requirement: wait_queue::Requirement::Read {
-            staleness: time::Duration::from_secs(2),
-            own_commit: None,
-        },
-        caller: name::CallerName::parse("kalkbok").unwrap(),
-        grant: None,
-        avoid: Vec::new(),
-        asked: Vec::new(),
-        target: now.after(time::Duration::from_secs(1)),
-        deadline: now.after(time::Duration::from_secs(10)),
-    });
+    let read = wait_queue::Requirement::Read {
+        staleness: time::Duration::from_secs(2),
+        own_commit: None,
+    };
+    let deadline = now.after(time::Duration::from_secs(10));
+    pool.request(requests::request(now.0, read, deadline));
     match &pool.poll(now, true)[..] {
         [pool::Decision::Grant(grant)] => grant.member.clone(),
         other => panic!("{other:?}"),
--- a/crates/cardamomhold_pool/tests/refused_connections.rs
+++ b/crates/cardamomhold_pool/tests/refused_connections.rs
@@ -3,6 +3,8 @@
 // `allow-unwrap-in-tests` of clippy.toml doesn't cover helper functions.
 #![allow(clippy::unwrap_used)]
 
+mod requests;
+
 use std::time;
 
 use cardamomhold_core::name;
@@ -15,31 +17,21 @@
 /// Longest time for which a member is left alone after its first refusal.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(10);
 
-fn request(id: u64, deadline: Timestamp) -> wait_queue::Request {
-    wait_queue::Request {
-        id,
-        rank: 0,
-        requirement: wait_queue::Requirement::Primary,
-        caller: name::CallerName::parse("kalkbok").unwrap(),
-        grant: None,
-        avoid: Vec::new(),
-        asked: Vec::new(),
-        target: deadline,
-        deadline,
-    }
+fn write(id: u64, deadline: Timestamp) -> wait_queue::Request {
+    requests::request(id, wait_queue::Requirement::Primary, deadline)
 }
 
 /// Sends a request whose connection the member refuses; returns when the next one may be opened.
 fn refuse(pool: &mut pool::Pool<()>, member: &name::MemberName, now: Timestamp) -> Timestamp {
     let deadline = now.after(time::Duration::from_secs(10));
-    pool.request(request(now.0, deadline));
+    pool.request(write(now.0, deadline));
     let granted = pool.poll(now, true);
     assert!(
         matches!(granted[..], [pool::Decision::Grant(_)]),
         "{granted:?}"
     );
     pool.release(now, member, None, pool::Completion::NoConnection);
-    pool.request(request(now.0 + 1, deadline));
+    pool.request(write(now.0 + 1, deadline));
     let mut next = now;
     while pool.poll(next, true).is_empty() {
         next = next.after(time::Duration::from_millis(1));
--- a/crates/cardamomhold_pool/tests/relayed_requests.rs
+++ b/crates/cardamomhold_pool/tests/relayed_requests.rs
@@ -3,6 +3,8 @@
 // `clippy.toml` allows `unwrap` in tests only, not in their helpers.
 #![allow(clippy::unwrap_used)]
 
+mod requests;
+
 use std::time;
 
 use cardamomhold_core::name;
@@ -38,15 +40,9 @@
 
 fn request(id: u64, requirement: wait_queue::Requirement) -> wait_queue::Request {
     wait_queue::Request {
-        id,
         rank: 1,
-        requirement,
-        caller: name::CallerName::parse("kalkbok").unwrap(),
-        grant: None,
-        avoid: Vec::new(),
-        asked: Vec::new(),
         target: Timestamp::from_millis(250),
-        deadline: Timestamp::from_millis(10_000),
+        ..requests::request(id, requirement, Timestamp::from_millis(10_000))
     }
 }
 
--- a/crates/cardamomhold_pool/tests/scarce_connections.rs
+++ b/crates/cardamomhold_pool/tests/scarce_connections.rs
@@ -4,6 +4,8 @@
 // `clippy.toml` allows `unwrap` in tests only, not in their helpers.
 #![allow(clippy::unwrap_used)]
 
+mod requests;
+
 use std::time;
 
 use cardamomhold_core::name;
@@ -25,18 +27,8 @@
 /// Time between two requests of one instance.
 const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(1_900);
 
-fn request(id: u64, deadline: Timestamp) -> wait_queue::Request {
-    wait_queue::Request {
-        id,
-        rank: 0,
-        requirement: wait_queue::Requirement::Primary,
-        caller: name::CallerName::parse("kalkbok").unwrap(),
-        grant: None,
-        avoid: Vec::new(),
-        asked: Vec::new(),
-        target: deadline,
-        deadline,
-    }
+fn write(id: u64, deadline: Timestamp) -> wait_queue::Request {
+    requests::request(id, wait_queue::Requirement::Primary, deadline)
 }
 
 /// A connection that decrements the number of open connections when dropped.
@@ -102,7 +94,7 @@
                         let completion = pool::Completion::NoConnection;
                         self.pools[index].release(now, &self.member, None, completion);
                         let deadline = now.after(time::Duration::from_millis(400));
-                        self.pools[index].request(request(grant.id, deadline));
+                        self.pools[index].request(write(grant.id, deadline));
                     }
                 },
                 pool::Decision::Refuse { .. } => self.refused += 1,
@@ -127,7 +119,7 @@
                 let offset = index as u64 * 13 % REQUEST_INTERVAL.as_millis() as u64;
                 if (ms + offset).is_multiple_of(REQUEST_INTERVAL.as_millis() as u64) {
                     let deadline = now.after(time::Duration::from_millis(400));
-                    self.pools[index].request(request(ms, deadline));
+                    self.pools[index].request(write(ms, deadline));
                 }
                 let is_due = self.pools[index].next_wakeup(now).is_some_and(|w| w <= now);
                 if !is_due && self.pools[index].waiting() == 0 {
